--- /dev/null
+++ b/control/commands.cpp
@@ -0,0 +1,118 @@
+#include "control/commands.hpp"
+
+#include "control/commands_json.hpp"
+
+namespace poplarroute::control
+{
+
+static void to_json(nlohmann::json& out, const command& order)
+{
+    nlohmann::json body;
+    std::visit(
+        [&](const auto& typed)
+        {
+            body = typed;
+        },
+        order);
+    out = {order.index(), std::move(body)};
+}
+
+template <std::size_t Kind = 0>
+static command read_command(std::size_t kind, const nlohmann::json& in)
+{
+    if constexpr (Kind < std::variant_size_v<command>)
+    {
+        if (kind == Kind)
+        {
+            return in.get<std::variant_alternative_t<Kind, command>>();
+        }
+        return read_command<Kind + 1>(kind, in);
+    }
+    throw nlohmann::json::other_error::create(
+        501, "unknown kind of command", &in);
+}
+
+static void from_json(const nlohmann::json& in, command& order)
+{
+    order = read_command(in.at(0).get<std::size_t>(), in.at(1));
+}
+
+std::string encode(const command& order)
+{
+    nlohmann::json document;
+    to_json(document, order);
+    std::string out;
+    nlohmann::json::to_cbor(document, out);
+    return out;
+}
+
+std::optional<command> decode_command(std::string_view bytes)
+{
+    const nlohmann::json document =
+        nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (document.is_discarded())
+    {
+        return std::nullopt;
+    }
+    try
+    {
+        command order;
+        from_json(document, order);
+        return order;
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+std::string encode(const command_reply& reply)
+{
+    return core::to_bytes(reply);
+}
+
+std::optional<command_reply> decode_reply(std::string_view bytes)
+{
+    return core::from_bytes<command_reply>(bytes);
+}
+
+const command_origin* origin_of(const command& order)
+{
+    return std::visit(
+        [](const auto& typed) -> const command_origin*
+        {
+            if constexpr (requires { typed.origin_; })
+            {
+                return &typed.origin_;
+            }
+            else
+            {
+                return nullptr;
+            }
+        },
+        order);
+}
+
+std::string_view name_of(verdict outcome)
+{
+    switch (outcome)
+    {
+    case verdict::accepted:
+        return "accepted";
+    case verdict::conflict:
+        return "conflict";
+    case verdict::invalid:
+        return "invalid";
+    case verdict::granted:
+        return "granted";
+    case verdict::in_progress:
+        return "in_progress";
+    case verdict::recorded:
+        return "recorded";
+    case verdict::mismatch:
+        return "mismatch";
+    }
+    return "invalid";
+}
+
+} // namespace poplarroute::control
--- /dev/null
+++ b/control/commands_json.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "control/commands.hpp"
+#include "core/codec.hpp"
+
+namespace poplarroute::control
+{
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    command_origin, id_, operator_, wall_ms_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    submit_configuration, origin_, base_, text_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    issue_key, origin_, key_, account_, salt_, digest_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(withdraw_key, origin_, key_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    set_out, origin_, zone_, name_, out_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    retire_host, origin_, host_, evidence_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(readmit_host, origin_, host_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    settle_shares, origin_, version_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    claim_call, account_, key_, digest_, attempt_, wall_ms_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    abandon_claim, account_, key_, attempt_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(take_fence, origin_, endpoint_)
+
+/// Bodies may hold any bytes, which CBOR carries as a byte string.
+inline nlohmann::json binary(const std::string& bytes)
+{
+    return nlohmann::json::binary(
+        std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+inline std::string text_of(const nlohmann::json& document)
+{
+    const auto& bytes = document.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
+inline void to_json(nlohmann::json& out, const record_outcome& order)
+{
+    out = {
+        {"account_", order.account_},
+        {"key_", order.key_},
+        {"attempt_", order.attempt_},
+        {"status_", order.status_},
+        {"content_type_", order.content_type_},
+        {"body_", binary(order.body_)}};
+}
+
+inline void from_json(const nlohmann::json& in, record_outcome& order)
+{
+    in.at("account_").get_to(order.account_);
+    in.at("key_").get_to(order.key_);
+    in.at("attempt_").get_to(order.attempt_);
+    in.at("status_").get_to(order.status_);
+    in.at("content_type_").get_to(order.content_type_);
+    order.body_ = text_of(in.at("body_"));
+}
+
+inline void to_json(nlohmann::json& out, const command_reply& reply)
+{
+    out = {
+        {"verdict_", static_cast<int>(reply.verdict_)},
+        {"message_", reply.message_},
+        {"version_", reply.version_},
+        {"attempt_", reply.attempt_},
+        {"status_", reply.status_},
+        {"content_type_", reply.content_type_},
+        {"body_", binary(reply.body_)}};
+}
+
+inline void from_json(const nlohmann::json& in, command_reply& reply)
+{
+    reply.verdict_ = static_cast<verdict>(in.at("verdict_").get<int>());
+    in.at("message_").get_to(reply.message_);
+    in.at("version_").get_to(reply.version_);
+    in.at("attempt_").get_to(reply.attempt_);
+    in.at("status_").get_to(reply.status_);
+    in.at("content_type_").get_to(reply.content_type_);
+    reply.body_ = text_of(in.at("body_"));
+}
+
+} // namespace poplarroute::control
--- /dev/null
+++ b/control/raft_log.cpp
@@ -0,0 +1,153 @@
+#include "control/raft_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/invariant.hpp"
+
+namespace poplarroute::control
+{
+
+raft_log::raft_log(snapshot taken, std::vector<log_entry> entries)
+    : snapshot_(std::move(taken)),
+      base_group_(snapshot_.group_),
+      base_index_(snapshot_.index_),
+      base_term_(snapshot_.term_)
+{
+    for (log_entry& entry : entries)
+    {
+        core::check_invariant(
+            entry.index_ == last_index() + 1,
+            "the log has no gap and no entry twice");
+        entries_.push_back(std::move(entry));
+    }
+    find_group();
+}
+
+log_index raft_log::last_index() const
+{
+    return base_index_ + entries_.size();
+}
+
+term_number raft_log::last_term() const
+{
+    return entries_.empty() ? base_term_ : entries_.back().term_;
+}
+
+std::optional<term_number> raft_log::term_at(log_index index) const
+{
+    if (index == base_index_)
+    {
+        return base_term_;
+    }
+    if (index < base_index_ || index > last_index())
+    {
+        return std::nullopt;
+    }
+    return at(index).term_;
+}
+
+const log_entry& raft_log::at(log_index index) const
+{
+    return entries_[index - base_index_ - 1];
+}
+
+std::vector<log_entry> raft_log::from(
+    log_index first, std::size_t most, std::size_t most_bytes) const
+{
+    std::vector<log_entry> out;
+    std::size_t bytes = 0;
+    for (log_index index = first; index <= last_index(); ++index)
+    {
+        const log_entry& entry = at(index);
+        bytes += entry.payload_.size();
+        const bool full = out.size() >= most || bytes > most_bytes;
+        if (full && !out.empty())
+        {
+            break;
+        }
+        out.push_back(entry);
+    }
+    return out;
+}
+
+void raft_log::append(log_entry entry)
+{
+    core::check_invariant(
+        entry.index_ == last_index() + 1,
+        "the log has no gap and no entry twice");
+    if (entry.kind_ == entry_kind::membership)
+    {
+        group_ = decode_group(entry.payload_).value_or(group_);
+        group_index_ = entry.index_;
+    }
+    entries_.push_back(std::move(entry));
+}
+
+void raft_log::truncate_from(log_index first)
+{
+    while (last_index() >= first && !entries_.empty())
+    {
+        entries_.pop_back();
+    }
+    find_group();
+}
+
+void raft_log::compact(log_index index, std::string state, std::size_t keep)
+{
+    const std::optional<term_number> term = term_at(index);
+    if (!term || index <= snapshot_.index_)
+    {
+        return;
+    }
+    snapshot_ = {index, *term, group_up_to(index), std::move(state)};
+    const log_index wanted = index > keep ? index - keep : 0;
+    const log_index base = std::max(base_index_, wanted);
+    base_group_ = group_up_to(base);
+    base_term_ = *term_at(base);
+    entries_.erase(
+        entries_.begin(),
+        entries_.begin() + static_cast<std::ptrdiff_t>(base - base_index_));
+    base_index_ = base;
+    find_group();
+}
+
+void raft_log::install(snapshot taken)
+{
+    snapshot_ = std::move(taken);
+    base_group_ = snapshot_.group_;
+    base_index_ = snapshot_.index_;
+    base_term_ = snapshot_.term_;
+    entries_.clear();
+    find_group();
+}
+
+member_group raft_log::group_up_to(log_index index) const
+{
+    for (log_index at_index = index; at_index > base_index_; --at_index)
+    {
+        const log_entry& entry = at(at_index);
+        if (entry.kind_ == entry_kind::membership)
+        {
+            return decode_group(entry.payload_).value_or(base_group_);
+        }
+    }
+    return base_group_;
+}
+
+void raft_log::find_group()
+{
+    group_ = base_group_;
+    group_index_ = 0;
+    for (log_index index = last_index(); index > base_index_; --index)
+    {
+        if (at(index).kind_ == entry_kind::membership)
+        {
+            group_ = decode_group(at(index).payload_).value_or(base_group_);
+            group_index_ = index;
+            return;
+        }
+    }
+}
+
+} // namespace poplarroute::control
--- /dev/null
+++ b/control/raft_types.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/ids.hpp"
+
+namespace poplarroute::control
+{
+
+using term_number = std::uint64_t;
+using log_index = std::uint64_t;
+using store_id = std::string;
+
+/// One process that keeps the log. A host whose disk was lost comes back
+/// with another store id, and is another member.
+struct member
+{
+    core::host_id host_;
+    store_id store_;
+    bool voter_ = false;
+
+    friend bool operator==(const member&, const member&) = default;
+};
+
+/// The members of the control group, sorted by host.
+struct member_group
+{
+    std::vector<member> members_;
+
+    const member* find(const core::host_id& host) const;
+    bool is_voter(const core::host_id& host, const store_id& store) const;
+    std::size_t voters() const;
+
+    /// \return the least number of voters that is more than half.
+    std::size_t majority() const;
+
+    friend bool operator==(const member_group&, const member_group&) = default;
+};
+
+/// What an entry of the log is for.
+enum class entry_kind : std::uint8_t
+{
+    noop,       ///< Opens a leader's term.
+    command,    ///< For the state machine.
+    membership, ///< An encoded member_group, in force once appended.
+};
+
+struct log_entry
+{
+    log_index index_ = 0;
+    term_number term_ = 0;
+    entry_kind kind_ = entry_kind::noop;
+    std::string payload_;
+
+    friend bool operator==(const log_entry&, const log_entry&) = default;
+};
+
+/// The state machine at an index, in place of the log up to it.
+struct snapshot
+{
+    log_index index_ = 0;
+    term_number term_ = 0;
+    member_group group_;
+    std::string state_;
+};
+
+/// What must be on the disk before a vote or a term is spoken of.
+struct hard_state
+{
+    term_number term_ = 0;
+    core::host_id voted_for_;
+
+    friend bool operator==(const hard_state&, const hard_state&) = default;
+};
+
+struct vote_request
+{
+    term_number term_ = 0;
+    log_index last_index_ = 0;
+    term_number last_term_ = 0;
+    bool trial_ = false; ///< A pre-vote, which changes no state.
+};
+
+struct vote_reply
+{
+    term_number term_ = 0;
+    bool granted_ = false;
+    bool trial_ = false;
+};
+
+struct append_request
+{
+    term_number term_ = 0;
+    log_index previous_index_ = 0;
+    term_number previous_term_ = 0;
+    std::vector<log_entry> entries_;
+    log_index commit_ = 0;
+    std::uint64_t round_ = 0; ///< Read-index round the reply confirms.
+};
+
+struct append_reply
+{
+    term_number term_ = 0;
+    bool accepted_ = false;
+    log_index match_ = 0; ///< Last index held, or a hint where to go back to.
+    std::uint64_t round_ = 0;
+};
+
+struct snapshot_request
+{
+    term_number term_ = 0;
+    snapshot snapshot_;
+    std::uint64_t round_ = 0;
+};
+
+using raft_body = std::variant<
+    vote_request,
+    vote_reply,
+    append_request,
+    append_reply,
+    snapshot_request>;
+
+/// A message between members. The store ids keep a host with a new disk from
+/// being taken for the member it was.
+struct raft_message
+{
+    core::host_id from_;
+    store_id from_store_;
+    core::host_id to_;
+    store_id to_store_;
+    raft_body body_;
+};
+
+/// \return the message as CBOR bytes.
+std::string encode(const raft_message& message);
+std::string encode(const member_group& group);
+std::string encode(const snapshot& taken);
+std::string encode(const hard_state& state);
+std::string encode(const log_entry& entry);
+
+/// Each reads what encode wrote.
+/// \return nothing when the bytes are not well formed.
+std::optional<raft_message> decode_message(std::string_view bytes);
+std::optional<member_group> decode_group(std::string_view bytes);
+std::optional<snapshot> decode_snapshot(std::string_view bytes);
+std::optional<hard_state> decode_hard_state(std::string_view bytes);
+std::optional<log_entry> decode_entry(std::string_view bytes);
+
+} // namespace poplarroute::control
--- /dev/null
+++ b/core/clock.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+
+namespace poplarroute::core
+{
+
+/// A span of time in whole milliseconds.
+struct duration
+{
+    std::int64_t ms_ = 0;
+
+    friend auto operator<=>(const duration&, const duration&) = default;
+
+    /// The same span for the standard library and Asio timers.
+    std::chrono::milliseconds chrono() const
+    {
+        return std::chrono::milliseconds(ms_);
+    }
+};
+
+/// A point on a host's own monotonic clock, in milliseconds.
+///
+/// Pure code takes it as a parameter and never reads a clock itself, so that
+/// a run can be repeated from its seed.
+struct time_point
+{
+    std::int64_t ms_ = 0;
+
+    friend auto operator<=>(const time_point&, const time_point&) = default;
+};
+
+inline time_point operator+(time_point point, duration span)
+{
+    return {point.ms_ + span.ms_};
+}
+
+inline time_point operator-(time_point point, duration span)
+{
+    return {point.ms_ - span.ms_};
+}
+
+inline duration operator-(time_point later, time_point earlier)
+{
+    return {later.ms_ - earlier.ms_};
+}
+
+inline duration operator+(duration left, duration right)
+{
+    return {left.ms_ + right.ms_};
+}
+
+inline duration operator*(duration span, std::int64_t factor)
+{
+    return {span.ms_ * factor};
+}
+
+/// The steady clock of this host; it stands still for no operator.
+/// \return milliseconds since an arbitrary start.
+inline time_point steady_now()
+{
+    const auto since = std::chrono::steady_clock::now().time_since_epoch();
+    return {
+        std::chrono::duration_cast<std::chrono::milliseconds>(since).count()};
+}
+
+/// Wall-clock time, for records that people read and retention windows.
+/// \return milliseconds since the Unix epoch.
+inline std::int64_t wall_ms()
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
+} // namespace poplarroute::core
--- /dev/null
+++ b/drivers/asio.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "core/clock.hpp"
+
+namespace poplarroute::drivers
+{
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+/// Suspends the calling coroutine.
+/// \param span how long, in milliseconds; nothing happens when cancelled.
+asio::awaitable<void> sleep_for(core::duration span);
+
+/// Runs a coroutine on its own. An exception that escapes it ends the
+/// process, since it can only be a fault of the program.
+void spawn(asio::io_context& context, asio::awaitable<void> work);
+
+} // namespace poplarroute::drivers
--- /dev/null
+++ b/drivers/metrics.cpp
@@ -0,0 +1,131 @@
+#include "drivers/metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace poplarroute::drivers
+{
+
+namespace
+{
+
+/// What each metric is, by name, in one place.
+const std::map<std::string, std::string>& help_texts()
+{
+    static const std::map<std::string, std::string> all{
+        {"poplarroute_requests_total", "Requests by route and end."},
+        {"poplarroute_refusals_total", "Refusals by code and account."},
+        {"poplarroute_attempts_total", "Attempts at endpoints by end."},
+        {"poplarroute_wasted_prefills_total", "Prefills nobody decoded."},
+        {"poplarroute_first_token_ms", "Time to the first token."},
+        {"poplarroute_between_tokens_ms", "Mean time between tokens."},
+        {"poplarroute_request_ms", "Time of a whole request."},
+        {"poplarroute_directory_version", "Version in force at this host."},
+        {"poplarroute_frames_dropped_total", "Frames of another attempt."},
+        {"poplarroute_orphans_total", "Engine memory freed without owner."},
+        {"poplarroute_pool_running", "Requests given a place, by pool."},
+        {"poplarroute_pool_waiting", "Requests waiting, by pool."},
+        {"poplarroute_peer_bytes_total", "Bytes of peer traffic."},
+        {"poplarroute_control_role", "1 at the control group's leader."},
+        {"poplarroute_tokens_moved_total", "Tokens moved between hosts."},
+    };
+    return all;
+}
+
+std::string help_of(const std::string& name)
+{
+    const auto found = help_texts().find(name);
+    return found == help_texts().end() ? std::string() : found->second;
+}
+
+const prometheus::Histogram::BucketBoundaries& millisecond_buckets()
+{
+    static const prometheus::Histogram::BucketBoundaries bounds{
+        1,
+        2,
+        5,
+        10,
+        20,
+        35,
+        50,
+        69,
+        100,
+        150,
+        250,
+        350,
+        450,
+        700,
+        1'000,
+        2'000,
+        5'000,
+        10'000,
+        30'000};
+    return bounds;
+}
+
+} // namespace
+
+struct metrics::state
+{
+    prometheus::Registry registry_;
+    std::map<std::string, prometheus::Family<prometheus::Counter>*> counters_;
+    std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges_;
+    std::map<std::string, prometheus::Family<prometheus::Histogram>*>
+        histograms_;
+};
+
+metrics::metrics() : state_(std::make_unique<state>()) {}
+
+metrics::~metrics() = default;
+
+void metrics::count(
+    const std::string& name, const metric_labels& labels, double by)
+{
+    auto& family = state_->counters_[name];
+    if (family == nullptr)
+    {
+        family = &prometheus::BuildCounter()
+                      .Name(name)
+                      .Help(help_of(name))
+                      .Register(state_->registry_);
+    }
+    family->Add(labels).Increment(by);
+}
+
+void metrics::set(
+    const std::string& name, const metric_labels& labels, double to)
+{
+    auto& family = state_->gauges_[name];
+    if (family == nullptr)
+    {
+        family = &prometheus::BuildGauge()
+                      .Name(name)
+                      .Help(help_of(name))
+                      .Register(state_->registry_);
+    }
+    family->Add(labels).Set(to);
+}
+
+void metrics::observe_ms(
+    const std::string& name, const metric_labels& labels, double ms)
+{
+    auto& family = state_->histograms_[name];
+    if (family == nullptr)
+    {
+        family = &prometheus::BuildHistogram()
+                      .Name(name)
+                      .Help(help_of(name))
+                      .Register(state_->registry_);
+    }
+    family->Add(labels, millisecond_buckets()).Observe(ms);
+}
+
+std::string metrics::text() const
+{
+    return prometheus::TextSerializer().Serialize(state_->registry_.Collect());
+}
+
+} // namespace poplarroute::drivers
--- /dev/null
+++ b/drivers/peer_channel.cpp
@@ -0,0 +1,362 @@
+#include "drivers/peer_channel.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/ssl.hpp>
+
+#include "drivers/http_server.hpp"
+#include "drivers/peer_connection.hpp"
+
+namespace poplarroute::drivers
+{
+
+namespace
+{
+
+constexpr core::duration connect_timeout{1'000};
+constexpr core::duration handshake_timeout{2'000};
+constexpr core::duration first_backoff{100};
+constexpr core::duration longest_backoff{3'000};
+constexpr std::size_t connections_at_once = 2'048;
+constexpr int name_room = 256;
+
+/// Reads "role:name" from the subject of the other side's certificate.
+peer_identity identity_of(SSL* session)
+{
+    X509* certificate = SSL_get1_peer_certificate(session);
+    if (certificate == nullptr)
+    {
+        return {};
+    }
+    std::string name(name_room, '\0');
+    const int size = X509_NAME_get_text_by_NID(
+        X509_get_subject_name(certificate),
+        NID_commonName,
+        name.data(),
+        name_room);
+    X509_free(certificate);
+    name.resize(static_cast<std::size_t>(std::max(size, 0)));
+    const std::size_t colon = name.find(':');
+    if (colon == std::string::npos)
+    {
+        return {};
+    }
+    return {name.substr(0, colon), name.substr(colon + 1)};
+}
+
+/// On loopback without certificates everybody may do everything.
+peer_identity plain_identity()
+{
+    return {"operator", "plain"};
+}
+
+asio::awaitable<bool> handshake(
+    peer_stream& stream, asio::ssl::stream_base::handshake_type side)
+{
+    auto* secure = std::get_if<secure_stream>(&stream);
+    if (secure == nullptr)
+    {
+        co_return true;
+    }
+    secure->next_layer().expires_after(handshake_timeout.chrono());
+    error_code failed;
+    co_await secure->async_handshake(
+        side, asio::redirect_error(asio::use_awaitable, failed));
+    secure->next_layer().expires_never();
+    co_return !failed;
+}
+
+peer_stream wrap(plain_stream stream, const tls_context& tls)
+{
+    error_code ignored;
+    stream.socket().set_option(tcp::no_delay(true), ignored);
+    if (!tls)
+    {
+        return peer_stream(std::move(stream));
+    }
+    return peer_stream(
+        std::in_place_type<secure_stream>, std::move(stream), *tls);
+}
+
+peer_identity remote_of(peer_stream& stream)
+{
+    auto* secure = std::get_if<secure_stream>(&stream);
+    return secure == nullptr ? plain_identity()
+                             : identity_of(secure->native_handle());
+}
+
+} // namespace
+
+core::result<tls_context> make_tls_context(const tls_files& files)
+{
+    auto made =
+        std::make_shared<asio::ssl::context>(asio::ssl::context::tlsv13);
+    error_code failed;
+    made->load_verify_file(files.authority_, failed);
+    if (failed)
+    {
+        return core::error{
+            core::errc::invalid, "authority: " + failed.message()};
+    }
+    made->use_certificate_chain_file(files.certificate_, failed);
+    if (failed)
+    {
+        return core::error{
+            core::errc::invalid, "certificate: " + failed.message()};
+    }
+    made->use_private_key_file(files.key_, asio::ssl::context::pem, failed);
+    if (failed)
+    {
+        return core::error{core::errc::invalid, "key: " + failed.message()};
+    }
+    made->set_verify_mode(
+        asio::ssl::verify_peer | asio::ssl::verify_fail_if_no_peer_cert);
+    return made;
+}
+
+struct peer_server::state
+{
+    state(
+        asio::io_context& context,
+        const std::string& address,
+        tls_context tls,
+        peer_handler handler)
+        : context_(context),
+          acceptor_(context, parse_endpoint(address)),
+          tls_(std::move(tls)),
+          handler_(std::move(handler))
+    {
+    }
+
+    asio::io_context& context_;
+    tcp::acceptor acceptor_;
+    tls_context tls_;
+    peer_handler handler_;
+    std::set<std::weak_ptr<peer_connection>, std::owner_less<>> open_;
+    std::size_t starting_ = 0;
+};
+
+namespace
+{
+
+void forget_closed(peer_server::state& shared)
+{
+    std::erase_if(
+        shared.open_,
+        [](const std::weak_ptr<peer_connection>& kept)
+        {
+            const auto connection = kept.lock();
+            return !connection || connection->closed();
+        });
+}
+
+asio::awaitable<void> greet(
+    std::shared_ptr<peer_server::state> shared, tcp::socket socket)
+{
+    peer_stream stream = wrap(plain_stream(std::move(socket)), shared->tls_);
+    ++shared->starting_;
+    const bool welcome =
+        co_await handshake(stream, asio::ssl::stream_base::server);
+    --shared->starting_;
+    if (!welcome)
+    {
+        co_return;
+    }
+    const peer_identity remote = remote_of(stream);
+    if (remote.role_.empty())
+    {
+        co_return;
+    }
+    auto connection = std::make_shared<peer_connection>(
+        shared->context_, std::move(stream), remote, shared->handler_);
+    forget_closed(*shared);
+    shared->open_.insert(connection);
+    connection->start();
+}
+
+asio::awaitable<void> accept_peers(std::shared_ptr<peer_server::state> shared)
+{
+    static constexpr core::duration retry_after{20};
+    while (shared->acceptor_.is_open())
+    {
+        error_code failed;
+        tcp::socket socket = co_await shared->acceptor_.async_accept(
+            asio::redirect_error(asio::use_awaitable, failed));
+        if (failed)
+        {
+            co_await sleep_for(retry_after);
+            continue;
+        }
+        if (shared->open_.size() + shared->starting_ >= connections_at_once)
+        {
+            forget_closed(*shared);
+            continue;
+        }
+        spawn(shared->context_, greet(shared, std::move(socket)));
+    }
+}
+
+} // namespace
+
+peer_server::peer_server(
+    asio::io_context& context,
+    const std::string& address,
+    tls_context tls,
+    peer_handler handler)
+    : state_(std::make_shared<state>(
+          context, address, std::move(tls), std::move(handler)))
+{
+}
+
+void peer_server::start()
+{
+    spawn(state_->context_, accept_peers(state_));
+}
+
+void peer_server::stop()
+{
+    error_code ignored;
+    state_->acceptor_.close(ignored);
+    for (const auto& kept : state_->open_)
+    {
+        if (const auto connection = kept.lock())
+        {
+            connection->close();
+        }
+    }
+}
+
+struct peer_client::state
+{
+    /// What is known of one address.
+    struct remote
+    {
+        std::shared_ptr<peer_connection> connection_;
+        std::shared_ptr<asio::steady_timer> connecting_;
+        core::duration backoff_ = first_backoff;
+        core::time_point not_before_;
+        bool cut_ = false;
+    };
+
+    state(asio::io_context& context, tls_context tls)
+        : context_(context), tls_(std::move(tls))
+    {
+    }
+
+    asio::io_context& context_;
+    tls_context tls_;
+    std::map<std::string, remote> remotes_;
+};
+
+namespace
+{
+
+using client_state = std::shared_ptr<peer_client::state>;
+using remote = peer_client::state::remote;
+
+asio::awaitable<std::shared_ptr<peer_connection>> connect(
+    client_state shared, std::string address)
+{
+    plain_stream plain(shared->context_);
+    plain.expires_after(connect_timeout.chrono());
+    error_code failed;
+    co_await plain.async_connect(
+        parse_endpoint(address),
+        asio::redirect_error(asio::use_awaitable, failed));
+    if (failed)
+    {
+        co_return nullptr;
+    }
+    plain.expires_never();
+    peer_stream stream = wrap(std::move(plain), shared->tls_);
+    if (!co_await handshake(stream, asio::ssl::stream_base::client))
+    {
+        co_return nullptr;
+    }
+    const peer_identity identity = remote_of(stream);
+    auto made = std::make_shared<peer_connection>(
+        shared->context_, std::move(stream), identity, nullptr);
+    made->start();
+    co_return made;
+}
+
+/// Connects once however many calls wait for the same address.
+asio::awaitable<std::shared_ptr<peer_connection>> connection_to(
+    client_state shared, std::string address)
+{
+    remote& to = shared->remotes_[address];
+    if (to.connection_ && !to.connection_->closed())
+    {
+        co_return to.connection_;
+    }
+    if (to.connecting_)
+    {
+        const auto waiting = to.connecting_;
+        error_code cancelled;
+        co_await waiting->async_wait(
+            asio::redirect_error(asio::use_awaitable, cancelled));
+        co_return to.connection_;
+    }
+    if (core::steady_now() < to.not_before_)
+    {
+        co_return nullptr;
+    }
+    to.connecting_ = std::make_shared<asio::steady_timer>(shared->context_);
+    to.connecting_->expires_at(asio::steady_timer::time_point::max());
+    to.connection_ = co_await connect(shared, address);
+    if (to.connection_)
+    {
+        to.backoff_ = first_backoff;
+    }
+    else
+    {
+        to.not_before_ = core::steady_now() + to.backoff_;
+        to.backoff_ = std::min(to.backoff_ * 2, longest_backoff);
+    }
+    to.connecting_->cancel();
+    to.connecting_ = nullptr;
+    co_return to.connection_;
+}
+
+} // namespace
+
+peer_client::peer_client(asio::io_context& context, tls_context tls)
+    : state_(std::make_shared<state>(context, std::move(tls)))
+{
+}
+
+asio::awaitable<core::result<std::string>> peer_client::call(
+    std::string address,
+    std::string method,
+    std::string body,
+    core::duration deadline)
+{
+    const client_state shared = state_;
+    if (shared->remotes_[address].cut_)
+    {
+        co_return core::error{core::errc::unreachable, "cut off: " + address};
+    }
+    const auto connection = co_await connection_to(shared, address);
+    if (!connection)
+    {
+        co_return core::error{
+            core::errc::unreachable, "no connection to " + address};
+    }
+    co_return co_await connection->call(
+        std::move(method), std::move(body), deadline);
+}
+
+void peer_client::set_cut(const std::string& address, bool cut)
+{
+    remote& to = state_->remotes_[address];
+    to.cut_ = cut;
+    if (cut && to.connection_)
+    {
+        to.connection_->close();
+    }
+}
+
+} // namespace poplarroute::drivers
--- /dev/null
+++ b/drivers/peer_connection.cpp
@@ -0,0 +1,458 @@
+#include "drivers/peer_connection.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+
+namespace poplarroute::drivers
+{
+
+namespace
+{
+
+constexpr std::uint32_t streams_per_connection = 4096;
+constexpr std::int32_t window_bytes = 4 * 1024 * 1024;
+constexpr std::size_t body_limit = 32 * 1024 * 1024;
+constexpr std::size_t write_batch = 256 * 1024;
+constexpr std::size_t read_room = 64 * 1024;
+constexpr int status_ok = 200;
+constexpr int status_error_base = 500;
+constexpr const char* path_prefix = "/call/";
+
+nghttp2_nv header(std::string_view key, std::string_view text)
+{
+    // The library copies both before it returns, and does not write to them.
+    auto bytes = [](std::string_view view)
+    {
+        return reinterpret_cast<std::uint8_t*>(const_cast<char*>(view.data()));
+    };
+    return {
+        bytes(key), bytes(text), key.size(), text.size(), NGHTTP2_NV_FLAG_NONE};
+}
+
+peer_connection& self_of(void* self)
+{
+    return *static_cast<peer_connection*>(self);
+}
+
+/// Statuses from 500 on carry the kind of an error.
+int status_of(core::errc code)
+{
+    return status_error_base + static_cast<int>(code);
+}
+
+core::errc code_of(int status)
+{
+    const int last = static_cast<int>(core::errc::storage);
+    const int kind = status - status_error_base;
+    if (kind < 0 || kind > last)
+    {
+        return core::errc::invalid;
+    }
+    return static_cast<core::errc>(kind);
+}
+
+} // namespace
+
+peer_traffic& traffic()
+{
+    static peer_traffic counts;
+    return counts;
+}
+
+peer_connection::peer_connection(
+    asio::io_context& context,
+    peer_stream stream,
+    peer_identity remote,
+    peer_handler handler)
+    : context_(context),
+      stream_(std::move(stream)),
+      remote_(std::move(remote)),
+      handler_(std::move(handler)),
+      writable_(context)
+{
+    make_session();
+}
+
+peer_connection::~peer_connection()
+{
+    nghttp2_session_del(session_);
+}
+
+void peer_connection::make_session()
+{
+    nghttp2_session_callbacks* callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(
+        callbacks, on_begin_headers);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, on_header);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
+        callbacks, on_data);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, on_frame);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, on_close);
+    if (is_server())
+    {
+        nghttp2_session_server_new(&session_, callbacks, this);
+    }
+    else
+    {
+        nghttp2_session_client_new(&session_, callbacks, this);
+    }
+    nghttp2_session_callbacks_del(callbacks);
+    const std::array<nghttp2_settings_entry, 2> settings{{
+        {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, streams_per_connection},
+        {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, window_bytes},
+    }};
+    nghttp2_submit_settings(
+        session_, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+    nghttp2_session_set_local_window_size(
+        session_, NGHTTP2_FLAG_NONE, 0, window_bytes);
+}
+
+bool peer_connection::is_server() const
+{
+    return static_cast<bool>(handler_);
+}
+
+void peer_connection::start()
+{
+    auto self = shared_from_this();
+    spawn(
+        context_,
+        [](std::shared_ptr<peer_connection> kept) -> asio::awaitable<void>
+        {
+            co_await kept->read_loop();
+        }(self));
+    spawn(
+        context_,
+        [](std::shared_ptr<peer_connection> kept) -> asio::awaitable<void>
+        {
+            co_await kept->write_loop();
+        }(self));
+}
+
+void peer_connection::close()
+{
+    if (closed_)
+    {
+        return;
+    }
+    closed_ = true;
+    std::visit(
+        [](auto& stream)
+        {
+            boost::beast::get_lowest_layer(stream).close();
+        },
+        stream_);
+    for (auto& [stream, call] : exchanges_)
+    {
+        call->finished_timer_.cancel();
+    }
+    writable_.cancel();
+}
+
+asio::awaitable<core::result<std::string>> peer_connection::call(
+    std::string method, std::string body, core::duration deadline)
+{
+    if (closed_)
+    {
+        co_return core::error{core::errc::unreachable, "connection closed"};
+    }
+    if (exchanges_.size() >= streams_per_connection)
+    {
+        co_return core::error{core::errc::overloaded, "too many calls"};
+    }
+    auto self = shared_from_this();
+    auto made = std::make_shared<exchange>(context_);
+    made->outgoing_ = std::move(body);
+    const std::string path = path_prefix + method;
+    const std::array<nghttp2_nv, 4> headers{
+        header(":method", "POST"),
+        header(":scheme", "http"),
+        header(":path", path),
+        header(":authority", "peer")};
+    nghttp2_data_provider provider{};
+    provider.read_callback = read_body;
+    provider.source.ptr = made.get();
+    const std::int32_t stream = nghttp2_submit_request(
+        session_, nullptr, headers.data(), headers.size(), &provider, nullptr);
+    if (stream < 0)
+    {
+        close();
+        co_return core::error{core::errc::unreachable, "no stream left"};
+    }
+    exchanges_[stream] = made;
+    ++traffic().calls_out_;
+    wake_writer();
+    made->finished_timer_.expires_after(deadline.chrono());
+    error_code cancelled;
+    co_await made->finished_timer_.async_wait(
+        asio::redirect_error(asio::use_awaitable, cancelled));
+    if (made->finished_ && made->status_ == status_ok)
+    {
+        co_return std::move(made->incoming_);
+    }
+    if (made->finished_)
+    {
+        co_return core::error{code_of(made->status_), made->incoming_};
+    }
+    if (closed_)
+    {
+        co_return core::error{core::errc::broken, "connection lost"};
+    }
+    nghttp2_submit_rst_stream(
+        session_, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
+    wake_writer();
+    co_return core::error{core::errc::timeout, "deadline passed: " + method};
+}
+
+peer_connection::exchange_ptr peer_connection::find(std::int32_t stream) const
+{
+    const auto found = exchanges_.find(stream);
+    return found == exchanges_.end() ? nullptr : found->second;
+}
+
+int peer_connection::on_begin_headers(
+    nghttp2_session* session, const nghttp2_frame* frame, void* self)
+{
+    peer_connection& me = self_of(self);
+    if (me.is_server() && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
+    {
+        me.exchanges_[frame->hd.stream_id] =
+            std::make_shared<exchange>(me.context_);
+    }
+    static_cast<void>(session);
+    return 0;
+}
+
+int peer_connection::on_header(
+    nghttp2_session*,
+    const nghttp2_frame* frame,
+    const std::uint8_t* key,
+    std::size_t key_size,
+    const std::uint8_t* text,
+    std::size_t text_size,
+    std::uint8_t,
+    void* self)
+{
+    const exchange_ptr found = self_of(self).find(frame->hd.stream_id);
+    if (!found)
+    {
+        return 0;
+    }
+    const std::string_view key_view(
+        reinterpret_cast<const char*>(key), key_size);
+    const std::string_view text_view(
+        reinterpret_cast<const char*>(text), text_size);
+    if (key_view == ":path" && text_view.starts_with(path_prefix))
+    {
+        found->method_ = text_view.substr(std::strlen(path_prefix));
+    }
+    if (key_view == ":status")
+    {
+        found->status_ = std::atoi(std::string(text_view).c_str());
+    }
+    return 0;
+}
+
+int peer_connection::on_data(
+    nghttp2_session*,
+    std::uint8_t,
+    std::int32_t stream,
+    const std::uint8_t* data,
+    std::size_t size,
+    void* self)
+{
+    const exchange_ptr found = self_of(self).find(stream);
+    if (!found)
+    {
+        return 0;
+    }
+    if (found->incoming_.size() + size > body_limit)
+    {
+        return NGHTTP2_ERR_CALLBACK_FAILURE;
+    }
+    found->incoming_.append(reinterpret_cast<const char*>(data), size);
+    return 0;
+}
+
+int peer_connection::on_frame(
+    nghttp2_session*, const nghttp2_frame* frame, void* self)
+{
+    peer_connection& me = self_of(self);
+    const bool body_frame =
+        frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+    if (!body_frame || (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) == 0)
+    {
+        return 0;
+    }
+    const exchange_ptr found = me.find(frame->hd.stream_id);
+    if (!found)
+    {
+        return 0;
+    }
+    if (me.is_server())
+    {
+        ++traffic().calls_in_;
+        spawn(me.context_, me.answer(frame->hd.stream_id, found));
+        return 0;
+    }
+    found->finished_ = true;
+    found->finished_timer_.cancel();
+    return 0;
+}
+
+int peer_connection::on_close(
+    nghttp2_session*, std::int32_t stream, std::uint32_t, void* self)
+{
+    peer_connection& me = self_of(self);
+    const exchange_ptr found = me.find(stream);
+    if (found && !found->finished_)
+    {
+        found->finished_timer_.cancel();
+    }
+    me.exchanges_.erase(stream);
+    return 0;
+}
+
+ssize_t peer_connection::read_body(
+    nghttp2_session*,
+    std::int32_t,
+    std::uint8_t* out,
+    std::size_t room,
+    std::uint32_t* flags,
+    nghttp2_data_source* source,
+    void*)
+{
+    auto* call = static_cast<exchange*>(source->ptr);
+    const std::size_t rest = call->outgoing_.size() - call->sent_;
+    const std::size_t size = std::min(room, rest);
+    std::memcpy(out, call->outgoing_.data() + call->sent_, size);
+    call->sent_ += size;
+    if (call->sent_ == call->outgoing_.size())
+    {
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    }
+    return static_cast<ssize_t>(size);
+}
+
+asio::awaitable<void> peer_connection::answer(
+    std::int32_t stream, exchange_ptr call)
+{
+    auto self = shared_from_this();
+    const core::result<std::string> reply =
+        co_await handler_(remote_, call->method_, std::move(call->incoming_));
+    if (closed_ || find(stream) != call)
+    {
+        co_return;
+    }
+    int status = status_ok;
+    if (core::is_ok(reply))
+    {
+        call->outgoing_ = core::value(reply);
+    }
+    else
+    {
+        status = status_of(core::failure(reply).code_);
+        call->outgoing_ = core::failure(reply).message_;
+    }
+    const std::string status_text = std::to_string(status);
+    const std::array<nghttp2_nv, 1> headers{header(":status", status_text)};
+    nghttp2_data_provider provider{};
+    provider.read_callback = read_body;
+    provider.source.ptr = call.get();
+    nghttp2_submit_response(
+        session_, stream, headers.data(), headers.size(), &provider);
+    wake_writer();
+}
+
+void peer_connection::wake_writer()
+{
+    writable_.cancel();
+}
+
+std::string peer_connection::pending_output()
+{
+    std::string out;
+    while (out.size() < write_batch)
+    {
+        const std::uint8_t* data = nullptr;
+        const ssize_t size = nghttp2_session_mem_send(session_, &data);
+        if (size <= 0)
+        {
+            break;
+        }
+        out.append(
+            reinterpret_cast<const char*>(data),
+            static_cast<std::size_t>(size));
+    }
+    return out;
+}
+
+asio::awaitable<void> peer_connection::write_loop()
+{
+    while (!closed_)
+    {
+        const std::string out = pending_output();
+        error_code failed;
+        if (out.empty())
+        {
+            writable_.expires_at(asio::steady_timer::time_point::max());
+            co_await writable_.async_wait(
+                asio::redirect_error(asio::use_awaitable, failed));
+            continue;
+        }
+        traffic().bytes_out_ += out.size();
+        co_await std::visit(
+            [&](auto& stream) -> asio::awaitable<void>
+            {
+                co_await asio::async_write(
+                    stream,
+                    asio::buffer(out),
+                    asio::redirect_error(asio::use_awaitable, failed));
+            },
+            stream_);
+        if (failed)
+        {
+            close();
+        }
+    }
+}
+
+asio::awaitable<void> peer_connection::read_loop()
+{
+    std::string room(read_room, '\0');
+    while (!closed_)
+    {
+        error_code failed;
+        std::size_t size = 0;
+        co_await std::visit(
+            [&](auto& stream) -> asio::awaitable<void>
+            {
+                size = co_await stream.async_read_some(
+                    asio::buffer(room),
+                    asio::redirect_error(asio::use_awaitable, failed));
+            },
+            stream_);
+        if (failed || closed_)
+        {
+            break;
+        }
+        traffic().bytes_in_ += size;
+        const ssize_t used = nghttp2_session_mem_recv(
+            session_, reinterpret_cast<const std::uint8_t*>(room.data()), size);
+        if (used < 0)
+        {
+            break;
+        }
+        wake_writer();
+    }
+    close();
+}
+
+} // namespace poplarroute::drivers
--- /dev/null
+++ b/main/poplarroute.cpp
@@ -0,0 +1,112 @@
+#include <cstdio>
+#include <iostream>
+#include <optional>
+
+#include <cxxopts.hpp>
+
+#include "drivers/host_settings.hpp"
+#include "drivers/log.hpp"
+#include "main/version.hpp"
+#include "node/host_process.hpp"
+
+namespace
+{
+
+namespace core = poplarroute::core;
+namespace drivers = poplarroute::drivers;
+namespace node = poplarroute::node;
+
+constexpr int exit_usage = 2;
+constexpr int exit_not_opened = 1;
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options(
+        "poplarroute",
+        "The process of one host. Examples:\n"
+        "  poplarroute --settings /etc/poplarroute/host.ini\n"
+        "  poplarroute --settings host.ini --check\n");
+    options.add_options()(
+        "settings", "the host's settings file", cxxopts::value<std::string>())(
+        "check", "check the settings and end")("version", "print the version")(
+        "help", "print this page");
+    return options;
+}
+
+std::optional<drivers::host_settings_file> load_settings(
+    const std::string& path)
+{
+    const auto text = drivers::read_file(path);
+    if (!text)
+    {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
+    }
+    core::finding_list findings;
+    drivers::host_settings_file settings =
+        drivers::parse_host_settings(path, *text, findings);
+    if (!findings.empty())
+    {
+        std::cerr << findings.text();
+        return std::nullopt;
+    }
+    return settings;
+}
+
+int serve(drivers::host_settings_file settings)
+{
+    drivers::open_log(settings.name_, settings.log_level_, settings.log_json_);
+    node::host_process process(std::move(settings));
+    const core::result<core::done> opened = process.open();
+    if (!core::is_ok(opened))
+    {
+        drivers::log_event(
+            drivers::log_level::error,
+            "not_started",
+            {{"why", core::failure(opened).message_}});
+        return exit_not_opened;
+    }
+    return process.run();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options = make_options();
+    try
+    {
+        const cxxopts::ParseResult given = options.parse(argc, argv);
+        if (given.count("help") != 0)
+        {
+            std::cout << options.help() << '\n';
+            return 0;
+        }
+        if (given.count("version") != 0)
+        {
+            std::cout << poplarroute::version << '\n';
+            return 0;
+        }
+        if (given.count("settings") == 0)
+        {
+            std::cerr << "poplarroute: --settings FILE is needed\n";
+            return exit_usage;
+        }
+        auto settings = load_settings(given["settings"].as<std::string>());
+        if (!settings)
+        {
+            return exit_usage;
+        }
+        if (given.count("check") != 0)
+        {
+            std::cout << "the settings are in order\n";
+            return 0;
+        }
+        return serve(std::move(*settings));
+    }
+    catch (const cxxopts::exceptions::exception& wrong)
+    {
+        std::cerr << "poplarroute: " << wrong.what() << '\n';
+        return exit_usage;
+    }
+}
--- /dev/null
+++ b/node/admin.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "node/context.hpp"
+#include "node/entry_controller.hpp"
+#include "node/escrow_controller.hpp"
+#include "node/pool_controller.hpp"
+
+namespace poplarroute::node
+{
+
+/// What monitoring, the balancer and operators may ask a host.
+class admin
+{
+public:
+    admin(
+        context& with,
+        pool_controller& pools,
+        escrow_controller& escrow,
+        entry_controller& entry);
+
+    /// Registers the operators' calls.
+    void start();
+
+    /// Answers /metrics, /ready and /live.
+    awaitable<void> answer(drivers::http_exchange& exchange);
+
+private:
+    nlohmann::json status() const;
+    bool ready() const;
+
+    context& with_;
+    pool_controller& pools_;
+    escrow_controller& escrow_;
+    entry_controller& entry_;
+};
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/engine.cpp
@@ -0,0 +1,300 @@
+#include "node/engine.hpp"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace poplarroute::node
+{
+
+using core::errc;
+using core::error;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr core::duration prefill_timeout{30'000};
+constexpr core::duration decode_open_timeout{5'000};
+constexpr core::duration cancel_timeout{1'000};
+constexpr core::duration report_timeout{700};
+constexpr int status_ok = 200;
+constexpr int status_conflict = 409;
+constexpr int status_gone = 410;
+constexpr int status_unavailable = 503;
+
+engine_refusal refusal_of(int status)
+{
+    switch (status)
+    {
+    case status_ok:
+        return engine_refusal::none;
+    case status_gone:
+    case status_conflict:
+        return engine_refusal::prefill_gone;
+    case status_unavailable:
+        return engine_refusal::no_memory;
+    default:
+        return engine_refusal::other;
+    }
+}
+
+drivers::http_call post(
+    std::string address, std::string target, const json& body)
+{
+    drivers::http_call call;
+    call.address_ = std::move(address);
+    call.method_ = "POST";
+    call.target_ = std::move(target);
+    call.headers_ = {{"Content-Type", "application/json"}};
+    call.body_ = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    return call;
+}
+
+/// Reads a JSON object with a function; what does not fit is an error.
+template <class Value, class Reader>
+core::result<Value> read_json(const std::string& text, Reader reader)
+{
+    const json document = json::parse(text, nullptr, false);
+    if (!document.is_object())
+    {
+        return error{errc::invalid, "the engine's answer is no object"};
+    }
+    try
+    {
+        return reader(document);
+    }
+    catch (const json::exception& thrown)
+    {
+        return error{errc::invalid, thrown.what()};
+    }
+}
+
+} // namespace
+
+decode_stream::decode_stream(
+    std::unique_ptr<drivers::http_stream> lines,
+    core::attempt_id attempt,
+    std::int64_t offset)
+    : lines_(std::move(lines)),
+      attempt_(std::move(attempt)),
+      next_offset_(offset)
+{
+}
+
+std::optional<decode_frame> decode_stream::read(const std::string& line)
+{
+    const json document = json::parse(line, nullptr, false);
+    const bool own = document.is_object() &&
+                     document.value("attempt", "") == to_string(attempt_);
+    if (!own)
+    {
+        ++dropped_;
+        return std::nullopt;
+    }
+    if (document.contains("end"))
+    {
+        return end_frame{
+            document.value("tokens", std::int64_t(0)),
+            document.value("end", "stop")};
+    }
+    token_frame frame;
+    frame.offset_ = document.value("offset", std::int64_t(-1));
+    frame.tokens_ = document.value("count", std::int64_t(1));
+    frame.text_ = document.value("text", "");
+    if (frame.offset_ < next_offset_)
+    {
+        ++dropped_;
+        return std::nullopt;
+    }
+    return frame;
+}
+
+awaitable<core::result<decode_frame>> decode_stream::next(
+    core::duration timeout)
+{
+    for (;;)
+    {
+        auto line = co_await lines_->next_line(timeout);
+        if (!core::is_ok(line))
+        {
+            co_return core::failure(line);
+        }
+        if (!core::value(line))
+        {
+            co_return error{errc::broken, "the stream ended without its end"};
+        }
+        std::optional<decode_frame> frame;
+        try
+        {
+            frame = read(*core::value(line));
+        }
+        catch (const json::exception& thrown)
+        {
+            co_return error{errc::broken, thrown.what()};
+        }
+        if (!frame)
+        {
+            continue;
+        }
+        const auto* piece = std::get_if<token_frame>(&*frame);
+        if (piece != nullptr && piece->offset_ != next_offset_)
+        {
+            co_return error{errc::broken, "tokens are missing"};
+        }
+        if (piece != nullptr)
+        {
+            next_offset_ += piece->tokens_;
+        }
+        const auto* end = std::get_if<end_frame>(&*frame);
+        if (end != nullptr && end->tokens_ != next_offset_)
+        {
+            co_return error{errc::broken, "the end came too early"};
+        }
+        co_return std::move(*frame);
+    }
+}
+
+engine_adapter::engine_adapter(drivers::http_client& http) : http_(http) {}
+
+awaitable<core::result<prefill_done>> engine_adapter::prefill(
+    std::string address, prefill_order order, engine_refusal& refusal)
+{
+    const json body{
+        {"attempt", to_string(order.attempt_)},
+        {"prompt", std::move(order.prompt_)},
+        {"prompt_tokens", order.prompt_tokens_},
+        {"output_tokens", order.output_tokens_},
+        {"prefix", order.prefix_},
+        {"priority", order.interactive_ ? 0 : 1}};
+    drivers::http_call call = post(std::move(address), "/prefill", body);
+    call.timeout_ = prefill_timeout;
+    const auto reply = co_await http_.request(std::move(call));
+    if (!core::is_ok(reply))
+    {
+        co_return core::failure(reply);
+    }
+    refusal = refusal_of(core::value(reply).status_);
+    if (refusal != engine_refusal::none)
+    {
+        co_return error{errc::invalid, core::value(reply).body_};
+    }
+    const std::string attempt = to_string(order.attempt_);
+    co_return read_json<prefill_done>(
+        core::value(reply).body_,
+        [&](const json& document) -> core::result<prefill_done>
+        {
+            if (document.at("attempt").get<std::string>() != attempt)
+            {
+                return error{errc::broken, "the answer of another attempt"};
+            }
+            prefill_done done;
+            done.computed_.ms_ = document.at("computed_ms").get<int>();
+            done.computed_tokens_ =
+                document.at("computed_tokens").get<std::int64_t>();
+            return done;
+        });
+}
+
+awaitable<core::result<std::unique_ptr<decode_stream>>> engine_adapter::decode(
+    std::string address, decode_order order, engine_refusal& refusal)
+{
+    const json body{
+        {"attempt", to_string(order.attempt_)},
+        {"from", order.from_},
+        {"offset", order.offset_},
+        {"prompt_tokens", order.prompt_tokens_},
+        {"output_tokens", order.output_tokens_},
+        {"priority", order.interactive_ ? 0 : 1}};
+    drivers::http_call call = post(std::move(address), "/decode", body);
+    call.timeout_ = decode_open_timeout;
+    auto opened = co_await http_.open(std::move(call));
+    if (!core::is_ok(opened))
+    {
+        co_return core::failure(opened);
+    }
+    refusal = refusal_of(core::value(opened)->status());
+    if (refusal != engine_refusal::none)
+    {
+        co_return error{errc::invalid, "the engine refused"};
+    }
+    co_return std::make_unique<decode_stream>(
+        std::move(core::value(opened)), order.attempt_, order.offset_);
+}
+
+awaitable<void> engine_adapter::cancel(
+    std::string address, core::attempt_id attempt)
+{
+    drivers::http_call call =
+        post(std::move(address), "/cancel", {{"attempt", to_string(attempt)}});
+    call.timeout_ = cancel_timeout;
+    co_await http_.request(std::move(call));
+}
+
+awaitable<core::result<policy::endpoint_report>> engine_adapter::report(
+    std::string address, core::endpoint_id name)
+{
+    drivers::http_call call;
+    call.address_ = std::move(address);
+    call.target_ = "/report";
+    call.timeout_ = report_timeout;
+    const auto reply = co_await http_.request(std::move(call));
+    if (!core::is_ok(reply))
+    {
+        co_return core::failure(reply);
+    }
+    co_return read_json<policy::endpoint_report>(
+        core::value(reply).body_,
+        [&](const json& document) -> core::result<policy::endpoint_report>
+        {
+            policy::endpoint_report out;
+            out.endpoint_ = name;
+            out.boot_ = document.at("boot").get<std::string>();
+            out.running_ = document.value("running", std::int64_t(0));
+            for (const json& item : document.value("held", json::array()))
+            {
+                policy::held_memory held;
+                if (core::parse(
+                        item.at("attempt").get<std::string>(), held.attempt_))
+                {
+                    held.pieces_ = item.at("pieces").get<std::int64_t>();
+                    out.held_.push_back(std::move(held));
+                }
+            }
+            return out;
+        });
+}
+
+awaitable<core::result<engine_adapter::cache_events>> engine_adapter::events(
+    std::string address, std::uint64_t after)
+{
+    drivers::http_call call;
+    call.address_ = std::move(address);
+    call.target_ = "/events?after=" + std::to_string(after);
+    call.timeout_ = report_timeout;
+    const auto reply = co_await http_.request(std::move(call));
+    if (!core::is_ok(reply))
+    {
+        co_return core::failure(reply);
+    }
+    co_return read_json<cache_events>(
+        core::value(reply).body_,
+        [&](const json& document) -> core::result<cache_events>
+        {
+            cache_events out;
+            out.next_ = document.at("next").get<std::uint64_t>();
+            std::uint64_t expected = after + 1;
+            for (const json& item : document.at("events"))
+            {
+                out.gap_ =
+                    out.gap_ || item.at("seq").get<std::uint64_t>() != expected;
+                ++expected;
+                out.events_.push_back(
+                    {item.at("kind").get<std::string>() == "added",
+                     item.at("prefix").get<std::uint64_t>()});
+            }
+            return out;
+        });
+}
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/host_process.cpp
@@ -0,0 +1,332 @@
+#include "node/host_process.hpp"
+
+#include <csignal>
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "drivers/log.hpp"
+#include "node/admin.hpp"
+#include "node/context.hpp"
+#include "node/control_link.hpp"
+#include "node/crash_watch.hpp"
+#include "node/directory_controller.hpp"
+#include "node/entry_controller.hpp"
+#include "node/escrow_controller.hpp"
+#include "node/fleet_controller.hpp"
+#include "node/membership_controller.hpp"
+#include "node/platform_watch.hpp"
+#include "node/pool_controller.hpp"
+#include "node/pool_gateway.hpp"
+#include "node/replica.hpp"
+
+namespace poplarroute::node
+{
+
+namespace asio = drivers::asio;
+using drivers::log_event;
+using drivers::log_level;
+
+namespace
+{
+
+/// The balancer takes a moment to see that a host is not ready any more.
+constexpr core::duration balancer_lag{1'000};
+
+constexpr core::duration drain_step{20};
+
+/// Last messages to other hosts go out before the process ends.
+constexpr core::duration farewell{200};
+
+constexpr int exit_cut = 4;
+
+core::result<drivers::tls_context> tls_of(
+    const drivers::host_settings_file& settings)
+{
+    if (!settings.mutual_tls_)
+    {
+        return drivers::tls_context();
+    }
+    return drivers::make_tls_context(
+        {settings.tls_authority_,
+         settings.tls_certificate_,
+         settings.tls_key_});
+}
+
+/// A cut between this host and others, made by a test.
+struct cut_request
+{
+    std::vector<std::string> addresses_;
+    bool cut_ = false;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(cut_request, addresses_, cut_)
+
+} // namespace
+
+struct host_process::parts
+{
+    explicit parts(drivers::host_settings_file settings)
+        : http_(io_), signals_(io_, SIGTERM, SIGINT)
+    {
+        identity_section& identity = board_.section<identity_section>();
+        identity.host_ = settings.name_;
+        identity.zone_ = settings.zone_;
+        identity.incarnation_ = static_cast<std::uint64_t>(core::wall_ms());
+        identity.settings_ = std::move(settings);
+        board_.section<lifecycle_section>().started_at_ = core::steady_now();
+        board_.section<membership_section>().members_ =
+            std::make_shared<control::membership>(
+                identity.host_,
+                identity.zone_,
+                identity.incarnation_,
+                identity.incarnation_);
+        board_.section<escrow_section>().shares_ =
+            std::make_shared<policy::escrow>(core::steady_now());
+    }
+
+    const drivers::host_settings_file& settings()
+    {
+        return board_.section<identity_section>().settings_;
+    }
+
+    core::result<core::done> open_control();
+    void build();
+    void open_ports();
+    void start();
+    awaitable<void> stop();
+    void register_cut();
+
+    asio::io_context io_{1};
+    core::blackboard board_;
+    drivers::metrics metrics_;
+    call_table calls_;
+    drivers::http_client http_;
+    asio::signal_set signals_;
+    drivers::tls_context tls_;
+    int exit_status_ = 0;
+
+    std::unique_ptr<drivers::peer_client> peers_;
+    std::unique_ptr<context> with_;
+    std::unique_ptr<replica> replica_;
+    std::unique_ptr<control_link> link_;
+    std::unique_ptr<membership_controller> membership_;
+    std::unique_ptr<directory_controller> directory_;
+    std::unique_ptr<fleet_controller> fleet_;
+    std::unique_ptr<pool_controller> pools_;
+    std::unique_ptr<pool_gateway> gateway_;
+    std::unique_ptr<escrow_controller> escrow_;
+    std::unique_ptr<crash_watch> crashes_;
+    std::unique_ptr<platform_watch> platform_;
+    std::unique_ptr<entry_controller> entry_;
+    std::unique_ptr<admin> admin_;
+    std::unique_ptr<drivers::http_server> client_port_;
+    std::unique_ptr<drivers::http_server> admin_port_;
+    std::unique_ptr<drivers::peer_server> peer_port_;
+};
+
+core::result<core::done> host_process::parts::open_control()
+{
+    if (settings().data_folder_.empty())
+    {
+        return core::done();
+    }
+    replica_ = std::make_unique<replica>(*with_);
+    return replica_->open();
+}
+
+void host_process::parts::build()
+{
+    link_ = std::make_unique<control_link>(*with_, replica_.get());
+    membership_ =
+        std::make_unique<membership_controller>(*with_, replica_.get());
+    directory_ = std::make_unique<directory_controller>(*with_, replica_.get());
+    if (replica_)
+    {
+        fleet_ = std::make_unique<fleet_controller>(*with_, *replica_, *link_);
+    }
+    pools_ = std::make_unique<pool_controller>(*with_);
+    gateway_ = std::make_unique<pool_gateway>(*with_, *pools_);
+    escrow_ = std::make_unique<escrow_controller>(*with_);
+    crashes_ = std::make_unique<crash_watch>(*with_);
+    platform_ =
+        std::make_unique<platform_watch>(*with_, replica_.get(), *link_);
+    entry_ = std::make_unique<entry_controller>(
+        *with_, *gateway_, *escrow_, *link_, *crashes_);
+    admin_ = std::make_unique<admin>(*with_, *pools_, *escrow_, *entry_);
+    membership_->on_newer_ = [this](core::host_id host)
+    {
+        directory_->pull_from(host);
+    };
+    membership_->on_death_ = [this](const control::rumour& gone)
+    {
+        pools_->host_gone(gone);
+    };
+}
+
+void host_process::parts::open_ports()
+{
+    drivers::http_limits limits;
+    limits.body_bytes_ = static_cast<std::size_t>(settings().body_bytes_);
+    limits.connections_ = static_cast<std::size_t>(settings().connections_);
+    client_port_ = std::make_unique<drivers::http_server>(
+        io_,
+        settings().client_listen_,
+        limits,
+        [this](drivers::http_exchange& exchange)
+        {
+            return entry_->answer(exchange);
+        });
+    admin_port_ = std::make_unique<drivers::http_server>(
+        io_,
+        settings().admin_listen_,
+        drivers::http_limits(),
+        [this](drivers::http_exchange& exchange)
+        {
+            return admin_->answer(exchange);
+        });
+    peer_port_ = std::make_unique<drivers::peer_server>(
+        io_,
+        settings().peer_listen_,
+        tls_,
+        [this](drivers::peer_identity from, std::string name, std::string body)
+        {
+            return calls_.answer(
+                std::move(from), std::move(name), std::move(body));
+        });
+}
+
+void host_process::parts::register_cut()
+{
+    if (!settings().torture_)
+    {
+        return;
+    }
+    calls_.add_typed<cut_request, empty_reply>(
+        method::cut,
+        caller_kind::operator_or_host,
+        [this](drivers::peer_identity, cut_request request)
+            -> awaitable<core::result<empty_reply>>
+        {
+            for (const std::string& address : request.addresses_)
+            {
+                peers_->set_cut(address, request.cut_);
+            }
+            co_return empty_reply();
+        });
+}
+
+void host_process::parts::start()
+{
+    register_cut();
+    if (replica_)
+    {
+        replica_->start();
+    }
+    link_->start();
+    membership_->start();
+    directory_->start();
+    if (fleet_)
+    {
+        fleet_->start();
+    }
+    escrow_->start();
+    crashes_->start();
+    pools_->start();
+    platform_->start();
+    entry_->start();
+    admin_->start();
+    peer_port_->start();
+    client_port_->start();
+    admin_port_->start();
+}
+
+/// The graceful stop: tell the balancer, hand pools over, finish what runs.
+awaitable<void> host_process::parts::stop()
+{
+    drivers::error_code failed;
+    co_await signals_.async_wait(
+        asio::redirect_error(asio::use_awaitable, failed));
+    log_event(log_level::info, "draining", {{"active", entry_->active()}});
+    bool hurry = false;
+    signals_.async_wait(
+        [&hurry](drivers::error_code cancelled, int)
+        {
+            hurry = hurry || !cancelled;
+        });
+    lifecycle_section& life = board_.section<lifecycle_section>();
+    life.leaving_ = true;
+    board_.section<membership_section>().members_->start_draining();
+    co_await pools_->hand_over_all();
+    co_await drivers::sleep_for(balancer_lag);
+    life.draining_ = true;
+    client_port_->stop_accepting();
+    const core::time_point until = core::steady_now() + settings().drain_limit_;
+    while (entry_->active() > 0 && !hurry && core::steady_now() < until)
+    {
+        co_await drivers::sleep_for(drain_step);
+    }
+    if (entry_->active() > 0)
+    {
+        log_event(
+            log_level::error, "requests_cut", {{"active", entry_->active()}});
+        exit_status_ = exit_cut;
+    }
+    co_await drivers::sleep_for(farewell);
+    log_event(log_level::info, "stopped", {});
+    io_.stop();
+}
+
+host_process::host_process(drivers::host_settings_file settings)
+    : parts_(std::make_unique<parts>(std::move(settings)))
+{
+}
+
+host_process::~host_process() = default;
+
+core::result<core::done> host_process::open()
+{
+    parts& all = *parts_;
+    auto tls = tls_of(all.settings());
+    if (!core::is_ok(tls))
+    {
+        return core::failure(tls);
+    }
+    all.tls_ = core::value(tls);
+    all.peers_ = std::make_unique<drivers::peer_client>(all.io_, all.tls_);
+    all.with_ = std::make_unique<context>(context{
+        all.io_, all.board_, *all.peers_, all.http_, all.metrics_, all.calls_});
+    const core::result<core::done> control = all.open_control();
+    if (!core::is_ok(control))
+    {
+        return control;
+    }
+    all.build();
+    try
+    {
+        all.open_ports();
+    }
+    catch (const std::exception& thrown)
+    {
+        return core::error{core::errc::invalid, thrown.what()};
+    }
+    return core::done();
+}
+
+int host_process::run()
+{
+    parts& all = *parts_;
+    all.start();
+    drivers::spawn(all.io_, all.stop());
+    log_event(
+        log_level::info,
+        "started",
+        {{"zone", all.settings().zone_},
+         {"incarnation", all.board_.section<identity_section>().incarnation_},
+         {"control", all.replica_ ? 1 : 0}});
+    all.io_.run();
+    return all.exit_status_;
+}
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/replica_messages.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "node/messages.hpp"
+
+namespace poplarroute::node
+{
+
+namespace method
+{
+
+inline constexpr const char* identify = "control.identify";
+
+} // namespace method
+
+/// A member of the control group, as operators' calls carry it.
+struct member_facts
+{
+    core::host_id host_;
+    std::string store_;
+    bool voter_ = false;
+};
+
+/// Asks a member for its store and the group it knows.
+struct identify_request
+{
+    int version_ = 1;
+};
+
+struct identify_reply
+{
+    std::string store_;
+    std::vector<member_facts> members_;
+};
+
+/// Gives blank members their first group.
+struct bootstrap_request
+{
+    std::vector<member_facts> members_;
+};
+
+/// Changes the group by one member: "add", "promote" or "remove".
+struct group_request
+{
+    std::string action_;
+    core::host_id host_;
+    std::string store_;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    member_facts, host_, store_, voter_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(identify_request, version_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    identify_reply, store_, members_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(bootstrap_request, members_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    group_request, action_, host_, store_)
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/request_facts.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "control/configuration.hpp"
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+#include "node/burn.hpp"
+#include "node/caller_api.hpp"
+
+namespace poplarroute::node
+{
+
+/// What is settled about a request before it goes to an endpoint.
+struct request_facts
+{
+    std::string id_;
+    control::route_settings route_;
+    control::service_settings service_;
+    core::account_id account_; ///< Empty on routes open to all.
+    std::int64_t weight_ = 1;
+    std::string key_id_;
+    core::time_point arrived_;
+};
+
+/// How a request ended, for log, metrics, refund and burn.
+struct request_end
+{
+    service_result result_ = service_result::failed;
+    std::string code_ = "ok";
+    std::int64_t used_tokens_ = 0;
+    int attempts_ = 0;
+    core::attempt_id last_attempt_;
+    std::string endpoint_;
+
+    /// Whether a byte of the request may have reached an endpoint. A claim
+    /// that another attempt holds counts too.
+    bool may_have_run_ = false;
+};
+
+} // namespace poplarroute::node
