--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -305,7 +305,8 @@
     while (more && !shared->stopping_)
     {
         http::request_parser<http::string_body> parser;
-        if (!co_await read_request(*shared, stream, buffer, parser))
+        const bool got = co_await read_request(*shared, stream, buffer, parser);
+        if (!got)
         {
             break;
         }
--- a/drivers/peer_channel.cpp
+++ b/drivers/peer_channel.cpp
@@ -272,7 +272,9 @@
     }
     plain.expires_never();
     peer_stream stream = wrap(std::move(plain), shared->tls_);
-    if (!co_await handshake(stream, asio::ssl::stream_base::client))
+    const bool welcome =
+        co_await handshake(stream, asio::ssl::stream_base::client);
+    if (!welcome)
     {
         co_return nullptr;
     }
--- a/node/directory_controller.cpp
+++ b/node/directory_controller.cpp
@@ -263,7 +263,8 @@
         {
             continue;
         }
-        if (!co_await confirm_once())
+        const bool confirmed = co_await confirm_once();
+        if (!confirmed)
         {
             quiet_until = core::steady_now() + ask_again_after;
         }
--- a/node/entry_controller.cpp
+++ b/node/entry_controller.cpp
@@ -387,7 +387,8 @@
         co_return;
     }
     const std::int64_t price = asked.prompt_tokens_ + asked.max_tokens_;
-    if (!co_await pay(exchange, facts, price, end))
+    const bool paid = co_await pay(exchange, facts, price, end);
+    if (!paid)
     {
         co_return;
     }
@@ -419,7 +420,9 @@
     const request_facts& facts,
     request_end& end)
 {
-    if (!co_await pay(exchange, facts, facts.service_.call_cost_, end))
+    const bool paid =
+        co_await pay(exchange, facts, facts.service_.call_cost_, end);
+    if (!paid)
     {
         co_return;
     }
--- a/node/model_request.cpp
+++ b/node/model_request.cpp
@@ -208,17 +208,20 @@
 awaitable<model_request::step> model_request::run_at(
     place_guard& guard, request_end& end)
 {
-    if (!co_await prefill(guard, end))
+    const bool prefilled = co_await prefill(guard, end);
+    if (!prefilled)
     {
         co_return step::again;
     }
-    if (!co_await confirm_decode(guard, end))
+    const bool confirmed = co_await confirm_decode(guard, end);
+    if (!confirmed)
     {
         waste_prefill("no_decode_memory");
         count_attempt("no_decode_memory");
         co_return step::again;
     }
-    co_return co_await decode(guard, end);
+    const step outcome = co_await decode(guard, end);
+    co_return outcome;
 }
 
 awaitable<bool> model_request::prefill(place_guard& guard, request_end& end)
@@ -430,7 +433,12 @@
 {
     guard.ending().endpoint_lost_ = true;
     guard.ending().lost_endpoint_ = endpoint;
-    if (!broke || !co_await crashes_.was_lost(address, boot))
+    if (!broke)
+    {
+        co_return;
+    }
+    const bool lost = co_await crashes_.was_lost(address, boot);
+    if (!lost)
     {
         co_return;
     }
--- a/node/plain_request.cpp
+++ b/node/plain_request.cpp
@@ -104,9 +104,13 @@
         co_await refuse(exchange_, std::move(why));
         co_return;
     }
-    if (needs_claim() && !co_await claim(end))
+    if (needs_claim())
     {
-        co_return;
+        const bool granted = co_await claim(end);
+        if (!granted)
+        {
+            co_return;
+        }
     }
     for (int tries = 0; tries < most_attempts; ++tries)
     {
@@ -114,7 +118,8 @@
         {
             break;
         }
-        if (co_await attempt(end) != step::again)
+        const step done = co_await attempt(end);
+        if (done != step::again)
         {
             co_return;
         }
--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -494,7 +494,8 @@
                         .dump() +
                     "\n";
             }
-            if (!co_await exchange.write(lines))
+            const bool taken = co_await exchange.write(lines);
+            if (!taken)
             {
                 co_return;
             }
@@ -508,7 +509,8 @@
             {"attempt", item->attempt_},
             {"end", "stop"},
             {"tokens", item->total_}};
-        if (co_await exchange.write(end.dump() + "\n"))
+        const bool taken = co_await exchange.write(end.dump() + "\n");
+        if (taken)
         {
             sequences_.erase(item->attempt_);
         }
