--- a/control/directory.cpp
+++ b/control/directory.cpp
@@ -62,7 +62,7 @@
     for (const auto& [host, zone] : holders_)
     {
         scored[zone].emplace_back(
-            core::stable_hash(account + "|" + host), host);
+            core::stable_hash(account + ("|" + host)), host);
     }
     for (auto& [zone, hosts] : scored)
     {
--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -375,7 +375,9 @@
 bool raft::caught_up(const core::host_id& host) const
 {
     const auto found = progress_.find(host);
-    return found != progress_.end() &&
+    // One that has not acknowledged anything yet may be down or blank,
+    // however short the log.
+    return found != progress_.end() && found->second.match_ > 0 &&
            found->second.match_ + learner_lag >= log_.last_index();
 }
 
--- a/main/ctl/questionnaire.cpp
+++ b/main/ctl/questionnaire.cpp
@@ -86,12 +86,13 @@
     {
         for (const auto& [zone, addresses] : service.endpoints_)
         {
+            const std::string& name = zone;
             const bool known = std::any_of(
                 answers.zones_.begin(),
                 answers.zones_.end(),
-                [&](const zone_answer& item)
+                [&name](const zone_answer& item)
                 {
-                    return item.name_ == zone;
+                    return item.name_ == name;
                 });
             if (!known)
             {
--- a/node/directory_controller.cpp
+++ b/node/directory_controller.cpp
@@ -8,8 +8,6 @@
 namespace poplarroute::node
 {
 
-using core::errc;
-using core::error;
 using drivers::log_event;
 using drivers::log_level;
 
--- a/node/engine.hpp
+++ b/node/engine.hpp
@@ -114,7 +114,8 @@
         std::string address, decode_order order, engine_refusal& refusal);
 
     /// Frees what the engine holds of an attempt. Idempotent.
-    awaitable<void> cancel(std::string address, core::attempt_id attempt);
+    /// \return whether it is certain that the engine holds nothing of it.
+    awaitable<bool> cancel(std::string address, core::attempt_id attempt);
 
     awaitable<core::result<policy::endpoint_report>> report(
         std::string address, core::endpoint_id name);
--- a/node/membership_controller.cpp
+++ b/node/membership_controller.cpp
@@ -54,6 +54,7 @@
         hosts[name] = {name, host.zone_, host.peer_};
     }
     std::vector<control::peer_record> list;
+    list.reserve(hosts.size());
     for (const auto& [name, record] : hosts)
     {
         list.push_back(record);
--- a/node/messages.hpp
+++ b/node/messages.hpp
@@ -49,6 +49,7 @@
 inline constexpr const char* withdraw = "directory.withdraw";
 inline constexpr const char* reserve = "pool.reserve";
 inline constexpr const char* prefilled = "pool.prefilled";
+inline constexpr const char* transferred = "pool.transferred";
 inline constexpr const char* end = "pool.end";
 inline constexpr const char* renew = "pool.renew";
 inline constexpr const char* hand_over = "pool.hand_over";
@@ -91,7 +92,8 @@
     std::int64_t retry_after_ms_ = 0;
 };
 
-/// Says that a prefill is done; the reply comes when decode memory is there.
+/// Says that a promised place's prefill is done; the reply comes when decode
+/// memory is there.
 struct prefilled_request
 {
     core::service_id service_;
@@ -99,12 +101,20 @@
     std::int64_t wait_ms_ = 0;
 };
 
+/// Says that the decode side holds what the prefill side had.
+struct transferred_request
+{
+    core::service_id service_;
+    core::attempt_id attempt_;
+};
+
 /// Says how an attempt ended.
 struct end_request
 {
     core::service_id service_;
     core::attempt_id attempt_;
     bool completed_ = false;
+    bool freed_ = true; ///< The engines said that they hold nothing of it.
     bool endpoint_lost_ = false;
     core::endpoint_id lost_endpoint_;
     std::int64_t output_tokens_ = 0;
@@ -206,11 +216,14 @@
     retry_after_ms_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     prefilled_request, service_, attempt_, wait_ms_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    transferred_request, service_, attempt_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     end_request,
     service_,
     attempt_,
     completed_,
+    freed_,
     endpoint_lost_,
     lost_endpoint_,
     output_tokens_,
--- a/node/model_request.cpp
+++ b/node/model_request.cpp
@@ -2,14 +2,10 @@
 
 #include <algorithm>
 
-#include "drivers/log.hpp"
-
 namespace poplarroute::node
 {
 
 using core::errc;
-using drivers::log_event;
-using drivers::log_level;
 
 namespace
 {
@@ -276,15 +272,6 @@
     request.wait_ms_ = prefill_lifetime.ms_;
     if (!place.promised_)
     {
-        // The memory is there: the owner need only know of the prefill.
-        auto tell = [](pool_gateway& pools,
-                       core::zone_id zone,
-                       prefilled_request news) -> awaitable<void>
-        {
-            co_await pools.prefilled(std::move(zone), std::move(news));
-        };
-        drivers::spawn(
-            with_.io_, tell(pools_, guard.place().zone_, std::move(request)));
         co_return true;
     }
     const reserve_reply reply =
@@ -293,11 +280,8 @@
     {
         co_return false;
     }
-    if (!reply.decode_.empty())
-    {
-        guard.set_decode(reply);
-        end.endpoint_ = reply.decode_;
-    }
+    guard.confirm_decode(reply);
+    end.endpoint_ = guard.place().reply_.decode_;
     co_return true;
 }
 
@@ -333,6 +317,9 @@
             broke = broke || core::failure(opened).code_ == errc::broken;
             break;
         }
+        pools_.transferred(
+            guard.place().zone_,
+            {facts_.service_.name_, guard.place().attempt_});
         const step got = co_await relay(*core::value(opened), guard, end);
         if (got != step::again)
         {
--- a/node/place_guard.cpp
+++ b/node/place_guard.cpp
@@ -19,7 +19,8 @@
     {
         if (!address.empty())
         {
-            co_await engines.cancel(address, place.attempt_);
+            const bool freed = co_await engines.cancel(address, place.attempt_);
+            ending.freed_ = ending.freed_ && freed;
         }
     }
     pools.end(place.zone_, std::move(ending));
@@ -41,7 +42,10 @@
     running_attempt running;
     running.service_ = std::move(service);
     running.zone_ = place_.zone_;
-    running.decode_ = place_.reply_.decode_;
+    // Memory that is only promised is not held: a new owner must not take it
+    // for given.
+    running.decode_ = place_.reply_.promised_ ? core::endpoint_id()
+                                              : place_.reply_.decode_;
     running.pieces_ = pieces;
     running.key_ = std::move(key_id);
     with_.board_.section<running_section>().attempts_[place_.attempt_] =
@@ -61,13 +65,15 @@
         free_place(with_, pools_, std::move(place_), std::move(ending_)));
 }
 
-void place_guard::set_decode(const reserve_reply& chosen)
+void place_guard::confirm_decode(const reserve_reply& chosen)
 {
-    place_.reply_.decode_ = chosen.decode_;
-    place_.reply_.decode_address_ = chosen.decode_address_;
-    place_.reply_.decode_boot_ = chosen.decode_boot_;
-    with_.board_.section<running_section>().attempts_[place_.attempt_].decode_ =
-        chosen.decode_;
+    if (!chosen.decode_.empty())
+    {
+        place_.reply_.decode_ = chosen.decode_;
+        place_.reply_.decode_address_ = chosen.decode_address_;
+        place_.reply_.decode_boot_ = chosen.decode_boot_;
+    }
+    with_.board_.section<running_section>().attempts_[place_.attempt_].decode_ = place_.reply_.decode_;
 }
 
 } // namespace poplarroute::node
--- a/node/place_guard.hpp
+++ b/node/place_guard.hpp
@@ -38,8 +38,9 @@
         return ending_;
     }
 
-    /// Takes over the decode endpoint that was chosen only now.
-    void set_decode(const reserve_reply& chosen);
+    /// Notes that promised memory is there, perhaps on an endpoint that was
+    /// chosen only now.
+    void confirm_decode(const reserve_reply& chosen);
 
     /// Notes that the engines hold nothing of the attempt any more.
     void set_finished()
--- a/node/pool_controller.cpp
+++ b/node/pool_controller.cpp
@@ -346,6 +346,13 @@
     return reply;
 }
 
+awaitable<void> pool_controller::cancel_orphan(policy::orphan left)
+{
+    // When it does not succeed, the endpoint's next report brings it up again.
+    co_await engines_.cancel(
+        address_of_endpoint(left.endpoint_), left.attempt_);
+}
+
 void pool_controller::perform(
     const core::service_id& service,
     const std::vector<policy::pool_action>& actions)
@@ -405,11 +412,7 @@
                         "orphan_cancelled",
                         {{"endpoint", left.endpoint_},
                          {"attempt", to_string(left.attempt_)}});
-                    drivers::spawn(
-                        with_.io_,
-                        engines_.cancel(
-                            address_of_endpoint(left.endpoint_),
-                            left.attempt_));
+                    drivers::spawn(with_.io_, cancel_orphan(left));
                 }},
             action);
     }
@@ -466,6 +469,18 @@
         : refused(policy::refusal_reason::target_missed, core::duration{0});
 }
 
+void pool_controller::transferred(const transferred_request& request)
+{
+    const auto found = pools_.find(request.service_);
+    if (found != pools_.end())
+    {
+        perform(
+            request.service_,
+            found->second.scheduler_->transferred(
+                request.attempt_, core::steady_now()));
+    }
+}
+
 void pool_controller::end(const end_request& request)
 {
     const auto found = pools_.find(request.service_);
@@ -476,6 +491,7 @@
     policy::ending how;
     how.attempt_ = request.attempt_;
     how.completed_ = request.completed_;
+    how.freed_ = request.freed_;
     how.endpoint_lost_ = request.endpoint_lost_;
     how.lost_endpoint_ = request.lost_endpoint_;
     how.output_tokens_ = request.output_tokens_;
@@ -619,6 +635,15 @@
         {
             co_return co_await prefilled(std::move(request));
         });
+    with_.calls_.add_typed<transferred_request, empty_reply>(
+        method::transferred,
+        caller_kind::host,
+        [this](drivers::peer_identity, transferred_request request)
+            -> awaitable<core::result<empty_reply>>
+        {
+            transferred(request);
+            co_return empty_reply();
+        });
     with_.calls_.add_typed<end_request, empty_reply>(
         method::end,
         caller_kind::host,
--- a/node/pool_controller.hpp
+++ b/node/pool_controller.hpp
@@ -28,6 +28,7 @@
     /// Waits for the decode memory of a prefilled request.
     awaitable<reserve_reply> prefilled(prefilled_request request);
 
+    void transferred(const transferred_request& request);
     void end(const end_request& request);
     void renew(const renew_request& request);
 
@@ -71,6 +72,7 @@
     std::vector<policy::endpoint_facts> endpoints_of(
         const core::service_id& service) const;
     void set_metrics(const core::service_id& service, const pool& of) const;
+    awaitable<void> cancel_orphan(policy::orphan left);
     awaitable<void> hand_over(renew_request places);
     bool was_handed(const core::service_id& service, core::time_point now);
 
--- a/node/pool_gateway.cpp
+++ b/node/pool_gateway.cpp
@@ -185,6 +185,33 @@
     }
 }
 
+awaitable<void> pool_gateway::send_transferred(
+    std::string address, transferred_request request)
+{
+    // When it is lost, the end of the attempt frees the memory.
+    co_await ask<empty_reply>(
+        with_.peers_,
+        std::move(address),
+        method::transferred,
+        std::move(request),
+        end_deadline);
+}
+
+void pool_gateway::transferred(core::zone_id zone, transferred_request request)
+{
+    const core::host_id owner = own_.owner_of(zone, request.service_);
+    const auto address = with_.address_of(owner);
+    if (owner == with_.identity().host_)
+    {
+        own_.transferred(request);
+    }
+    else if (!owner.empty() && address)
+    {
+        drivers::spawn(
+            with_.io_, send_transferred(*address, std::move(request)));
+    }
+}
+
 void pool_gateway::end(core::zone_id zone, end_request request)
 {
     if (own_.owner_of(zone, request.service_) == with_.identity().host_)
--- a/node/pool_gateway.hpp
+++ b/node/pool_gateway.hpp
@@ -33,6 +33,9 @@
     awaitable<reserve_reply> prefilled(
         core::zone_id zone, prefilled_request request);
 
+    /// Says that a prefill's result has been taken over. Does not wait.
+    void transferred(core::zone_id zone, transferred_request request);
+
     /// Says how an attempt ended. Does not wait.
     void end(core::zone_id zone, end_request request);
 
@@ -46,6 +49,8 @@
 private:
     awaitable<reserve_reply> reserve_in(
         core::zone_id zone, reserve_request request);
+    awaitable<void>
+    send_transferred(std::string address, transferred_request request);
     awaitable<void> send_end(core::zone_id zone, end_request request);
 
     context& with_;
--- a/policy/endpoint_ledger.cpp
+++ b/policy/endpoint_ledger.cpp
@@ -64,8 +64,8 @@
 
 bool endpoint_ledger::has_room(std::int64_t pieces) const
 {
-    return running() < ramp_.window() &&
-           used_pieces() + pieces <= facts_.pieces_;
+    const std::int64_t window = doubted_ ? 1 : ramp_.window();
+    return running() < window && used_pieces() + pieces <= facts_.pieces_;
 }
 
 bool endpoint_ledger::fits(std::int64_t pieces, bool alone) const
@@ -131,21 +131,40 @@
 }
 
 bool endpoint_ledger::release(
-    const core::attempt_id& attempt, core::time_point now)
+    const core::attempt_id& attempt, bool freed, core::time_point now)
 {
     if (alone_ == attempt)
     {
         alone_.reset();
     }
-    released_[attempt] = now;
-    foreign_.erase(attempt);
     std::erase_if(
         promised_,
         [&](const promised& item)
         {
             return item.attempt_ == attempt;
         });
-    return given_.erase(attempt) != 0;
+    const auto found = given_.find(attempt);
+    const bool held = found != given_.end();
+    if (held && !freed)
+    {
+        foreign_[attempt] = {found->second.pieces_, now};
+    }
+    if (freed)
+    {
+        foreign_.erase(attempt);
+        released_[attempt] = now;
+    }
+    if (held)
+    {
+        given_.erase(found);
+    }
+    return held;
+}
+
+void endpoint_ledger::doubt(core::time_point now)
+{
+    static_cast<void>(now);
+    doubted_ = true;
 }
 
 void endpoint_ledger::completed(core::time_point now)
@@ -159,6 +178,14 @@
     foreign_.clear();
 }
 
+void endpoint_ledger::cooled(core::time_point now)
+{
+    if (ramp_.warm())
+    {
+        ramp_.close(now);
+    }
+}
+
 void endpoint_ledger::broke(core::time_point now)
 {
     restarted(now);
@@ -170,7 +197,15 @@
 {
     reported_ = true;
     reported_at_ = now;
-    if (report.boot_ != boot_)
+    doubted_ = false;
+    if (boot_.empty())
+    {
+        // A new owner does not know how warm it is, but what it runs now it
+        // can bear.
+        ramp_.bears(static_cast<std::int64_t>(report.held_.size()));
+        boot_ = report.boot_;
+    }
+    else if (report.boot_ != boot_)
     {
         restarted(now);
         boot_ = report.boot_;
@@ -199,6 +234,15 @@
             orphans.push_back(held.attempt_);
         }
     }
+    // Memory not known to be free counts until a report that is no older
+    // than the doubt leaves it out.
+    for (const auto& [attempt, held] : foreign_)
+    {
+        if (now - held.seen_first_ < report_lag)
+        {
+            listed.emplace(attempt, held);
+        }
+    }
     foreign_ = std::move(listed);
     return orphans;
 }
--- a/policy/endpoint_ledger.hpp
+++ b/policy/endpoint_ledger.hpp
@@ -57,12 +57,22 @@
         core::time_point now);
 
     /// Frees an attempt's memory.
+    /// \param freed whether the endpoint is known to hold nothing of it; else
+    /// it counts until reports say so.
     /// \return whether it held any.
-    bool release(const core::attempt_id& attempt, core::time_point now);
+    bool release(
+        const core::attempt_id& attempt, bool freed, core::time_point now);
+
+    /// Notes that a connection to the endpoint was lost: it may have
+    /// restarted. Until its next report it gets next to nothing.
+    void doubt(core::time_point now);
 
     /// Notes that an attempt completed, which widens the window.
     void completed(core::time_point now);
 
+    /// Notes that the endpoint answers as slowly as a cold one.
+    void cooled(core::time_point now);
+
     /// Notes that the endpoint broke: it may be cold when it is back.
     void broke(core::time_point now);
 
@@ -139,6 +149,7 @@
     std::optional<core::attempt_id> alone_;
     core::time_point reported_at_;
     bool reported_ = false;
+    bool doubted_ = false;
     core::time_point broken_until_;
 };
 
--- a/policy/estimates.cpp
+++ b/policy/estimates.cpp
@@ -15,6 +15,12 @@
 constexpr core::duration one_step{30};
 constexpr std::int64_t least_sample_tokens = 64;
 
+/// A cold engine takes this many times as long as the pool's others.
+constexpr std::int64_t cold_factor = 5;
+
+constexpr std::int64_t least_cold_ms = 50;
+constexpr std::int64_t least_cold_output = 8;
+
 } // namespace
 
 void estimates::blend(std::int64_t& smoothed, std::int64_t sample)
@@ -22,6 +28,21 @@
     smoothed += (sample - smoothed) / smoothing;
 }
 
+bool estimates::prefill_looks_cold(const ending& how) const
+{
+    return how.prefilled_tokens_ >= least_sample_tokens &&
+           how.prefill_.ms_ > least_cold_ms &&
+           how.prefill_.ms_ * us_per_ms >
+               how.prefilled_tokens_ * prefill_us_per_token_ * cold_factor;
+}
+
+bool estimates::decode_looks_cold(const ending& how) const
+{
+    return how.output_tokens_ >= least_cold_output &&
+           how.decode_.ms_ * us_per_ms >
+               how.output_tokens_ * decode_us_per_token_ * cold_factor;
+}
+
 void estimates::learn(const want& item, const ending& how)
 {
     if (how.prefilled_tokens_ >= least_sample_tokens)
--- a/policy/estimates.hpp
+++ b/policy/estimates.hpp
@@ -15,6 +15,12 @@
     /// Learns from a completed request.
     void learn(const want& item, const ending& how);
 
+    /// \return whether a prefill took as long as a cold engine's would.
+    bool prefill_looks_cold(const ending& how) const;
+
+    /// \return whether a decode took as long as a cold engine's would.
+    bool decode_looks_cold(const ending& how) const;
+
     /// \return computing time for so many prompt tokens.
     core::duration prefill(std::int64_t tokens) const;
 
--- a/policy/pool_scheduler.cpp
+++ b/policy/pool_scheduler.cpp
@@ -535,7 +535,6 @@
         return out;
     }
     running_request& about = found->second;
-    end_prefill(about, now);
     if (!checks_memory())
     {
         about.decode_ = choose_unchecked(about.item_, false, now);
@@ -553,6 +552,19 @@
     return out;
 }
 
+std::vector<pool_action> pool_scheduler::transferred(
+    const core::attempt_id& attempt, core::time_point now)
+{
+    actions out;
+    const auto found = running_.find(attempt);
+    if (found != running_.end())
+    {
+        end_prefill(found->second, now);
+        dispatch(out, now);
+    }
+    return out;
+}
+
 void pool_scheduler::end_prefill(
     const running_request& about, core::time_point now)
 {
@@ -561,14 +573,13 @@
     {
         return;
     }
-    if (ledger->second.release(about.item_.attempt_, now))
+    if (ledger->second.release(about.item_.attempt_, true, now))
     {
         ledger->second.completed(now);
     }
 }
 
-void pool_scheduler::forget(
-    const core::attempt_id& attempt, core::time_point now)
+void pool_scheduler::forget(const core::attempt_id& attempt, bool freed, core::time_point now)
 {
     const auto found = running_.find(attempt);
     if (found == running_.end())
@@ -581,12 +592,27 @@
         const auto ledger = ledgers_.find(used);
         if (ledger != ledgers_.end())
         {
-            ledger->second.release(attempt, now);
+            ledger->second.release(attempt, freed, now);
         }
     }
     running_.erase(found);
 }
 
+void pool_scheduler::notice_cold(
+    const running_request& about, const ending& how, core::time_point now)
+{
+    const auto prefill = ledgers_.find(about.prefill_);
+    if (prefill != ledgers_.end() && estimates_.prefill_looks_cold(how))
+    {
+        prefill->second.cooled(now);
+    }
+    const auto decode = ledgers_.find(about.decode_);
+    if (decode != ledgers_.end() && estimates_.decode_looks_cold(how))
+    {
+        decode->second.cooled(now);
+    }
+}
+
 std::vector<pool_action> pool_scheduler::end(
     const ending& how, core::time_point now)
 {
@@ -596,6 +622,7 @@
     if (found != running_.end())
     {
         const running_request& about = found->second;
+        notice_cold(about, how, now);
         estimates_.learn(about.item_, how);
         queue_.correct(
             about.item_.account_,
@@ -606,7 +633,7 @@
         {
             decode->second.completed(now);
         }
-        forget(how.attempt_, now);
+        forget(how.attempt_, how.freed_, now);
     }
     const auto lost = ledgers_.find(how.lost_endpoint_);
     if (how.endpoint_lost_ && lost != ledgers_.end())
@@ -671,6 +698,16 @@
     return out;
 }
 
+void pool_scheduler::doubt(
+    const core::endpoint_id& endpoint, core::time_point now)
+{
+    const auto ledger = ledgers_.find(endpoint);
+    if (ledger != ledgers_.end())
+    {
+        ledger->second.doubt(now);
+    }
+}
+
 void pool_scheduler::no_report(
     const core::endpoint_id& endpoint, core::time_point now)
 {
@@ -704,7 +741,7 @@
     }
     for (const running_request& about : gone)
     {
-        forget(about.item_.attempt_, now);
+        forget(about.item_.attempt_, false, now);
         for (const core::endpoint_id& used : {about.prefill_, about.decode_})
         {
             if (!used.empty())
@@ -733,7 +770,7 @@
     for (const running_request& about : expired)
     {
         ++counts_.expired_;
-        forget(about.item_.attempt_, now);
+        forget(about.item_.attempt_, false, now);
         if (!about.decode_.empty())
         {
             out.push_back(orphan{about.decode_, about.item_.attempt_});
--- a/policy/pool_scheduler.hpp
+++ b/policy/pool_scheduler.hpp
@@ -108,6 +108,11 @@
     std::vector<pool_action> place_decode(
         const core::attempt_id& attempt, core::time_point now);
 
+    /// Says that the decode side has taken the prefill's result over, so that
+    /// the prefill side's memory is free.
+    std::vector<pool_action>
+    transferred(const core::attempt_id& attempt, core::time_point now);
+
     /// Ends a request, granted or waiting.
     std::vector<pool_action> end(const ending& how, core::time_point now);
 
@@ -122,6 +127,9 @@
     std::vector<pool_action> report(
         const endpoint_report& from, core::time_point now);
 
+    /// Notes that a connection to an endpoint was lost.
+    void doubt(const core::endpoint_id& endpoint, core::time_point now);
+
     /// Notes that an endpoint did not answer the owner's question.
     void no_report(const core::endpoint_id& endpoint, core::time_point now);
 
@@ -208,7 +216,12 @@
         const want& item, const core::endpoint_id& on) const;
     void keep_promises(actions& out, core::time_point now);
     void end_prefill(const running_request& about, core::time_point now);
-    void forget(const core::attempt_id& attempt, core::time_point now);
+    void notice_cold(
+        const running_request& about,
+        const ending& how,
+        core::time_point now);
+    void forget(
+        const core::attempt_id& attempt, bool freed, core::time_point now);
     core::duration backlog(
         const core::endpoint_id& endpoint,
         bool interactive,
--- a/policy/ramp.cpp
+++ b/policy/ramp.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr core::duration widen_every{700};
-constexpr std::int64_t growth_divisor = 2;
+constexpr std::int64_t growth_divisor = 4;
 
 } // namespace
 
@@ -36,6 +36,11 @@
     widened_at_ = now;
 }
 
+void ramp::bears(std::int64_t running)
+{
+    window_ = std::clamp(running, window_, full_);
+}
+
 void ramp::set_full(std::int64_t full)
 {
     full_ = full;
--- a/policy/ramp.hpp
+++ b/policy/ramp.hpp
@@ -25,6 +25,9 @@
     /// Widens the window after a completion.
     void completed(core::time_point now);
 
+    /// Opens the window as far as the endpoint is seen to bear.
+    void bears(std::int64_t running);
+
     void set_full(std::int64_t full);
 
     std::int64_t window() const
