--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -299,4 +299,24 @@
     co_return std::unique_ptr<http_stream>(std::move(stream));
 }
 
+asio::awaitable<bool> http_client::until_closed(std::string address)
+{
+    beast::tcp_stream stream(pool_->context_);
+    stream.expires_after(connect_timeout.chrono());
+    error_code failed;
+    co_await stream.async_connect(
+        parse_endpoint(address),
+        asio::redirect_error(asio::use_awaitable, failed));
+    if (failed)
+    {
+        co_return false;
+    }
+    stream.expires_never();
+    char byte = 0;
+    co_await stream.async_read_some(
+        asio::buffer(&byte, 1),
+        asio::redirect_error(asio::use_awaitable, failed));
+    co_return true;
+}
+
 } // namespace poplarroute::drivers
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -64,6 +64,11 @@
     asio::awaitable<core::result<std::unique_ptr<http_stream>>> open(
         http_call call);
 
+    /// Holds a connection without a request and waits until it is lost, which
+    /// tells of a restart sooner than any poll.
+    /// \return false when no connection could be made.
+    asio::awaitable<bool> until_closed(std::string address);
+
     struct pool;
 
 private:
--- a/main/ctl/burn_report.cpp
+++ b/main/ctl/burn_report.cpp
@@ -27,6 +27,10 @@
 
 void add_counts(json& into, const json& from)
 {
+    if (into.is_null())
+    {
+        into = json::object();
+    }
     for (const auto& [name, count] : from.items())
     {
         into[name] =
--- a/node/caller_api.cpp
+++ b/node/caller_api.cpp
@@ -107,7 +107,8 @@
             (why.retry_after_->ms_ + ms_per_second - 1) / ms_per_second;
         headers.emplace_back("Retry-After", std::to_string(seconds));
     }
-    co_await exchange.send(why.status_, std::move(headers), to_json_text(why));
+    std::string body = to_json_text(why);
+    co_await exchange.send(why.status_, std::move(headers), std::move(body));
 }
 
 core::result<completion_request> parse_completion(
@@ -204,7 +205,9 @@
             {"X-Request-Id", id_}};
         co_await exchange_.open_stream(status_ok, std::move(headers));
     }
-    co_return co_await exchange_.write(piece(text, ""));
+    const std::string next = piece(text, "");
+    const bool taken = co_await exchange_.write(next);
+    co_return taken;
 }
 
 std::string completion_writer::whole_answer(const std::string& reason) const
@@ -234,14 +237,15 @@
     if (request_.stream_)
     {
         co_await tokens("", 0);
-        co_await exchange_.write(piece("", reason) + "data: [DONE]\n\n");
+        const std::string last = piece("", reason) + "data: [DONE]\n\n";
+        co_await exchange_.write(last);
         co_await exchange_.finish();
         co_return;
     }
     drivers::header_list headers{
         {"Content-Type", "application/json"}, {"X-Request-Id", id_}};
-    co_await exchange_.send(
-        status_ok, std::move(headers), whole_answer(reason));
+    std::string body = whole_answer(reason);
+    co_await exchange_.send(status_ok, std::move(headers), std::move(body));
 }
 
 awaitable<void> completion_writer::fail(refusal_answer why)
@@ -252,8 +256,9 @@
         co_return;
     }
     why.not_run_ = false;
-    co_await exchange_.write(
-        "event: error\ndata: " + to_json_text(why) + "\n\n");
+    const std::string event =
+        "event: error\ndata: " + to_json_text(why) + "\n\n";
+    co_await exchange_.write(event);
     exchange_.abandon();
 }
 
--- a/node/entry_controller.cpp
+++ b/node/entry_controller.cpp
@@ -237,7 +237,8 @@
     }
     const nlohmann::json list{{"object", "list"}, {"data", std::move(models)}};
     drivers::header_list headers{{"Content-Type", "application/json"}};
-    co_await exchange.send(status_ok, std::move(headers), list.dump());
+    std::string body = list.dump();
+    co_await exchange.send(status_ok, std::move(headers), std::move(body));
 }
 
 awaitable<void> entry_controller::answer(drivers::http_exchange& exchange)
@@ -334,10 +335,9 @@
     {
         end.code_ = "too_large";
         end.result_ = service_result::excluded;
-        co_await refuse(
-            exchange,
-            not_run(
-                413, "too_large", "The request exceeds the account's burst."));
+        refusal_answer large = not_run(
+            413, "too_large", "The request exceeds the account's burst.");
+        co_await refuse(exchange, std::move(large));
         co_return false;
     }
     const core::duration patience = facts.route_.interactive_
@@ -371,9 +371,9 @@
     {
         end.code_ = "bad_request";
         end.result_ = service_result::excluded;
-        co_await refuse(
-            exchange,
-            not_run(400, "bad_request", core::failure(parsed).message_));
+        refusal_answer bad =
+            not_run(400, "bad_request", core::failure(parsed).message_);
+        co_await refuse(exchange, std::move(bad));
         co_return;
     }
     const completion_request& asked = core::value(parsed);
@@ -381,9 +381,9 @@
     {
         end.code_ = "model_not_found";
         end.result_ = service_result::excluded;
-        co_await refuse(
-            exchange,
-            not_run(404, "model_not_found", "This route has no such model."));
+        refusal_answer unknown = not_run(
+            404, "model_not_found", "This route has no such model.");
+        co_await refuse(exchange, std::move(unknown));
         co_return;
     }
     const std::int64_t price = asked.prompt_tokens_ + asked.max_tokens_;
--- a/node/membership_controller.cpp
+++ b/node/membership_controller.cpp
@@ -118,12 +118,9 @@
     {
         co_return;
     }
+    const control::probe question = make_probe(host);
     const auto reply = co_await ask<control::probe>(
-        with_.peers_,
-        *address,
-        method::probe,
-        make_probe(host),
-        probe_deadline);
+        with_.peers_, *address, method::probe, question, probe_deadline);
     if (core::is_ok(reply))
     {
         heard(core::value(reply));
--- a/node/model_request.cpp
+++ b/node/model_request.cpp
@@ -185,8 +185,9 @@
             avoid_.clear();
             co_return step::again;
         }
-        co_return co_await give_up(
-            refusal_for(place.reply_, end.may_have_run_), end);
+        refusal_answer why = refusal_for(place.reply_, end.may_have_run_);
+        const step told = co_await give_up(std::move(why), end);
+        co_return told;
     }
     ++end.attempts_;
     end.last_attempt_ = place.attempt_;
@@ -198,7 +199,8 @@
         place,
         wanted.pieces_,
         facts_.key_id_);
-    co_return co_await run_at(guard, end);
+    const step done = co_await run_at(guard, end);
+    co_return done;
 }
 
 awaitable<model_request::step> model_request::run_at(
@@ -438,7 +440,8 @@
     {
         weight = policy::evidence::starter;
     }
-    co_await crashes_.note(asked_.digest_, endpoint + "@" + boot, weight);
+    std::string crash = endpoint + "@" + boot;
+    co_await crashes_.note(asked_.digest_, std::move(crash), weight);
 }
 
 } // namespace poplarroute::node
--- a/node/plain_request.cpp
+++ b/node/plain_request.cpp
@@ -124,13 +124,13 @@
             co_return;
         }
     }
-    co_await give_up(
-        {503,
-         "endpoints_unreachable",
-         "No endpoint could be reached.",
-         !end.may_have_run_,
-         core::duration{1'000}},
-        end);
+    refusal_answer why{
+        503,
+        "endpoints_unreachable",
+        "No endpoint could be reached.",
+        !end.may_have_run_,
+        core::duration{1'000}};
+    co_await give_up(std::move(why), end);
 }
 
 awaitable<void> plain_request::give_up(refusal_answer why, request_end& end)
@@ -166,14 +166,14 @@
     const auto reply = co_await control_.submit(order, claim_patience);
     if (!core::is_ok(reply))
     {
-        co_await give_up(
-            {503,
-             "claims_unreachable",
-             "The control group cannot be reached, so the call was not "
-             "dispatched now; an earlier one with this key may have run.",
-             false,
-             core::duration{2'000}},
-            end);
+        refusal_answer why{
+            503,
+            "claims_unreachable",
+            "The control group cannot be reached, so the call was not "
+            "dispatched now; an earlier one with this key may have run.",
+            false,
+            core::duration{2'000}};
+        co_await give_up(std::move(why), end);
         co_return false;
     }
     const control::command_reply& got = core::value(reply);
@@ -196,22 +196,22 @@
     end.result_ = service_result::excluded;
     if (got.verdict_ == control::verdict::mismatch)
     {
-        co_await refuse(
-            exchange_,
-            {422,
-             "idempotency_key_reused",
-             "This Idempotency-Key belongs to another request.",
-             false,
-             std::nullopt});
+        refusal_answer reused{
+            422,
+            "idempotency_key_reused",
+            "This Idempotency-Key belongs to another request.",
+            false,
+            std::nullopt};
+        co_await refuse(exchange_, std::move(reused));
         co_return false;
     }
-    co_await refuse(
-        exchange_,
-        {409,
-         "outcome_unknown",
-         "An earlier call with this key may have run or may be running.",
-         false,
-         core::duration{1'000}});
+    refusal_answer unknown{
+        409,
+        "outcome_unknown",
+        "An earlier call with this key may have run or may be running.",
+        false,
+        core::duration{1'000}};
+    co_await refuse(exchange_, std::move(unknown));
     co_return false;
 }
 
@@ -250,13 +250,13 @@
     {
         const auto reason =
             static_cast<policy::refusal_reason>(place.reply_.reason_);
-        co_await give_up(
-            {503,
-             std::string(policy::name_of(reason)),
-             "No endpoint has room in time.",
-             !end.may_have_run_,
-             core::duration{place.reply_.retry_after_ms_}},
-            end);
+        refusal_answer why{
+            503,
+            std::string(policy::name_of(reason)),
+            "No endpoint has room in time.",
+            !end.may_have_run_,
+            core::duration{place.reply_.retry_after_ms_}};
+        co_await give_up(std::move(why), end);
         co_return step::given_up;
     }
     ++end.attempts_;
@@ -272,11 +272,14 @@
     const bool ran_before = end.may_have_run_;
     end.may_have_run_ = true;
     dispatched_ = true;
-    auto reply = co_await with_.http_.request(make_call(place));
+    drivers::http_call call = make_call(place);
+    auto reply = co_await with_.http_.request(std::move(call));
     if (core::is_ok(reply))
     {
         guard.ending().completed_ = true;
-        co_return co_await pass_on(std::move(core::value(reply)), end);
+        drivers::http_reply answer = std::move(core::value(reply));
+        const step done = co_await pass_on(std::move(answer), end);
+        co_return done;
     }
     guard.ending().endpoint_lost_ = true;
     guard.ending().lost_endpoint_ = place.reply_.decode_;
@@ -292,13 +295,13 @@
     {
         co_return step::again;
     }
-    co_await give_up(
-        {502,
-         "outcome_unknown",
-         "The connection was lost while the call ran.",
-         false,
-         std::nullopt},
-        end);
+    refusal_answer unknown{
+        502,
+        "outcome_unknown",
+        "The connection was lost while the call ran.",
+        false,
+        std::nullopt};
+    co_await give_up(std::move(unknown), end);
     co_return step::given_up;
 }
 
--- a/node/pool_controller.cpp
+++ b/node/pool_controller.cpp
@@ -28,6 +28,7 @@
 constexpr core::duration hand_over_deadline{1'000};
 constexpr core::duration hand_over_lasts{10'000};
 constexpr core::duration slack{50};
+constexpr core::duration watch_again_after{200};
 
 policy::work_kind kind_of(
     const control::service_settings& service, control::engine_role role)
@@ -269,6 +270,7 @@
                 continue;
             }
             set_metrics(service, of);
+            watch_all(service);
             for (const policy::endpoint_facts& facts : endpoints_of(service))
             {
                 drivers::spawn(with_.io_, poll(service, facts.name_));
@@ -277,8 +279,46 @@
     }
 }
 
-awaitable<void> pool_controller::poll(
-    core::service_id service, core::endpoint_id endpoint)
+void pool_controller::watch_all(const core::service_id& service)
+{
+    for (const policy::endpoint_facts& facts : endpoints_of(service))
+    {
+        if (pools_[service].watched_.insert(facts.name_).second)
+        {
+            drivers::spawn(with_.io_, watch(service, facts.name_));
+        }
+    }
+}
+
+awaitable<void>
+pool_controller::watch(core::service_id service, core::endpoint_id endpoint)
+{
+    for (;;)
+    {
+        const std::string address = address_of_endpoint(endpoint);
+        bool was_open = false;
+        if (!address.empty())
+        {
+            was_open = co_await with_.http_.until_closed(address);
+        }
+        const auto found = pools_.find(service);
+        if (found == pools_.end() || address.empty())
+        {
+            co_return;
+        }
+        if (was_open)
+        {
+            found->second.scheduler_->doubt(endpoint, core::steady_now());
+        }
+        else
+        {
+            co_await drivers::sleep_for(watch_again_after);
+        }
+    }
+}
+
+awaitable<void>
+pool_controller::poll(core::service_id service, core::endpoint_id endpoint)
 {
     const std::string address = address_of_endpoint(endpoint);
     const auto report = co_await engines_.report(address, endpoint);
--- a/node/pool_controller.hpp
+++ b/node/pool_controller.hpp
@@ -57,10 +57,13 @@
         std::map<core::attempt_id, waiter> waiting_;
         std::map<core::attempt_id, waiter> confirming_;
         std::map<core::endpoint_id, std::uint64_t> events_seen_;
+        std::set<core::endpoint_id> watched_;
     };
 
     awaitable<void> run();
     awaitable<void> poll(core::service_id service, core::endpoint_id endpoint);
+    awaitable<void> watch(core::service_id service, core::endpoint_id endpoint);
+    void watch_all(const core::service_id& service);
     void register_calls();
     void take_pools();
     void notice_stall(core::time_point now);
--- a/policy/endpoint_ledger.cpp
+++ b/policy/endpoint_ledger.cpp
@@ -265,7 +265,7 @@
 std::optional<core::time_point> endpoint_ledger::free_at(
     std::int64_t pieces, core::time_point now) const
 {
-    if (pieces > facts_.pieces_ || alone_)
+    if (pieces > facts_.pieces_ || alone_ || doubted_)
     {
         return std::nullopt;
     }
--- /dev/null
+++ b/tests/control/raft_test.cpp
@@ -0,0 +1,189 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "control/membership.hpp"
+#include "control/raft.hpp"
+
+namespace poplarroute::control {
+
+namespace {
+
+member_group three()
+{
+    return {{{"a", "sa", true}, {"b", "sb", true}, {"c", "sc", true}}};
+}
+
+raft make(const core::host_id& host, const store_id& store, bool blank)
+{
+    raft_start start;
+    start.host_ = host;
+    start.store_ = store;
+    if (!blank)
+    {
+        start.snapshot_ = {1, 1, three(), "s"};
+    }
+    return raft(std::move(start), {0});
+}
+
+} // namespace
+
+TEST(raft, a_blank_disk_under_an_old_id_never_votes)
+{
+    raft blank = make("c", "new", true);
+    for (const bool trial : {true, false})
+    {
+        const auto actions = blank.receive(
+            {"a", "sa", "c", "new", vote_request{5, 9, 4, trial}}, {10});
+        ASSERT_EQ(actions.send_.size(), 1U);
+        EXPECT_FALSE(std::get<vote_reply>(actions.send_[0].body_).granted_);
+        EXPECT_FALSE(actions.hard_state_.has_value());
+    }
+}
+
+TEST(raft, the_vote_of_a_replaced_disk_does_not_count)
+{
+    raft candidate = make("a", "sa", false);
+    candidate.tick({5'000});
+    ASSERT_EQ(candidate.role(), raft_role::trial_candidate);
+    candidate.receive(
+        {"b", "other", "a", "sa", vote_reply{1, true, true}}, {5'001});
+    EXPECT_EQ(candidate.role(), raft_role::trial_candidate);
+    candidate.receive(
+        {"b", "sb", "a", "sa", vote_reply{1, true, true}}, {5'002});
+    EXPECT_EQ(candidate.role(), raft_role::candidate);
+}
+
+TEST(raft, a_message_for_the_earlier_disk_is_dropped)
+{
+    raft fresh = make("c", "new", true);
+    const auto actions = fresh.receive(
+        {"a", "sa", "c", "sc", append_request{3, 0, 0, {}, 0, 1}}, {10});
+    EXPECT_TRUE(actions.send_.empty());
+    EXPECT_EQ(fresh.term(), 0U);
+}
+
+TEST(raft, one_that_hears_a_leader_lets_nobody_disturb_it)
+{
+    raft follower = make("b", "sb", false);
+    follower.receive(
+        {"a", "sa", "b", "sb", append_request{2, 1, 1, {}, 1, 1}}, {100});
+    const auto actions = follower.receive(
+        {"c", "sc", "b", "sb", vote_request{9, 50, 8, false}}, {200});
+    EXPECT_FALSE(std::get<vote_reply>(actions.send_[0].body_).granted_);
+    EXPECT_EQ(follower.term(), 2U);
+}
+
+TEST(raft, a_learner_that_never_answered_is_not_promoted)
+{
+    raft_start start;
+    start.host_ = "a";
+    start.store_ = "sa";
+    start.snapshot_ = {1, 1, {{{"a", "sa", true}}}, "s"};
+    raft leader(std::move(start), {0});
+    leader.tick({5'000});
+    ASSERT_EQ(leader.role(), raft_role::leader);
+    member_group next = leader.log().group();
+    next.members_.push_back({"b", "sb", false});
+    log_index index = 0;
+    ASSERT_TRUE(core::is_ok(leader.propose_group(next, {5'010}, index)));
+    next.members_[1].voter_ = true;
+    const auto promoted = leader.propose_group(next, {5'020}, index);
+    ASSERT_FALSE(core::is_ok(promoted));
+    EXPECT_EQ(core::failure(promoted).code_, core::errc::not_ready);
+}
+
+TEST(raft, a_group_changes_by_one_member_at_a_time)
+{
+    raft_start start;
+    start.host_ = "a";
+    start.store_ = "sa";
+    start.snapshot_ = {1, 1, {{{"a", "sa", true}}}, "s"};
+    raft leader(std::move(start), {0});
+    leader.tick({5'000});
+    member_group next = leader.log().group();
+    next.members_.push_back({"b", "sb", true});
+    log_index index = 0;
+    EXPECT_FALSE(core::is_ok(leader.propose_group(next, {5'010}, index)));
+    next.members_[1].voter_ = false;
+    next.members_.push_back({"c", "sc", false});
+    EXPECT_FALSE(core::is_ok(leader.propose_group(next, {5'010}, index)));
+}
+
+TEST(raft, a_snapshot_does_not_drop_entries_already_acknowledged)
+{
+    raft follower = make("b", "sb", false);
+    append_request append{2, 1, 1, {}, 1, 1};
+    for (log_index index = 2; index <= 6; ++index)
+    {
+        append.entries_.push_back({index, 2, entry_kind::command, "x"});
+    }
+    follower.receive({"a", "sa", "b", "sb", append}, {100});
+    ASSERT_EQ(follower.log().last_index(), 6U);
+    // A late snapshot that ends in the middle of what this member holds.
+    const snapshot_request late{2, {4, 2, three(), "s"}, 1};
+    const auto actions =
+        follower.receive({"a", "sa", "b", "sb", late}, {110});
+    EXPECT_FALSE(actions.install_.has_value());
+    EXPECT_EQ(follower.log().last_index(), 6U);
+    EXPECT_EQ(follower.commit_index(), 4U);
+}
+
+RC_GTEST_PROP(raft, survives_any_bytes, (const std::string& bytes))
+{
+    const auto message = decode_message(bytes);
+    static_cast<void>(decode_entry(bytes));
+    static_cast<void>(decode_snapshot(bytes));
+    RC_ASSERT(!message || !message->to_.empty() || message->to_.empty());
+}
+
+TEST(membership, a_silent_host_is_suspected_and_then_dead)
+{
+    membership members("a", "z", 1, 1);
+    const std::vector<peer_record> hosts{{"b", "z", "127.0.0.1:1"}};
+    members.set_hosts(hosts, {0});
+    probe hello;
+    hello.sender_ = {"b", 7, 0, liveness::alive, false};
+    members.heard(hello, {0});
+    EXPECT_EQ(members.serving_in("z").size(), 2U);
+    members.no_answer("b", {100});
+    members.tick({1'000});
+    EXPECT_EQ(members.peers().at("b").state_, liveness::suspect);
+    members.tick({1'700});
+    EXPECT_EQ(members.peers().at("b").state_, liveness::dead);
+    ASSERT_EQ(members.take_deaths().size(), 1U);
+    EXPECT_EQ(members.serving_in("z").size(), 1U);
+}
+
+TEST(membership, a_living_host_denies_its_death)
+{
+    membership left("a", "z", 1, 1);
+    membership right("b", "z", 7, 2);
+    const std::vector<peer_record> for_left{{"b", "z", "127.0.0.1:1"}};
+    const std::vector<peer_record> for_right{{"a", "z", "127.0.0.1:2"}};
+    left.set_hosts(for_left, {0});
+    right.set_hosts(for_right, {0});
+    left.heard(right.make_probe("a", 1, 0, ""), {0});
+    left.no_answer("b", {100});
+    left.tick({2'000});
+    ASSERT_EQ(left.peers().at("b").state_, liveness::dead);
+    right.heard(left.make_probe("b", 1, 0, ""), {2'100});
+    left.heard(right.make_probe("a", 1, 0, ""), {2'200});
+    EXPECT_EQ(left.peers().at("b").state_, liveness::alive);
+}
+
+TEST(membership, a_new_process_proves_the_earlier_one_gone)
+{
+    membership members("a", "z", 1, 1);
+    const std::vector<peer_record> hosts{{"b", "z", "127.0.0.1:1"}};
+    members.set_hosts(hosts, {0});
+    probe hello;
+    hello.sender_ = {"b", 7, 0, liveness::alive, false};
+    members.heard(hello, {0});
+    hello.sender_.incarnation_ = 8;
+    members.heard(hello, {10});
+    const auto deaths = members.take_deaths();
+    ASSERT_EQ(deaths.size(), 1U);
+    EXPECT_EQ(deaths[0].incarnation_, 7U);
+}
+
+} // namespace poplarroute::control
--- /dev/null
+++ b/tests/drivers/disk_log_test.cpp
@@ -0,0 +1,226 @@
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include "drivers/disk_log.hpp"
+
+namespace poplarroute::drivers {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+/// A folder of its own that goes with the test.
+class disk_log_test : public ::testing::Test
+{
+protected:
+    disk_log_test()
+        : folder_(
+              fs::temp_directory_path() /
+              ("poplarroute-disk-" + std::to_string(::getpid())))
+    {
+        fs::remove_all(folder_);
+    }
+
+    ~disk_log_test() override
+    {
+        fs::remove_all(folder_);
+    }
+
+    std::unique_ptr<disk_log> open(disk_contents& contents)
+    {
+        auto opened = disk_log::open(folder_.string(), contents);
+        EXPECT_TRUE(core::is_ok(opened))
+            << core::failure(opened).message_;
+        return core::is_ok(opened) ? std::move(core::value(opened)) : nullptr;
+    }
+
+    std::string failure_to_open()
+    {
+        disk_contents contents;
+        const auto opened = disk_log::open(folder_.string(), contents);
+        return core::is_ok(opened) ? std::string()
+                                   : core::failure(opened).message_;
+    }
+
+    static control::raft_actions
+    entries(control::log_index first, control::log_index last)
+    {
+        control::raft_actions actions;
+        actions.hard_state_ = control::hard_state{3, "a"};
+        for (control::log_index index = first; index <= last; ++index)
+        {
+            actions.append_.push_back(
+                {index,
+                 3,
+                 control::entry_kind::command,
+                 "payload " + std::to_string(index)});
+        }
+        return actions;
+    }
+
+    fs::path last_segment() const
+    {
+        fs::path last;
+        for (const auto& item : fs::directory_iterator(folder_))
+        {
+            const bool segment =
+                item.path().filename().string().starts_with("segment-");
+            if (segment && item.path() > last && fs::file_size(item) > 0)
+            {
+                last = item.path();
+            }
+        }
+        return last;
+    }
+
+    fs::path folder_;
+};
+
+} // namespace
+
+TEST_F(disk_log_test, reads_back_what_was_written)
+{
+    disk_contents contents;
+    auto log = open(contents);
+    EXPECT_TRUE(contents.blank_);
+    const std::string store = contents.store_;
+    ASSERT_TRUE(core::is_ok(log->write(entries(1, 20))));
+    control::raft_actions cut;
+    cut.truncate_from_ = 11;
+    ASSERT_TRUE(core::is_ok(log->write(cut)));
+    log.reset();
+    disk_contents again;
+    open(again);
+    EXPECT_EQ(again.store_, store);
+    EXPECT_FALSE(again.blank_);
+    EXPECT_EQ(again.hard_state_.term_, 3U);
+    EXPECT_EQ(again.hard_state_.voted_for_, "a");
+    ASSERT_EQ(again.entries_.size(), 10U);
+    EXPECT_EQ(again.entries_.back().payload_, "payload 10");
+}
+
+TEST_F(disk_log_test, cuts_a_torn_tail_at_every_byte)
+{
+    disk_contents contents;
+    auto log = open(contents);
+    ASSERT_TRUE(core::is_ok(log->write(entries(1, 3))));
+    const fs::path path = last_segment();
+    log.reset();
+    std::ifstream in(path, std::ios::binary);
+    const std::string whole(std::istreambuf_iterator<char>(in), {});
+    const std::string store = contents.store_;
+    for (std::size_t size = whole.size() - 1; size > 0; size -= 5)
+    {
+        fs::remove_all(folder_);
+        fs::create_directories(folder_);
+        std::ofstream(folder_ / "store-id") << store;
+        std::ofstream(path, std::ios::binary) << whole.substr(0, size);
+        disk_contents read;
+        auto reopened = open(read);
+        ASSERT_NE(reopened, nullptr) << size;
+        ASSERT_LT(read.entries_.size(), 3U);
+        // What follows the cut is written and read as usual.
+        const auto next = read.entries_.size() + 1;
+        ASSERT_TRUE(core::is_ok(reopened->write(entries(next, next))));
+        reopened.reset();
+        disk_contents once_more;
+        open(once_more);
+        ASSERT_EQ(once_more.entries_.size(), next);
+        if (size < 5)
+        {
+            break;
+        }
+    }
+}
+
+TEST_F(disk_log_test, refuses_a_damaged_middle_with_its_place)
+{
+    disk_contents contents;
+    auto log = open(contents);
+    ASSERT_TRUE(core::is_ok(log->write(entries(1, 20))));
+    const fs::path path = last_segment();
+    log.reset();
+    std::fstream file(path, std::ios::binary | std::ios::in | std::ios::out);
+    const auto middle = static_cast<std::streamoff>(fs::file_size(path) / 2);
+    file.seekp(middle);
+    file.put('\x5a');
+    file.put('\x5a');
+    file.close();
+    const std::string why = failure_to_open();
+    EXPECT_NE(why.find("damaged at byte"), std::string::npos) << why;
+    EXPECT_NE(why.find("replace this member"), std::string::npos) << why;
+}
+
+TEST_F(disk_log_test, refuses_a_log_without_its_store_id)
+{
+    disk_contents contents;
+    auto log = open(contents);
+    ASSERT_TRUE(core::is_ok(log->write(entries(1, 2))));
+    log.reset();
+    fs::remove(folder_ / "store-id");
+    EXPECT_NE(failure_to_open().find("missing"), std::string::npos);
+}
+
+TEST_F(disk_log_test, a_snapshot_replaces_older_segments)
+{
+    disk_contents contents;
+    auto log = open(contents);
+    ASSERT_TRUE(core::is_ok(log->write(entries(1, 200))));
+    const control::snapshot taken{
+        150, 3, {{{"a", contents.store_, true}}}, "state"};
+    ASSERT_TRUE(core::is_ok(log->write_snapshot(taken)));
+    ASSERT_TRUE(core::is_ok(log->write(entries(201, 210))));
+    log.reset();
+    disk_contents again;
+    open(again);
+    EXPECT_EQ(again.snapshot_.index_, 150U);
+    EXPECT_EQ(again.snapshot_.state_, "state");
+    EXPECT_EQ(again.hard_state_.term_, 3U);
+    ASSERT_EQ(again.entries_.size(), 60U);
+    EXPECT_EQ(again.entries_.front().index_, 151U);
+}
+
+TEST_F(disk_log_test, an_installed_snapshot_drops_a_log_that_conflicts)
+{
+    disk_contents contents;
+    auto log = open(contents);
+    ASSERT_TRUE(core::is_ok(log->write(entries(1, 20))));
+    control::raft_actions actions;
+    actions.install_ =
+        control::snapshot{15, 9, {{{"a", contents.store_, true}}}, "leader's"};
+    ASSERT_TRUE(core::is_ok(log->write(actions)));
+    log.reset();
+    disk_contents again;
+    open(again);
+    EXPECT_EQ(again.snapshot_.index_, 15U);
+    EXPECT_TRUE(again.entries_.empty());
+}
+
+TEST_F(disk_log_test, a_full_disk_is_an_error_and_not_a_loss)
+{
+    disk_contents contents;
+    auto log = open(contents);
+    ASSERT_TRUE(core::is_ok(log->write(entries(1, 5))));
+    rlimit before{};
+    ::getrlimit(RLIMIT_FSIZE, &before);
+    const auto ignored = std::signal(SIGXFSZ, SIG_IGN);
+    rlimit small = before;
+    small.rlim_cur = fs::file_size(last_segment()) + 100;
+    ::setrlimit(RLIMIT_FSIZE, &small);
+    const auto written = log->write(entries(6, 60));
+    ::setrlimit(RLIMIT_FSIZE, &before);
+    std::signal(SIGXFSZ, ignored);
+    ASSERT_FALSE(core::is_ok(written));
+    EXPECT_EQ(core::failure(written).code_, core::errc::storage);
+    log.reset();
+    disk_contents again;
+    open(again);
+    EXPECT_GE(again.entries_.size(), 5U);
+}
+
+} // namespace poplarroute::drivers
--- /dev/null
+++ b/tests/drivers/ports_test.cpp
@@ -0,0 +1,248 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "drivers/host_settings.hpp"
+#include "drivers/http_client.hpp"
+#include "drivers/http_server.hpp"
+#include "drivers/peer_channel.hpp"
+
+namespace poplarroute::drivers {
+
+namespace {
+
+constexpr const char* http_address = "127.0.0.1:19481";
+constexpr const char* peer_address = "127.0.0.1:19482";
+
+/// Runs a coroutine to its end on a context of its own.
+template <class Work>
+void run(asio::io_context& io, Work work)
+{
+    bool over = false;
+    const auto wrapped = [&]() -> asio::awaitable<void>
+    {
+        co_await work();
+        over = true;
+    };
+    spawn(io, wrapped());
+    while (!over)
+    {
+        io.run_one();
+    }
+}
+
+asio::awaitable<void> echo(http_exchange& exchange)
+{
+    header_list headers{{"X-Method", exchange.request().method_}};
+    co_await exchange.send(
+        200, std::move(headers), exchange.request().body_);
+}
+
+std::string raw_exchange(asio::io_context& io, const std::string& bytes)
+{
+    std::string out;
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            tcp::socket socket(io);
+            co_await socket.async_connect(
+                parse_endpoint(http_address), asio::use_awaitable);
+            co_await socket.async_write_some(
+                asio::buffer(bytes), asio::use_awaitable);
+            socket.shutdown(tcp::socket::shutdown_send);
+            char room[4096];
+            try
+            {
+                for (;;)
+                {
+                    const std::size_t size = co_await socket.async_read_some(
+                        asio::buffer(room), asio::use_awaitable);
+                    out.append(room, size);
+                }
+            }
+            catch (const boost::system::system_error&)
+            {
+                co_return;
+            }
+        });
+    return out;
+}
+
+} // namespace
+
+TEST(http, a_request_comes_back_with_its_answer)
+{
+    asio::io_context io;
+    http_server server(io, http_address, {}, echo);
+    server.start();
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            for (int round = 0; round < 3; ++round)
+            {
+                http_call call;
+                call.address_ = http_address;
+                call.method_ = "POST";
+                call.body_ = "round " + std::to_string(round);
+                const auto reply = co_await client.request(call);
+                EXPECT_TRUE(core::is_ok(reply));
+                if (core::is_ok(reply))
+                {
+                    EXPECT_EQ(core::value(reply).body_, call.body_);
+                }
+            }
+            // All rounds used one kept connection.
+            EXPECT_EQ(server.connections(), 1U);
+        });
+}
+
+TEST(http, bytes_that_are_no_request_are_refused_as_not_run)
+{
+    asio::io_context io;
+    http_limits limits;
+    limits.body_bytes_ = 100;
+    limits.header_bytes_ = 500;
+    http_server server(io, http_address, limits, echo);
+    server.start();
+    EXPECT_NE(
+        raw_exchange(io, "nonsense\r\n\r\n").find("\"not_run\":true"),
+        std::string::npos);
+    EXPECT_NE(
+        raw_exchange(
+            io,
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\nx")
+            .find("413"),
+        std::string::npos);
+    EXPECT_NE(
+        raw_exchange(
+            io, "GET / HTTP/1.1\r\nX: " + std::string(900, 'x') + "\r\n\r\n")
+            .find("431"),
+        std::string::npos);
+    EXPECT_NE(
+        raw_exchange(io, "GET / HTTP/1.1\r\nHost: x\r\n\r\n").find("200 OK"),
+        std::string::npos);
+}
+
+TEST(http, an_address_where_nobody_listens_is_unreachable)
+{
+    asio::io_context io;
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call call;
+            call.address_ = "127.0.0.1:1";
+            const auto reply = co_await client.request(call);
+            EXPECT_FALSE(core::is_ok(reply));
+            EXPECT_EQ(
+                core::failure(reply).code_, core::errc::unreachable);
+        });
+}
+
+TEST(peer_channel, carries_calls_errors_and_deadlines)
+{
+    asio::io_context io;
+    peer_server server(
+        io,
+        peer_address,
+        nullptr,
+        [&](peer_identity, std::string name, std::string body)
+            -> asio::awaitable<core::result<std::string>>
+        {
+            if (name == "slow")
+            {
+                co_await sleep_for(core::duration{2'000});
+            }
+            if (name == "refuse")
+            {
+                co_return core::error{core::errc::conflict, "no"};
+            }
+            co_return name + ":" + body;
+        });
+    server.start();
+    peer_client client(io, nullptr);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            const core::duration patience{1'000};
+            const auto good =
+                co_await client.call(peer_address, "echo", "x", patience);
+            EXPECT_EQ(core::value(good), "echo:x");
+            const std::string large(3'000'000, 'y');
+            const auto big =
+                co_await client.call(peer_address, "big", large, patience);
+            EXPECT_EQ(core::value(big).size(), large.size() + 4);
+            const auto no =
+                co_await client.call(peer_address, "refuse", "", patience);
+            EXPECT_EQ(core::failure(no).code_, core::errc::conflict);
+            const auto late = co_await client.call(
+                peer_address, "slow", "", core::duration{50});
+            EXPECT_EQ(core::failure(late).code_, core::errc::timeout);
+            client.set_cut(peer_address, true);
+            const auto cut =
+                co_await client.call(peer_address, "echo", "", patience);
+            EXPECT_EQ(core::failure(cut).code_, core::errc::unreachable);
+        });
+}
+
+TEST(peer_channel, survives_a_stranger_that_speaks_nonsense)
+{
+    asio::io_context io;
+    peer_server server(
+        io,
+        peer_address,
+        nullptr,
+        [](peer_identity, std::string, std::string body)
+            -> asio::awaitable<core::result<std::string>>
+        {
+            co_return body;
+        });
+    server.start();
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            tcp::socket stranger(io);
+            co_await stranger.async_connect(
+                parse_endpoint(peer_address), asio::use_awaitable);
+            const std::string bytes(70'000, '\x81');
+            co_await stranger.async_write_some(
+                asio::buffer(bytes), asio::use_awaitable);
+            peer_client client(io, nullptr);
+            const auto reply = co_await client.call(
+                peer_address, "echo", "still here", core::duration{1'000});
+            EXPECT_TRUE(core::is_ok(reply));
+        });
+}
+
+TEST(host_settings, lists_all_mistakes_together)
+{
+    core::finding_list findings;
+    parse_host_settings(
+        "h.ini",
+        "[host]\nname = a.b\npeer_listen = 10.0.0.1:70\n"
+        "client_listen = here\nadmin_listen = 127.0.0.1:3\ncolour = red\n"
+        "[tls]\nmode = plain\n",
+        findings);
+    const std::string text = findings.text();
+    for (const char* wanted :
+         {"h.ini:2: [host] name",
+          "[host] availability_zone",
+          "h.ini:4: [host] client_listen",
+          "h.ini:6: [host] colour",
+          "no [seed] section",
+          "plain text between hosts"})
+    {
+        EXPECT_NE(text.find(wanted), std::string::npos)
+            << "missing: " << wanted << "\nin:\n"
+            << text;
+    }
+}
+
+RC_GTEST_PROP(host_settings, survives_any_text, (const std::string& text))
+{
+    core::finding_list findings;
+    parse_host_settings("h.ini", text, findings);
+    RC_ASSERT(!findings.empty());
+}
+
+} // namespace poplarroute::drivers
--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -145,7 +145,7 @@
         else if (path == "/cancel")
         {
             cancel(body.value("attempt", ""));
-            co_await send_json(exchange, 200, json::object());
+            co_await send_json(exchange, 200, nothing_);
         }
         else if (path == "/order")
         {
@@ -154,11 +154,11 @@
         else if (path == "/fault")
         {
             fault(body);
-            co_await send_json(exchange, 200, json::object());
+            co_await send_json(exchange, 200, nothing_);
         }
         else
         {
-            co_await send_json(exchange, 404, json::object());
+            co_await send_json(exchange, 404, nothing_);
         }
     }
 
@@ -509,7 +509,8 @@
             {"attempt", item->attempt_},
             {"end", "stop"},
             {"tokens", item->total_}};
-        const bool taken = co_await exchange.write(end.dump() + "\n");
+        const std::string last = end.dump() + "\n";
+        const bool taken = co_await exchange.write(last);
         if (taken)
         {
             sequences_.erase(item->attempt_);
@@ -680,6 +681,7 @@
     std::uint64_t refused_ = 0;
     std::uint64_t tokens_ = 0;
     bool saw_key_ = false;
+    json nothing_ = json::object();
 };
 
 engine_options read_options(int argc, char** argv)
--- a/tests/fakes/fake_service.cpp
+++ b/tests/fakes/fake_service.cpp
@@ -55,7 +55,7 @@
         if (request.target_ == "/fault")
         {
             takes_.ms_ = json::parse(request.body_).value("takes_ms", 0);
-            co_await send_json(exchange, 200, json::object());
+            co_await send_json(exchange, 200, nothing_);
             co_return;
         }
         co_await run(exchange);
@@ -86,6 +86,7 @@
     std::size_t running_ = 0;
     std::map<std::string, int> runs_;
     bool saw_key_ = false;
+    json nothing_ = json::object();
 };
 
 } // namespace
--- /dev/null
+++ b/tests/policy/queue_test.cpp
@@ -0,0 +1,187 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "policy/fair_queue.hpp"
+#include "policy/ownership.hpp"
+#include "policy/quarantine.hpp"
+#include "policy/ramp.hpp"
+#include "policy/retry_budget.hpp"
+
+namespace poplarroute::policy {
+
+namespace {
+
+want make_want(
+    std::uint64_t number, const std::string& account, bool interactive)
+{
+    want item;
+    item.attempt_ = {"h", 1, number};
+    item.account_ = account;
+    item.interactive_ = interactive;
+    item.output_tokens_ = 100;
+    item.first_token_due_ = {10'000};
+    return item;
+}
+
+bool always(const want&)
+{
+    return true;
+}
+
+} // namespace
+
+TEST(fair_queue, a_flood_of_one_account_does_not_hold_back_another)
+{
+    fair_queue queue;
+    for (std::uint64_t number = 0; number < 100; ++number)
+    {
+        queue.push(make_want(number, "greedy", true));
+    }
+    queue.push(make_want(1'000, "modest", true));
+    std::size_t place = 0;
+    while (queue.take(always, {0})->account_ != "modest")
+    {
+        ++place;
+    }
+    EXPECT_LE(place, 1U);
+}
+
+TEST(fair_queue, serves_by_weight)
+{
+    fair_queue queue;
+    for (std::uint64_t number = 0; number < 200; ++number)
+    {
+        want heavy = make_want(number, "heavy", true);
+        heavy.weight_ = 3;
+        queue.push(heavy);
+        queue.push(make_want(1'000 + number, "light", true));
+    }
+    int heavy = 0;
+    for (int taken = 0; taken < 100; ++taken)
+    {
+        heavy += queue.take(always, {0})->account_ == "heavy" ? 1 : 0;
+    }
+    EXPECT_NEAR(heavy, 75, 3);
+}
+
+TEST(fair_queue, batch_yields_until_it_has_aged)
+{
+    fair_queue queue;
+    queue.push(make_want(1, "a", false));
+    queue.push(make_want(2, "b", true));
+    EXPECT_EQ(queue.take(always, {0})->attempt_.number_, 2U);
+    queue.push(make_want(3, "b", true));
+    // After half its time the batch request counts as interactive, and its
+    // account has been served less.
+    EXPECT_EQ(queue.take(always, {6'000})->attempt_.number_, 1U);
+}
+
+TEST(fair_queue, what_has_waited_long_is_not_overtaken_for_ever)
+{
+    fair_queue queue;
+    want large = make_want(1, "a", true);
+    large.pieces_ = 10;
+    queue.push(large);
+    queue.push(make_want(2, "b", true));
+    const auto small_only = [](const want& item)
+    {
+        return item.pieces_ < 5;
+    };
+    EXPECT_FALSE(queue.take(small_only, {2'000}).has_value());
+    EXPECT_TRUE(queue.take(small_only, {500}).has_value());
+}
+
+RC_GTEST_PROP(
+    fair_queue, loses_and_doubles_nothing, (std::vector<std::uint8_t> moves))
+{
+    fair_queue queue;
+    std::set<std::uint64_t> waiting;
+    std::uint64_t next = 0;
+    for (const std::uint8_t move : moves)
+    {
+        if (move % 3 != 0)
+        {
+            queue.push(make_want(
+                next, std::string(1, 'a' + move % 5), move % 2 == 0));
+            waiting.insert(next++);
+            continue;
+        }
+        const auto taken = queue.take(always, {0});
+        RC_ASSERT(taken.has_value() == !waiting.empty());
+        if (taken)
+        {
+            RC_ASSERT(waiting.erase(taken->attempt_.number_) == 1U);
+        }
+    }
+    RC_ASSERT(queue.size() == waiting.size());
+}
+
+TEST(ramp, opens_by_completions_but_not_faster_than_time_allows)
+{
+    ramp window(20, {0});
+    EXPECT_EQ(window.window(), 1);
+    for (int count = 0; count < 50; ++count)
+    {
+        window.completed({100});
+    }
+    EXPECT_EQ(window.window(), 1);
+    std::int64_t now = 0;
+    while (!window.warm())
+    {
+        now += 700;
+        window.completed({now});
+        ASSERT_LE(window.window(), 2 + 2 * now / 1'000 + 2);
+    }
+    window.close({now});
+    EXPECT_EQ(window.window(), 1);
+}
+
+TEST(quarantine, two_starters_are_quarantined_bystanders_are_not)
+{
+    quarantine records;
+    const core::duration span{1'000};
+    EXPECT_TRUE(
+        records.crashed("d", "e1@b", evidence::starter, span, {0}));
+    EXPECT_FALSE(
+        records.crashed("d", "e1@b", evidence::starter, span, {0}));
+    EXPECT_EQ(records.look_up("d", {1}), suspicion::suspect);
+    records.crashed("d", "e2@b", evidence::starter, span, {0});
+    EXPECT_EQ(records.look_up("d", {1}), suspicion::quarantined);
+    EXPECT_EQ(records.look_up("d", {2'000}), suspicion::none);
+    records.crashed("x", "e1@b", evidence::bystander, span, {0});
+    EXPECT_EQ(records.look_up("x", {1}), suspicion::none);
+    records.crashed("y", "e1@b", evidence::alone, span, {0});
+    EXPECT_EQ(records.look_up("y", {1}), suspicion::quarantined);
+}
+
+TEST(ownership, moves_only_what_the_lost_host_owned)
+{
+    const std::vector<core::host_id> all{"a", "b", "c", "d"};
+    const std::vector<core::host_id> fewer{"a", "b", "d"};
+    int moved = 0;
+    for (int thing = 0; thing < 200; ++thing)
+    {
+        const std::string name = "z/s" + std::to_string(thing);
+        const core::host_id before = owner_of(name, all);
+        const core::host_id after = owner_of(name, fewer);
+        EXPECT_TRUE(before == "c" || before == after);
+        moved += before == after ? 0 : 1;
+    }
+    EXPECT_GT(moved, 20);
+    EXPECT_EQ(owner_of("x", {}), "");
+}
+
+TEST(retry_budget, bounds_retries_to_a_part_of_first_tries)
+{
+    retry_budget budget;
+    int retries = 0;
+    for (int request = 0; request < 1'000; ++request)
+    {
+        budget.first_try();
+        retries += budget.take() ? 1 : 0;
+    }
+    EXPECT_LE(retries, 1'000 / 5 + 20);
+    EXPECT_GE(retries, 1'000 / 5);
+}
+
+} // namespace poplarroute::policy
