--- a/control/commands.cpp
+++ b/control/commands.cpp
@@ -1,6 +1,7 @@
 #include "control/commands.hpp"
 
 #include "control/commands_json.hpp"
+#include "core/result.hpp"
 
 namespace poplarroute::control
 {
@@ -78,18 +79,25 @@
 
 const command_origin* origin_of(const command& order)
 {
+    using origin = const command_origin*;
     return std::visit(
-        [](const auto& typed) -> const command_origin*
-        {
-            if constexpr (requires { typed.origin_; })
+        core::overloaded{
+            [](const claim_call&) -> origin
             {
-                return &typed.origin_;
-            }
-            else
+                return nullptr;
+            },
+            [](const record_outcome&) -> origin
             {
                 return nullptr;
-            }
-        },
+            },
+            [](const abandon_claim&) -> origin
+            {
+                return nullptr;
+            },
+            [](const auto& typed) -> origin
+            {
+                return &typed.origin_;
+            }},
         order);
 }
 
--- a/control/directory.cpp
+++ b/control/directory.cpp
@@ -61,8 +61,10 @@
             scored;
     for (const auto& [host, zone] : holders_)
     {
-        scored[zone].emplace_back(
-            core::stable_hash(account + ("|" + host)), host);
+        std::string salted = account;
+        salted += "|";
+        salted += host;
+        scored[zone].emplace_back(core::stable_hash(salted), host);
     }
     for (auto& [zone, hosts] : scored)
     {
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -139,7 +139,7 @@
         {
             // The caller sends its next request early; a later loss of the
             // connection is noticed by writing to it.
-            co_await sleep_for(pipelined_wait);
+            co_await sleep_for(pipelined_wait_);
         }
     }
 
@@ -149,7 +149,7 @@
     }
 
 private:
-    static constexpr core::duration pipelined_wait{24 * 3'600'000};
+    static constexpr core::duration pipelined_wait_{24 * 3'600'000};
 
     asio::awaitable<void> write_raw(std::string data)
     {
--- a/main/ctl/link.cpp
+++ b/main/ctl/link.cpp
@@ -55,12 +55,21 @@
 {
     core::result<std::string> last =
         core::error{core::errc::unreachable, "no host is named: --hosts"};
+    bool first = true;
     for (const std::string& host : hosts_)
     {
-        last = call(host, method, body);
-        if (core::is_ok(last))
+        core::result<std::string> answer = call(host, method, body);
+        if (core::is_ok(answer))
         {
-            return last;
+            return answer;
+        }
+        // Hosts without a disk do not know the control group's calls: what a
+        // member says tells more.
+        const bool tells = core::failure(answer).code_ != core::errc::not_found;
+        if (first || tells)
+        {
+            last = std::move(answer);
+            first = false;
         }
     }
     return last;
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -222,11 +222,11 @@
         std::move(core::value(opened)), order.attempt_, order.offset_);
 }
 
-awaitable<bool>
-engine_adapter::cancel(std::string address, core::attempt_id attempt)
+awaitable<bool> engine_adapter::cancel(
+    std::string address, core::attempt_id attempt)
 {
-    drivers::http_call call = post(
-        std::move(address), "/cancel", {{"attempt", to_string(attempt)}});
+    drivers::http_call call =
+        post(std::move(address), "/cancel", {{"attempt", to_string(attempt)}});
     call.timeout_ = cancel_timeout;
     const auto reply = co_await http_.request(std::move(call));
     co_return core::is_ok(reply) && core::value(reply).status_ == status_ok;
--- a/node/entry_controller.cpp
+++ b/node/entry_controller.cpp
@@ -193,8 +193,7 @@
     return std::nullopt;
 }
 
-entry_controller::refusal entry_controller::check_open_for_work(
-    const request_facts& facts) const
+entry_controller::refusal entry_controller::check_host() const
 {
     const directory_section& section = with_.directory();
     const core::host_id& self = with_.identity().host_;
@@ -206,6 +205,13 @@
     {
         return busy;
     }
+    return std::nullopt;
+}
+
+entry_controller::refusal entry_controller::check_cut_off(
+    const request_facts& facts) const
+{
+    const directory_section& section = with_.directory();
     if (facts.route_.open_)
     {
         return std::nullopt;
@@ -255,9 +261,11 @@
     facts.arrived_ = core::steady_now();
     facts.id_ = "req-" + core::random_hex(request_id_bytes);
     request_end end;
-    refusal no = find_route(exchange.request(), facts);
+    // A host that has no settled version knows neither routes nor keys.
+    refusal no = check_host();
+    no = no ? no : find_route(exchange.request(), facts);
     no = no ? no : check_key(exchange.request(), facts);
-    no = no ? no : check_open_for_work(facts);
+    no = no ? no : check_cut_off(facts);
     if (no)
     {
         end.code_ = no->code_;
@@ -381,8 +389,8 @@
     {
         end.code_ = "model_not_found";
         end.result_ = service_result::excluded;
-        refusal_answer unknown = not_run(
-            404, "model_not_found", "This route has no such model.");
+        refusal_answer unknown =
+            not_run(404, "model_not_found", "This route has no such model.");
         co_await refuse(exchange, std::move(unknown));
         co_return;
     }
--- a/node/entry_controller.hpp
+++ b/node/entry_controller.hpp
@@ -73,7 +73,8 @@
         const drivers::http_request& request, request_facts& facts) const;
     refusal check_key(
         const drivers::http_request& request, request_facts& facts) const;
-    refusal check_open_for_work(const request_facts& facts) const;
+    refusal check_host() const;
+    refusal check_cut_off(const request_facts& facts) const;
     bool key_still_valid(const std::string& key_id) const;
     void stop_withdrawn();
     void note_end(const request_facts& facts, const request_end& end);
--- a/node/place_guard.cpp
+++ b/node/place_guard.cpp
@@ -44,8 +44,8 @@
     running.zone_ = place_.zone_;
     // Memory that is only promised is not held: a new owner must not take it
     // for given.
-    running.decode_ = place_.reply_.promised_ ? core::endpoint_id()
-                                              : place_.reply_.decode_;
+    running.decode_ =
+        place_.reply_.promised_ ? core::endpoint_id() : place_.reply_.decode_;
     running.pieces_ = pieces;
     running.key_ = std::move(key_id);
     with_.board_.section<running_section>().attempts_[place_.attempt_] =
@@ -73,7 +73,8 @@
         place_.reply_.decode_address_ = chosen.decode_address_;
         place_.reply_.decode_boot_ = chosen.decode_boot_;
     }
-    with_.board_.section<running_section>().attempts_[place_.attempt_].decode_ = place_.reply_.decode_;
+    with_.board_.section<running_section>().attempts_[place_.attempt_].decode_ =
+        place_.reply_.decode_;
 }
 
 } // namespace poplarroute::node
--- a/node/pool_controller.cpp
+++ b/node/pool_controller.cpp
@@ -290,8 +290,8 @@
     }
 }
 
-awaitable<void>
-pool_controller::watch(core::service_id service, core::endpoint_id endpoint)
+awaitable<void> pool_controller::watch(
+    core::service_id service, core::endpoint_id endpoint)
 {
     for (;;)
     {
@@ -317,8 +317,8 @@
     }
 }
 
-awaitable<void>
-pool_controller::poll(core::service_id service, core::endpoint_id endpoint)
+awaitable<void> pool_controller::poll(
+    core::service_id service, core::endpoint_id endpoint)
 {
     const std::string address = address_of_endpoint(endpoint);
     const auto report = co_await engines_.report(address, endpoint);
--- a/node/pool_gateway.hpp
+++ b/node/pool_gateway.hpp
@@ -49,8 +49,8 @@
 private:
     awaitable<reserve_reply> reserve_in(
         core::zone_id zone, reserve_request request);
-    awaitable<void>
-    send_transferred(std::string address, transferred_request request);
+    awaitable<void> send_transferred(
+        std::string address, transferred_request request);
     awaitable<void> send_end(core::zone_id zone, end_request request);
 
     context& with_;
--- a/policy/pool_scheduler.cpp
+++ b/policy/pool_scheduler.cpp
@@ -579,7 +579,8 @@
     }
 }
 
-void pool_scheduler::forget(const core::attempt_id& attempt, bool freed, core::time_point now)
+void pool_scheduler::forget(
+    const core::attempt_id& attempt, bool freed, core::time_point now)
 {
     const auto found = running_.find(attempt);
     if (found == running_.end())
--- a/policy/pool_scheduler.hpp
+++ b/policy/pool_scheduler.hpp
@@ -110,8 +110,8 @@
 
     /// Says that the decode side has taken the prefill's result over, so that
     /// the prefill side's memory is free.
-    std::vector<pool_action>
-    transferred(const core::attempt_id& attempt, core::time_point now);
+    std::vector<pool_action> transferred(
+        const core::attempt_id& attempt, core::time_point now);
 
     /// Ends a request, granted or waiting.
     std::vector<pool_action> end(const ending& how, core::time_point now);
@@ -217,9 +217,7 @@
     void keep_promises(actions& out, core::time_point now);
     void end_prefill(const running_request& about, core::time_point now);
     void notice_cold(
-        const running_request& about,
-        const ending& how,
-        core::time_point now);
+        const running_request& about, const ending& how, core::time_point now);
     void forget(
         const core::attempt_id& attempt, bool freed, core::time_point now);
     core::duration backlog(
--- a/policy/pool_types.hpp
+++ b/policy/pool_types.hpp
@@ -122,8 +122,8 @@
 struct ending
 {
     core::attempt_id attempt_;
-    bool completed_ = false;            ///< The whole answer came.
-    bool freed_ = true;                 ///< The engines said they hold nothing.
+    bool completed_ = false;     ///< The whole answer came.
+    bool freed_ = true;          ///< The engines said they hold nothing.
     bool endpoint_lost_ = false; ///< An endpoint broke under it.
     core::endpoint_id lost_endpoint_;
     std::int64_t output_tokens_ = 0;
--- a/tests/control/directory_test.cpp
+++ b/tests/control/directory_test.cpp
@@ -4,9 +4,11 @@
 #include "control/state_machine.hpp"
 #include "core/digest.hpp"
 
-namespace poplarroute::control {
+namespace poplarroute::control
+{
 
-namespace {
+namespace
+{
 
 const char* const two_hosts =
     "[organisation]\nname = T\n[availability_zone z]\nregion = r\n"
@@ -36,10 +38,10 @@
 TEST(directory, operators_under_equal_numbers_race_to_one_winner)
 {
     state_machine machine = make_machine();
-    const auto one = apply(
-        machine, submit_configuration{origin("c2"), 1, two_hosts});
-    const auto two = apply(
-        machine, submit_configuration{origin("c3"), 1, two_hosts});
+    const auto one =
+        apply(machine, submit_configuration{origin("c2"), 1, two_hosts});
+    const auto two =
+        apply(machine, submit_configuration{origin("c3"), 1, two_hosts});
     EXPECT_EQ(one.verdict_, verdict::accepted);
     EXPECT_EQ(two.verdict_, verdict::conflict);
 }
@@ -146,7 +148,7 @@
     state_machine machine = make_machine();
     apply(machine, issue_key{origin("k1"), "id", "a", "salt", "digest"});
     apply(machine, claim_call{"a", "key", "d", "at1", 5});
-    apply(machine, record_outcome{"a", "key", "at1", 201, "t", "\xff\x00x"});
+    apply(machine, record_outcome{"a", "key", "at1", 201, "t", "\xffx"});
     apply(machine, set_out{origin("o"), true, "z", true});
     const std::string bytes = machine.encode();
     const auto read = state_machine::decode(bytes);
--- a/tests/control/raft_test.cpp
+++ b/tests/control/raft_test.cpp
@@ -4,9 +4,11 @@
 #include "control/membership.hpp"
 #include "control/raft.hpp"
 
-namespace poplarroute::control {
+namespace poplarroute::control
+{
 
-namespace {
+namespace
+{
 
 member_group three()
 {
@@ -121,8 +123,7 @@
     ASSERT_EQ(follower.log().last_index(), 6U);
     // A late snapshot that ends in the middle of what this member holds.
     const snapshot_request late{2, {4, 2, three(), "s"}, 1};
-    const auto actions =
-        follower.receive({"a", "sa", "b", "sb", late}, {110});
+    const auto actions = follower.receive({"a", "sa", "b", "sb", late}, {110});
     EXPECT_FALSE(actions.install_.has_value());
     EXPECT_EQ(follower.log().last_index(), 6U);
     EXPECT_EQ(follower.commit_index(), 4U);
--- a/tests/core/ids_test.cpp
+++ b/tests/core/ids_test.cpp
@@ -4,7 +4,8 @@
 #include "core/digest.hpp"
 #include "core/ids.hpp"
 
-namespace poplarroute::core {
+namespace poplarroute::core
+{
 
 TEST(attempt_id, refuses_texts_that_are_none)
 {
--- a/tests/core/ini_test.cpp
+++ b/tests/core/ini_test.cpp
@@ -3,7 +3,8 @@
 
 #include "core/ini.hpp"
 
-namespace poplarroute::core {
+namespace poplarroute::core
+{
 
 TEST(ini, knows_the_line_of_every_entry)
 {
@@ -40,8 +41,8 @@
 TEST(section_reader, says_what_would_be_right)
 {
     finding_list findings;
-    const ini_document document = parse_ini(
-        "f", "[a]\nn = 12x\nc = red\nodd = 1\n", findings);
+    const ini_document document =
+        parse_ini("f", "[a]\nn = 12x\nc = red\nodd = 1\n", findings);
     section_reader reader(document, document.sections_[0], findings);
     EXPECT_EQ(reader.number("n", 1, 9, 4), 4);
     EXPECT_EQ(reader.choice("c", {"blue"}, "blue"), "blue");
--- a/tests/drivers/disk_log_test.cpp
+++ b/tests/drivers/disk_log_test.cpp
@@ -8,9 +8,11 @@
 
 #include "drivers/disk_log.hpp"
 
-namespace poplarroute::drivers {
+namespace poplarroute::drivers
+{
 
-namespace {
+namespace
+{
 
 namespace fs = std::filesystem;
 
@@ -34,8 +36,7 @@
     std::unique_ptr<disk_log> open(disk_contents& contents)
     {
         auto opened = disk_log::open(folder_.string(), contents);
-        EXPECT_TRUE(core::is_ok(opened))
-            << core::failure(opened).message_;
+        EXPECT_TRUE(core::is_ok(opened)) << core::failure(opened).message_;
         return core::is_ok(opened) ? std::move(core::value(opened)) : nullptr;
     }
 
@@ -47,8 +48,8 @@
                                    : core::failure(opened).message_;
     }
 
-    static control::raft_actions
-    entries(control::log_index first, control::log_index last)
+    static control::raft_actions entries(
+        control::log_index first, control::log_index last)
     {
         control::raft_actions actions;
         actions.hard_state_ = control::hard_state{3, "a"};
--- a/tests/drivers/ports_test.cpp
+++ b/tests/drivers/ports_test.cpp
@@ -6,9 +6,11 @@
 #include "drivers/http_server.hpp"
 #include "drivers/peer_channel.hpp"
 
-namespace poplarroute::drivers {
+namespace poplarroute::drivers
+{
 
-namespace {
+namespace
+{
 
 constexpr const char* http_address = "127.0.0.1:19481";
 constexpr const char* peer_address = "127.0.0.1:19482";
@@ -17,24 +19,20 @@
 template <class Work>
 void run(asio::io_context& io, Work work)
 {
-    bool over = false;
     const auto wrapped = [&]() -> asio::awaitable<void>
     {
         co_await work();
-        over = true;
+        io.stop();
     };
     spawn(io, wrapped());
-    while (!over)
-    {
-        io.run_one();
-    }
+    io.restart();
+    io.run();
 }
 
 asio::awaitable<void> echo(http_exchange& exchange)
 {
     header_list headers{{"X-Method", exchange.request().method_}};
-    co_await exchange.send(
-        200, std::move(headers), exchange.request().body_);
+    co_await exchange.send(200, std::move(headers), exchange.request().body_);
 }
 
 std::string raw_exchange(asio::io_context& io, const std::string& bytes)
@@ -109,8 +107,7 @@
         std::string::npos);
     EXPECT_NE(
         raw_exchange(
-            io,
-            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\nx")
+            io, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000\r\n\r\nx")
             .find("413"),
         std::string::npos);
     EXPECT_NE(
@@ -134,8 +131,7 @@
             call.address_ = "127.0.0.1:1";
             const auto reply = co_await client.request(call);
             EXPECT_FALSE(core::is_ok(reply));
-            EXPECT_EQ(
-                core::failure(reply).code_, core::errc::unreachable);
+            EXPECT_EQ(core::failure(reply).code_, core::errc::unreachable);
         });
 }
 
@@ -146,8 +142,9 @@
         io,
         peer_address,
         nullptr,
-        [&](peer_identity, std::string name, std::string body)
-            -> asio::awaitable<core::result<std::string>>
+        [&](peer_identity,
+            std::string name,
+            std::string body) -> asio::awaitable<core::result<std::string>>
         {
             if (name == "slow")
             {
@@ -192,8 +189,9 @@
         io,
         peer_address,
         nullptr,
-        [](peer_identity, std::string, std::string body)
-            -> asio::awaitable<core::result<std::string>>
+        [](peer_identity,
+           std::string,
+           std::string body) -> asio::awaitable<core::result<std::string>>
         {
             co_return body;
         });
--- /dev/null
+++ b/tests/harness/capacity.py
@@ -0,0 +1,172 @@
+"""Measures what a host costs beside its work, at several sizes.
+
+capacity.py --what hosts|accounts|changes|endpoints|requests
+Prints one JSON line per size: processor time, memory and peer traffic per
+host, as the hosts count them themselves.
+"""
+
+import argparse
+import json
+import pathlib
+import statistics
+import sys
+import time
+
+from fleet import Fleet, Shape, wait_until
+from measure import run_load
+
+SETTLE_SECONDS = 8
+SAMPLE_SECONDS = 10
+
+
+def shape_of(hosts=8, accounts=5, endpoints=4, zones=4, first_port=25000,
+             plain=True):
+    """A fleet of a given size; endpoints are spread over the zones."""
+    names = [f"z{number}" for number in range(zones)]
+    per_zone = {name: hosts // zones for name in names}
+    engines = {name: max(endpoints // zones, 1) for name in names}
+    desk = ("desk", {names[0]: 1}, "/book", "/look") if plain else None
+    return Shape(per_zone, ("writer", engines, "batch"), desk,
+                 {f"account-{number}": (100000, 400000)
+                  for number in range(accounts)}, first_port)
+
+
+def sample(fleet):
+    hosts = {item["host"]: item for item in fleet.status()["hosts"]
+             if "host" in item}
+    return time.monotonic(), hosts
+
+
+def cost(fleet, work=lambda: time.sleep(SAMPLE_SECONDS)):
+    """Per host and second, over a stretch of work: the median and the most."""
+    began, before = sample(fleet)
+    work()
+    ended, after = sample(fleet)
+    span = ended - began
+    cpu, out, calls, memory = [], [], [], []
+    for name, item in after.items():
+        then = before[name]
+        cpu.append((item["cpu_ms"] - then["cpu_ms"]) / span / 10)
+        traffic, earlier = item["peer_traffic"], then["peer_traffic"]
+        out.append((traffic["bytes_in"] + traffic["bytes_out"]
+                    - earlier["bytes_in"] - earlier["bytes_out"]) / span)
+        calls.append((traffic["calls_in"] + traffic["calls_out"]
+                      - earlier["calls_in"] - earlier["calls_out"]) / span)
+        memory.append(item["peak_kilobytes"] / 1024)
+    return {"cpu_percent": [round(statistics.median(cpu), 2),
+                            round(max(cpu), 2)],
+            "bytes_per_s": [round(statistics.median(out)),
+                            round(max(out))],
+            "calls_per_s": [round(statistics.median(calls), 1),
+                            round(max(calls), 1)],
+            "memory_mb": [round(statistics.median(memory), 1),
+                          round(max(memory), 1)]}
+
+
+def with_fleet(shape, work, keys=False):
+    fleet = Fleet(shape)
+    try:
+        fleet.start(issue_keys=keys)
+        time.sleep(SETTLE_SECONDS)
+        return work(fleet)
+    finally:
+        fleet.stop(graceful=False)
+
+
+def report(**row):
+    print(json.dumps(row), flush=True)
+
+
+def by_hosts(sizes):
+    for hosts in sizes:
+        row = with_fleet(shape_of(hosts=hosts, plain=False), cost)
+        report(what="hosts", hosts=hosts, **row)
+
+
+def by_accounts(sizes):
+    for accounts in sizes:
+        row = with_fleet(shape_of(accounts=accounts, plain=False), cost)
+        report(what="accounts", accounts=accounts, **row)
+
+
+def by_endpoints(sizes):
+    for endpoints in sizes:
+        row = with_fleet(
+            shape_of(hosts=4, endpoints=endpoints, plain=False), cost)
+        report(what="endpoints", endpoints=endpoints, owners=4, **row)
+
+
+def by_changes(rates):
+    """Key changes at a steady rate: the cost of spreading them."""
+    def work(fleet, rate):
+        def change():
+            until = time.monotonic() + SAMPLE_SECONDS
+            made = 0
+            while time.monotonic() < until:
+                fleet.ctl("key", "issue", "account-0", "--wait-ms", "0")
+                made += 1
+                time.sleep(1 / rate)
+            work.made = made
+        row = cost(fleet, change)
+        row["changes_per_s"] = round(work.made / SAMPLE_SECONDS, 2)
+        return row
+    for rate in rates:
+        row = with_fleet(shape_of(accounts=100, plain=False),
+                         lambda fleet: work(fleet, rate))
+        report(what="changes", **row)
+
+
+def by_requests(rates):
+    """Short calls through the whole path: processor time per request."""
+    for rate in rates:
+        def work(fleet):
+            for name in fleet.hosts:
+                fleet.wait_ready(name)
+
+            class One:
+                hosts = fleet.hosts
+                keys = dict(list(fleet.keys.items())[:5])
+                shape = fleet.shape
+
+            def load():
+                import measure
+                plain = measure.PLAIN_PER_SECOND
+                measure.PLAIN_PER_SECOND = rate
+                try:
+                    work.records = run_load(One, 0.0001, SAMPLE_SECONDS, 1,
+                                            "steady")
+                finally:
+                    measure.PLAIN_PER_SECOND = plain
+            row = cost(fleet, load)
+            good = [item for item in work.records if item["status"] == 200]
+            took = sorted(item["took_ms"] for item in good)
+            row["requests_per_s"] = len(good) / SAMPLE_SECONDS
+            row["took_p50_ms"] = round(took[len(took) // 2], 2)
+            row["took_p99_ms"] = round(took[int(len(took) * 0.99)], 2)
+            row["not_answered"] = len(work.records) - len(good)
+            return row
+        shape = shape_of(hosts=2, zones=1, endpoints=1)
+        shape.service_options = ["--takes-ms", "1"]
+        shape.calls = 200
+        shape.control = 1
+        row = with_fleet(shape, work, keys=True)
+        report(what="requests", **row)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--what", default="hosts")
+    parser.add_argument("--sizes", default="")
+    given = parser.parse_args()
+    runs = {"hosts": (by_hosts, "4,8,16,32"),
+            "accounts": (by_accounts, "5,200,860"),
+            "endpoints": (by_endpoints, "4,16,40"),
+            "changes": (by_changes, "0.5,2,4"),
+            "requests": (by_requests, "100,300,600")}
+    run, sizes = runs[given.what]
+    run([float(size) if "." in size else int(size)
+         for size in (given.sizes or sizes).split(",")])
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/main/questionnaire_test.cpp
+++ b/tests/main/questionnaire_test.cpp
@@ -8,9 +8,11 @@
 #include "main/ctl/burn_report.hpp"
 #include "main/ctl/questionnaire.hpp"
 
-namespace poplarroute::main::ctl {
+namespace poplarroute::main::ctl
+{
 
-namespace {
+namespace
+{
 
 control::configuration configuration_of(const std::string& example)
 {
@@ -38,8 +40,8 @@
     bool books_once = false;
     for (const auto& route : made.routes_)
     {
-        books_once = books_once ||
-                     (route.path_ == "/fittings" && !route.idempotent_);
+        books_once =
+            books_once || (route.path_ == "/fittings" && !route.idempotent_);
     }
     EXPECT_TRUE(books_once);
 }
@@ -54,10 +56,9 @@
 
 TEST(questionnaire, asks_for_the_same_in_a_dialogue)
 {
-    std::istringstream in(
-        "Trial\nr\nz\nh@127.0.0.1:1\na\n10\n100\nm, p\n"
-        "model\n40\n127.0.0.1:2\nyes\n"
-        "plain\n4\n127.0.0.1:3\n/book\n/look\n");
+    std::istringstream in("Trial\nr\nz\nh@127.0.0.1:1\na\n10\n100\nm, p\n"
+                          "model\n40\n127.0.0.1:2\nyes\n"
+                          "plain\n4\n127.0.0.1:3\n/book\n/look\n");
     std::ostringstream out;
     const team_answers answers = ask_answers(in, out);
     core::finding_list findings;
--- a/tests/node/caller_api_test.cpp
+++ b/tests/node/caller_api_test.cpp
@@ -7,7 +7,8 @@
 #include "node/caller_api.hpp"
 #include "node/messages.hpp"
 
-namespace poplarroute::node {
+namespace poplarroute::node
+{
 
 TEST(caller_api, reads_a_chat)
 {
@@ -90,7 +91,8 @@
     burn_record record;
     const core::duration minute{60'000};
     record.add("a", "r", service_result::good, {0});
-    record.add("a", "r", service_result::late, core::time_point{} + minute * 30);
+    record.add(
+        "a", "r", service_result::late, core::time_point{} + minute * 30);
     const auto rows = record.rows(core::time_point{} + minute * 31);
     ASSERT_EQ(rows.size(), 1U);
     EXPECT_EQ(rows[0]["windows"]["5m"]["late"], 1);
--- a/tests/policy/escrow_test.cpp
+++ b/tests/policy/escrow_test.cpp
@@ -3,9 +3,11 @@
 
 #include "policy/escrow.hpp"
 
-namespace poplarroute::policy {
+namespace poplarroute::policy
+{
 
-namespace {
+namespace
+{
 
 constexpr const char* account = "a";
 
--- a/tests/policy/queue_test.cpp
+++ b/tests/policy/queue_test.cpp
@@ -7,9 +7,11 @@
 #include "policy/ramp.hpp"
 #include "policy/retry_budget.hpp"
 
-namespace poplarroute::policy {
+namespace poplarroute::policy
+{
 
-namespace {
+namespace
+{
 
 want make_want(
     std::uint64_t number, const std::string& account, bool interactive)
@@ -101,8 +103,8 @@
     {
         if (move % 3 != 0)
         {
-            queue.push(make_want(
-                next, std::string(1, 'a' + move % 5), move % 2 == 0));
+            queue.push(
+                make_want(next, "a" + std::to_string(move % 5), move % 2 == 0));
             waiting.insert(next++);
             continue;
         }
@@ -140,10 +142,8 @@
 {
     quarantine records;
     const core::duration span{1'000};
-    EXPECT_TRUE(
-        records.crashed("d", "e1@b", evidence::starter, span, {0}));
-    EXPECT_FALSE(
-        records.crashed("d", "e1@b", evidence::starter, span, {0}));
+    EXPECT_TRUE(records.crashed("d", "e1@b", evidence::starter, span, {0}));
+    EXPECT_FALSE(records.crashed("d", "e1@b", evidence::starter, span, {0}));
     EXPECT_EQ(records.look_up("d", {1}), suspicion::suspect);
     records.crashed("d", "e2@b", evidence::starter, span, {0});
     EXPECT_EQ(records.look_up("d", {1}), suspicion::quarantined);
--- a/tests/policy/scheduler_test.cpp
+++ b/tests/policy/scheduler_test.cpp
@@ -2,9 +2,11 @@
 
 #include "policy/pool_scheduler.hpp"
 
-namespace poplarroute::policy {
+namespace poplarroute::policy
+{
 
-namespace {
+namespace
+{
 
 endpoint_facts engine(const std::string& name, work_kind kind)
 {
@@ -15,10 +17,10 @@
 class scheduler_test : public ::testing::Test
 {
 protected:
-    scheduler_test()
-        : owner_(reserve_first(), {0})
+    scheduler_test() : owner_(reserve_first(), {0})
     {
-        set({engine("p", work_kind::prefill_only),
+        set(
+            {engine("p", work_kind::prefill_only),
              engine("d", work_kind::decode_only)});
         warm_up();
     }
--- a/tests/soak/group_run.cpp
+++ b/tests/soak/group_run.cpp
@@ -538,8 +538,9 @@
 
     void compact_some()
     {
-        for (auto& [host, of] : nodes_)
+        for (auto& item : nodes_)
         {
+            node& of = item.second;
             if (!runs(of))
             {
                 continue;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -4,9 +4,11 @@
 #include "tests/soak/pool_run.hpp"
 #include "tests/soak/share_run.hpp"
 
-namespace poplarroute::tests::soak {
+namespace poplarroute::tests::soak
+{
 
-namespace {
+namespace
+{
 
 constexpr std::uint64_t steps = 5'000;
 
