Check shares at the moment of use, against full buckets

Cause: the planted fault that leaves a gift undiscounted was not caught. The run counted a token as granted when it left its giver, which allows what is refilled meanwhile, and its buckets were hardly ever full: cut hosts never followed, so shares stayed unsettled. Change: the observer counts a grant when a request is paid, which is stricter; quiet times without faults fill all buckets, and then the whole burst is spent at once.

--- a/tests/soak/share_run.cpp
+++ b/tests/soak/share_run.cpp
@@ -22,7 +22,7 @@
 constexpr std::int64_t quiet_steps = 3'000;
 
 /// The whole account's bucket, in millitokens, kept by an observer that sees
-/// every grant at the moment its tokens left a host's share.
+/// every grant at the moment a request is paid.
 class observer
 {
 public:
@@ -180,12 +180,17 @@
         ++counts_["restarts"];
     }
 
+    bool is_quiet() const
+    {
+        return now_ms_ / step_ms % cycle_steps < quiet_steps;
+    }
+
     void charge_some()
     {
         // In quiet times the buckets fill to the brim; then a burst that takes
         // nearly all of it shows any token too many.
-        const bool quiet = now_ms_ / step_ms % cycle_steps < quiet_steps;
-        if (quiet && !chance(2'000))
+        const bool quiet = is_quiet();
+        if (quiet && !chance(1'000))
         {
             return;
         }
@@ -228,7 +233,7 @@
     {
         const std::size_t from = (of.to_ + ++of.asked_) % host_count;
         host& giver = hosts_[from];
-        of.due_ms_ = now_ms_ + below(chance(8) ? 400 : 10);
+        of.due_ms_ = now_ms_ + below(is_quiet() || chance(8) ? 400 : 10);
         if (giver.cut_ != hosts_[of.to_].cut_)
         {
             return;
@@ -241,8 +246,7 @@
             hosts_[of.to_].shares_->wish(account, now()),
             now());
         ++counts_["gifts"];
-        // Tokens count as granted from when they leave their giver.
-        whole_.grant(sent.tokens_);
+
         if (chance(10))
         {
             ++counts_["gifts lost"];
@@ -279,12 +283,10 @@
     bool go_on(gathering& of)
     {
         policy::escrow& shares = *hosts_[of.to_].shares_;
-        const std::int64_t before = shares.level(account, now());
         if (shares.pay_with(account, of.gifts_, of.price_, now()) == 0)
         {
-            // Of the gifts, which were counted when they left, so much came
-            // back into the share.
-            whole_.grant(before - shares.level(account, now()));
+            whole_.grant(of.price_);
+            spend_all();
             ++counts_["charges paid with gifts"];
             return true;
         }
@@ -304,16 +306,43 @@
         return true;
     }
 
+    /// Spends at once whatever is left, so that a token too many shows.
+    void spend_all()
+    {
+        if (!is_quiet())
+        {
+            return;
+        }
+        for (host& of : hosts_)
+        {
+            const std::int64_t left = of.shares_->level(account, now());
+            if (left > 0 && of.shares_->charge(account, left, now()) == 0)
+            {
+                whole_.grant(left);
+            }
+        }
+        ++counts_["whole bursts spent"];
+    }
+
     void put_back(const returning& item)
     {
-        policy::escrow& shares = *hosts_[item.to_].shares_;
-        const std::int64_t before = shares.level(account, now());
-        shares.refund(account, item.tokens_, now());
-        whole_.grant(before - shares.level(account, now()));
+        hosts_[item.to_].shares_->refund(account, item.tokens_, now());
     }
 
     void change_some()
     {
+        if (is_quiet())
+        {
+            for (host& of : hosts_)
+            {
+                of.cut_ = false;
+                if (of.fleet_.version() != truth_.version())
+                {
+                    follow(of);
+                }
+            }
+            return;
+        }
         if (chance(500))
         {
             submit(
