Give the pool scheduler's policies and its timeline files of their own

Change: pool_policy holds the variants, their names and the baselines' choice; prefill_timeline holds how far ahead each prefill engine is taken; giving a place and reserving its memory are two functions. No behaviour changes.

--- a/policy/pool_scheduler.cpp
+++ b/policy/pool_scheduler.cpp
@@ -29,46 +29,11 @@
 
 } // namespace
 
-bool parse_policy(std::string_view name, pool_policy& out)
-{
-    if (name == "reserve_ahead")
-    {
-        out = reserve_ahead();
-    }
-    else if (name == "reserve_first")
-    {
-        out = reserve_first();
-    }
-    else if (name == "round_robin")
-    {
-        out = round_robin();
-    }
-    else if (name == "least_loaded")
-    {
-        out = least_loaded();
-    }
-    else if (name == "prefill_first")
-    {
-        out = prefill_first();
-    }
-    else
-    {
-        return false;
-    }
-    return true;
-}
-
 pool_scheduler::pool_scheduler(pool_policy policy, core::time_point grants_from)
     : policy_(policy), grants_from_(grants_from)
 {
 }
 
-bool pool_scheduler::checks_memory() const
-{
-    return std::holds_alternative<reserve_ahead>(policy_) ||
-           std::holds_alternative<reserve_first>(policy_);
-}
-
 bool pool_scheduler::is_call(const want& item) const
 {
     return item.prompt_tokens_ == 0 && item.output_tokens_ == 0;
@@ -123,20 +88,6 @@
     return out;
 }
 
-core::duration pool_scheduler::backlog(
-    const core::endpoint_id& endpoint,
-    bool interactive,
-    core::time_point now) const
-{
-    const auto& until = interactive ? interactive_until_ : busy_until_;
-    const auto found = until.find(endpoint);
-    if (found == until.end() || found->second < now)
-    {
-        return {0};
-    }
-    return found->second - now;
-}
-
 core::duration pool_scheduler::prefill_time(
     const want& item, const core::endpoint_id& on) const
 {
@@ -160,7 +111,8 @@
         {
             continue;
         }
-        const core::duration wait = backlog(name, item.interactive_, now);
+        const core::duration wait =
+            timeline_.backlog(name, item.interactive_, now);
         if (wait > most_backlog)
         {
             continue;
@@ -249,7 +201,7 @@
     return best;
 }
 
-core::endpoint_id pool_scheduler::choose_unchecked(
+core::endpoint_id pool_scheduler::choose_baseline(
     const want& item, bool prefill, core::time_point now)
 {
     std::vector<core::endpoint_id> able;
@@ -268,29 +220,7 @@
     {
         return {};
     }
-    const auto least = [&]()
-    {
-        return *std::min_element(
-            able.begin(),
-            able.end(),
-            [&](const auto& left, const auto& right)
-            {
-                return reported_running_[left] < reported_running_[right];
-            });
-    };
-    return std::visit(
-        core::overloaded{
-            [&](round_robin& turns)
-            {
-                std::size_t& next =
-                    prefill ? turns.next_prefill_ : turns.next_decode_;
-                return able[next++ % able.size()];
-            },
-            [&](const auto&)
-            {
-                return least();
-            }},
-        policy_);
+    return choose_unchecked(policy_, able, reported_running_, prefill);
 }
 
 bool pool_scheduler::unchecked_place(
@@ -299,14 +229,14 @@
     at.first_token_ = now;
     if (is_call(item))
     {
-        at.decode_ = choose_unchecked(item, false, now);
+        at.decode_ = choose_baseline(item, false, now);
         return !at.decode_.empty();
     }
-    at.prefill_ = choose_unchecked(item, true, now);
+    at.prefill_ = choose_baseline(item, true, now);
     at.promised_ = std::holds_alternative<prefill_first>(policy_);
     if (!at.promised_)
     {
-        at.decode_ = choose_unchecked(item, false, now);
+        at.decode_ = choose_baseline(item, false, now);
     }
     return !at.prefill_.empty() && (at.promised_ || !at.decode_.empty());
 }
@@ -314,7 +244,7 @@
 std::optional<pool_scheduler::place> pool_scheduler::find_place(
     const want& item, core::time_point now)
 {
-    if (!checks_memory())
+    if (!checks_memory(policy_))
     {
         place at;
         return unchecked_place(item, at, now) ? std::optional(at)
@@ -332,57 +262,55 @@
     return at;
 }
 
-void pool_scheduler::give(
-    want item, const place& at, actions& out, core::time_point now)
+void pool_scheduler::reserve_memory(const want& item, const place& at)
 {
+    const std::int64_t likely = estimates_.likely_output(item.output_tokens_);
     const expected_end until{
-        at.first_token_ +
-            estimates_.decode(estimates_.likely_output(item.output_tokens_)),
+        at.first_token_ + estimates_.decode(likely),
         at.first_token_ + estimates_.decode(item.output_tokens_)};
-    if (checks_memory())
+    endpoint_ledger& decode = ledgers_.at(at.decode_);
+    core::check_invariant(
+        !decode.facts().leaving_, "a leaving endpoint gets no new work");
+    if (at.promised_)
     {
-        endpoint_ledger& decode = ledgers_.at(at.decode_);
-        core::check_invariant(
-            !decode.facts().leaving_, "a leaving endpoint gets no new work");
-        if (at.promised_)
-        {
-            decode.promise(item.attempt_, item.pieces_, until);
-        }
-        else
-        {
-            decode.reserve(item.attempt_, item.pieces_, item.alone_, until);
-        }
-        if (!at.prefill_.empty() && at.prefill_ != at.decode_)
-        {
-            ledgers_.at(at.prefill_)
-                .reserve(
-                    item.attempt_,
-                    item.pieces_,
-                    item.alone_,
-                    {at.first_token_, at.first_token_});
-        }
+        decode.promise(item.attempt_, item.pieces_, until);
+    }
+    else
+    {
+        decode.reserve(item.attempt_, item.pieces_, item.alone_, until);
+    }
+    if (!at.prefill_.empty() && at.prefill_ != at.decode_)
+    {
+        const expected_end prefilled{at.first_token_, at.first_token_};
+        ledgers_.at(at.prefill_)
+            .reserve(item.attempt_, item.pieces_, item.alone_, prefilled);
+    }
+}
+
+void pool_scheduler::give(
+    want item, const place& at, actions& out, core::time_point now)
+{
+    const bool checked = checks_memory(policy_);
+    if (checked)
+    {
+        reserve_memory(item, at);
     }
     if (!at.prefill_.empty())
     {
-        const core::time_point start =
-            now + backlog(at.prefill_, item.interactive_, now);
-        const core::time_point busy = now + backlog(at.prefill_, false, now);
-        busy_until_[at.prefill_] = busy + at.prefill_time_;
-        if (item.interactive_)
-        {
-            interactive_until_[at.prefill_] = start + at.prefill_time_;
-        }
+        timeline_.add(at.prefill_, item.interactive_, at.prefill_time_, now);
     }
     ++counts_.granted_;
     counts_.promised_ += at.promised_ ? 1 : 0;
-    out.push_back(grant{
-        item.attempt_,
-        at.prefill_,
-        at.promised_ && !checks_memory() ? core::endpoint_id() : at.decode_,
-        at.first_token_ - now,
-        at.promised_});
-    const core::attempt_id attempt = item.attempt_;
-    running_[attempt] = {std::move(item), at.prefill_, at.decode_, false, now};
+    grant given;
+    given.attempt_ = item.attempt_;
+    given.prefill_ = at.prefill_;
+    given.forecast_ = at.first_token_ - now;
+    given.promised_ = at.promised_;
+    // A baseline that places the decode later names no endpoint yet.
+    given.decode_ = at.promised_ && !checked ? core::endpoint_id() : at.decode_;
+    out.push_back(given);
+    running_[given.attempt_] = {
+        std::move(item), at.prefill_, at.decode_, false, now};
 }
 
 bool pool_scheduler::too_late(const want& item, core::time_point now) const
@@ -547,9 +475,9 @@
         return out;
     }
     running_request& about = found->second;
-    if (!checks_memory())
+    if (!checks_memory(policy_))
     {
-        about.decode_ = choose_unchecked(about.item_, false, now);
+        about.decode_ = choose_baseline(about.item_, false, now);
         out.push_back(grant{attempt, about.prefill_, about.decode_, {}, false});
         return out;
     }
--- a/policy/pool_scheduler.hpp
+++ b/policy/pool_scheduler.hpp
@@ -4,60 +4,19 @@
 #include <set>
 #include <span>
 #include <string>
-#include <string_view>
-#include <variant>
 #include <vector>
 
 #include "policy/endpoint_ledger.hpp"
 #include "policy/estimates.hpp"
 #include "policy/fair_queue.hpp"
+#include "policy/pool_policy.hpp"
 #include "policy/pool_types.hpp"
+#include "policy/prefill_timeline.hpp"
 #include "policy/prefix_index.hpp"
 
 namespace poplarroute::policy
 {
 
-/// Reserves decode memory before a prefill starts. The policy for use.
-struct reserve_first
-{
-};
-
-/// Tried: where no decode memory is free, starts the prefill on a promise of
-/// memory that is expected to be free by its end. docs/design/placement.md
-/// says why it is not the policy for use.
-struct reserve_ahead
-{
-};
-
-/// Baseline: takes the endpoints in turn and knows no memory.
-struct round_robin
-{
-    std::size_t next_prefill_ = 0;
-    std::size_t next_decode_ = 0;
-};
-
-/// Baseline: takes the endpoint whose last report shows the least load.
-struct least_loaded
-{
-};
-
-/// Baseline: prefills at once and looks for decode memory afterwards.
-struct prefill_first
-{
-};
-
-using pool_policy = std::variant<
-    reserve_ahead,
-    reserve_first,
-    round_robin,
-    least_loaded,
-    prefill_first>;
-
-/// Reads a policy's name, as settings give it.
-/// \param out receives the policy.
-/// \return whether the name is known.
-bool parse_policy(std::string_view name, pool_policy& out);
-
 /// What an operator is shown of one endpoint.
 struct endpoint_status
 {
@@ -212,8 +171,9 @@
         const want& item, core::time_point now) const;
     bool choose_decode(const want& item, place& at, core::time_point now) const;
     bool unchecked_place(const want& item, place& at, core::time_point now);
-    core::endpoint_id choose_unchecked(
+    core::endpoint_id choose_baseline(
         const want& item, bool prefill, core::time_point now);
+    void reserve_memory(const want& item, const place& at);
     void give(want item, const place& at, actions& out, core::time_point now);
     void refuse(
         const want& item,
@@ -231,11 +191,6 @@
         const running_request& about, const ending& how, core::time_point now);
     void forget(
         const core::attempt_id& attempt, bool freed, core::time_point now);
-    core::duration backlog(
-        const core::endpoint_id& endpoint,
-        bool interactive,
-        core::time_point now) const;
-    bool checks_memory() const;
 
     pool_policy policy_;
     core::time_point grants_from_;
@@ -243,8 +198,7 @@
     std::map<core::endpoint_id, std::int64_t> reported_running_;
     fair_queue queue_;
     std::map<core::attempt_id, running_request> running_;
-    std::map<core::endpoint_id, core::time_point> interactive_until_;
-    std::map<core::endpoint_id, core::time_point> busy_until_;
+    prefill_timeline timeline_;
     estimates estimates_;
     prefix_index prefixes_;
     pool_counts counts_;
