Compress configurations on their way, pull one at a time, beat less often

Cause: the sizing runs. With 860 accounts a host's control traffic was 6.3 KB/s against 2.6 KB/s with 5, since hosts pulled the whole directory from several peers at once, and each configuration travels whole; the leader of eight hosts stood at 9.4 KB/s, over the 9 KB/s of the target. The operator's verbs are split by subject. Ruled out: membership, whose cost is the same at 4 and 32 hosts.

--- a/control/commands_json.hpp
+++ b/control/commands_json.hpp
@@ -2,14 +2,13 @@
 
 #include "control/commands.hpp"
 #include "core/codec.hpp"
+#include "core/compress.hpp"
 
 namespace poplarroute::control
 {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     command_origin, id_, operator_, wall_ms_)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    submit_configuration, origin_, base_, text_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     issue_key, origin_, key_, account_, salt_, digest_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(withdraw_key, origin_, key_)
@@ -39,6 +38,28 @@
     return {bytes.begin(), bytes.end()};
 }
 
+/// Configurations repeat themselves, and every host gets each one.
+inline void to_json(nlohmann::json& out, const submit_configuration& order)
+{
+    out = {
+        {"origin_", order.origin_},
+        {"base_", order.base_},
+        {"text_", binary(core::compress(order.text_))}};
+}
+
+inline void from_json(const nlohmann::json& in, submit_configuration& order)
+{
+    in.at("origin_").get_to(order.origin_);
+    in.at("base_").get_to(order.base_);
+    const auto text = core::decompress(text_of(in.at("text_")));
+    if (!text)
+    {
+        throw nlohmann::json::other_error::create(
+            501, "the text cannot be read", &in);
+    }
+    order.text_ = *text;
+}
+
 inline void to_json(nlohmann::json& out, const record_outcome& order)
 {
     out = {
--- a/control/directory.cpp
+++ b/control/directory.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "core/codec.hpp"
+#include "core/compress.hpp"
 #include "core/digest.hpp"
 #include "core/invariant.hpp"
 
@@ -325,7 +326,7 @@
 
 std::string directory::encode() const
 {
-    return core::to_bytes(nlohmann::json{
+    const nlohmann::json whole{
         version_,
         configuration_version_,
         configuration_text_,
@@ -333,12 +334,14 @@
         zones_out_,
         hosts_out_,
         retired_,
-        epochs_});
+        epochs_};
+    return core::compress(core::to_bytes(whole));
 }
 
 std::optional<directory> directory::decode(std::string_view bytes)
 {
-    const auto document = core::from_bytes<nlohmann::json>(bytes);
+    const auto plain = core::decompress(bytes);
+    const auto document = plain ? core::parse_bytes(*plain) : std::nullopt;
     if (!document)
     {
         return std::nullopt;
--- a/control/raft.hpp
+++ b/control/raft.hpp
@@ -18,9 +18,9 @@
 /// Times of the group, in milliseconds.
 struct raft_times
 {
-    core::duration heartbeat_{100};
-    core::duration election_least_{700};
-    core::duration election_spread_{700}; ///< Drawn on top of the least.
+    core::duration heartbeat_{150};
+    core::duration election_least_{800};
+    core::duration election_spread_{800}; ///< Drawn on top of the least.
 };
 
 enum class raft_role
--- a/main/ctl/session.cpp
+++ b/main/ctl/session.cpp
@@ -17,6 +17,22 @@
 constexpr std::size_t command_id_bytes = 12;
 constexpr core::duration poll_every{100};
 
+nlohmann::json to_json(const core::finding_list& findings)
+{
+    nlohmann::json out = nlohmann::json::array();
+    for (const core::finding& item : findings.all())
+    {
+        out.push_back(
+            {{"file", item.place_.file_},
+             {"line", item.place_.line_},
+             {"section", item.place_.section_},
+             {"key", item.place_.key_},
+             {"problem", item.problem_},
+             {"remedy", item.remedy_}});
+    }
+    return out;
+}
+
 } // namespace
 
 control::command_origin session::origin() const
@@ -45,6 +61,28 @@
     return unknown ? exit_unreachable : exit_refused;
 }
 
+void session::print(const nlohmann::json& document) const
+{
+    std::cout << document.dump(json_ ? -1 : 2) << '\n';
+}
+
+int session::show_findings(const core::finding_list& findings) const
+{
+    if (json_)
+    {
+        std::cout << to_json(findings).dump() << '\n';
+    }
+    else if (findings.empty())
+    {
+        std::cout << "in order\n";
+    }
+    else
+    {
+        std::cerr << findings.text();
+    }
+    return findings.empty() ? exit_done : exit_usage;
+}
+
 core::result<nlohmann::json> session::read(const std::string& what) const
 {
     const auto answer = link_.call_any(node::method::read, what);
--- a/main/ctl/session.hpp
+++ b/main/ctl/session.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/finding.hpp"
 #include "main/ctl/link.hpp"
 
 namespace poplarroute::main::ctl
@@ -47,6 +48,13 @@
         const core::result<control::command_reply>& reply,
         nlohmann::json details) const;
 
+    /// Prints JSON, on one line when the operator asked for JSON.
+    void print(const nlohmann::json& document) const;
+
+    /// Prints findings, or that there are none.
+    /// \return the exit status that fits them.
+    int show_findings(const core::finding_list& findings) const;
+
     /// Reads something of the fleet as it is now.
     core::result<nlohmann::json> read(const std::string& what) const;
 
--- a/main/ctl/verbs.hpp
+++ b/main/ctl/verbs.hpp
@@ -20,6 +20,31 @@
     int (*run_)(session& with, const words& given);
 };
 
+// What the verbs do, by subject: see all_verbs() for each one's help.
+
+int check(session& with, const words& given);
+int team(session& with, const words& given);
+int config_show(session& with, const words& given);
+int config_history(session& with, const words& given);
+int config_submit(session& with, const words& given);
+
+int key_issue(session& with, const words& given);
+int key_withdraw(session& with, const words& given);
+int key_list(session& with, const words& given);
+
+int zone_out(session& with, const words& given);
+int zone_in(session& with, const words& given);
+int host_out(session& with, const words& given);
+int host_in(session& with, const words& given);
+int host_retire(session& with, const words& given);
+int order(session& with, const words& given);
+int status(session& with, const words& given);
+int report_burn(session& with, const words& given);
+
+int init(session& with, const words& given);
+int control_replace(session& with, const words& given);
+int certificates(session& with, const words& given);
+
 /// \return all verbs, in the order of the help page.
 const std::vector<verb>& all_verbs();
 
--- a/node/directory_controller.cpp
+++ b/node/directory_controller.cpp
@@ -107,8 +107,10 @@
 void directory_controller::pull_from(const core::host_id& host)
 {
     // A host with a disk has its directory from the log alone.
-    if (own_ == nullptr && pulling_.insert(host).second)
+    // One pull at a time: several peers would all send the same.
+    if (own_ == nullptr && !pulling_)
     {
+        pulling_ = true;
         drivers::spawn(with_.io_, pull(host));
     }
 }
@@ -138,7 +140,7 @@
             }
         }
     }
-    pulling_.erase(host);
+    pulling_ = false;
 }
 
 bool directory_controller::take_change(const control::directory_change& change)
--- a/node/directory_controller.hpp
+++ b/node/directory_controller.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <deque>
-#include <set>
 
 #include "node/context.hpp"
 #include "node/messages.hpp"
@@ -36,7 +35,7 @@
     context& with_;
     replica* own_;
     std::deque<control::directory_change> recent_;
-    std::set<core::host_id> pulling_;
+    bool pulling_ = false;
     std::uint64_t confirmed_version_ = 0;
     core::host_id confirmed_to_;
 };
