--- a/node/pool_gateway.cpp
+++ b/node/pool_gateway.cpp
@@ -24,6 +24,14 @@
     return reply;
 }
 
+/// \return whether a refusal for this reason may be over in a moment.
+bool is_passing(int reason)
+{
+    const auto why = static_cast<policy::refusal_reason>(reason);
+    return why == policy::refusal_reason::taking_over ||
+           why == policy::refusal_reason::none_usable;
+}
+
 } // namespace
 
 pool_gateway::pool_gateway(context& with, pool_controller& own)
@@ -104,7 +112,7 @@
     bool first = true;
     for (;;)
     {
-        bool taking_over = false;
+        bool may_change = false;
         for (const core::zone_id& zone : zones_of(request.service_))
         {
             const core::duration left = due - core::steady_now();
@@ -122,10 +130,7 @@
                 got.attempt_ = request.attempt_;
                 co_return got;
             }
-            taking_over =
-                taking_over ||
-                got.reply_.reason_ ==
-                    static_cast<int>(policy::refusal_reason::taking_over);
+            may_change = may_change || is_passing(got.reply_.reason_);
             if (first ||
                 got.reply_.retry_after_ms_ < best.reply_.retry_after_ms_)
             {
@@ -133,11 +138,12 @@
                 first = false;
             }
         }
-        if (!taking_over)
+        if (!may_change)
         {
             co_return best;
         }
-        // An owner is being replaced: it grants again soon.
+        // An owner that is replaced grants again soon, and an endpoint that
+        // is down may come back.
         co_await drivers::sleep_for(pause);
     }
 }
--- a/policy/pool_scheduler.cpp
+++ b/policy/pool_scheduler.cpp
@@ -340,6 +340,35 @@
         });
 }
 
+bool pool_scheduler::has_usable(const want& item, core::time_point now) const
+{
+    bool prefill = is_call(item);
+    bool decode = false;
+    for (const auto& [name, ledger] : ledgers_)
+    {
+        if (!ledger.usable(now) || item.avoid_.count(name) != 0)
+        {
+            continue;
+        }
+        prefill = prefill || ledger.facts().can_prefill();
+        decode = decode || is_call(item) || ledger.facts().can_decode();
+    }
+    return prefill && decode;
+}
+
+void pool_scheduler::refuse_placeless(actions& out, core::time_point now)
+{
+    const auto placeless = queue_.take_all(
+        [&](const want& item)
+        {
+            return !has_usable(item, now);
+        });
+    for (const want& item : placeless)
+    {
+        refuse(item, refusal_reason::none_usable, out, now);
+    }
+}
+
 core::duration pool_scheduler::forecast_wait(
     const want& item, core::time_point now) const
 {
@@ -395,6 +424,12 @@
         refuse(item, refusal_reason::no_endpoint, out, now);
         return out;
     }
+    if (!has_usable(item, now))
+    {
+        // Another zone may have some: it should not wait here for its end.
+        refuse(item, refusal_reason::none_usable, out, now);
+        return out;
+    }
     if (queue_.size() >= longest_queue)
     {
         refuse(item, refusal_reason::queue_full, out, now);
@@ -719,6 +754,7 @@
     }
     keep_promises(out, now);
     dispatch(out, now);
+    refuse_placeless(out, now);
     const auto late = queue_.take_all(
         [&](const want& item)
         {
--- a/policy/pool_scheduler.hpp
+++ b/policy/pool_scheduler.hpp
@@ -183,6 +183,8 @@
     bool too_late(const want& item, core::time_point now) const;
     core::duration forecast_wait(const want& item, core::time_point now) const;
     bool could_ever_fit(const want& item) const;
+    bool has_usable(const want& item, core::time_point now) const;
+    void refuse_placeless(actions& out, core::time_point now);
     core::duration prefill_time(
         const want& item, const core::endpoint_id& on) const;
     void keep_promises(actions& out, core::time_point now);
--- a/policy/pool_types.cpp
+++ b/policy/pool_types.cpp
@@ -13,6 +13,8 @@
         return "queue_full";
     case refusal_reason::no_endpoint:
         return "no_endpoint";
+    case refusal_reason::none_usable:
+        return "none_usable";
     case refusal_reason::taking_over:
         return "taking_over";
     }
--- a/policy/pool_types.hpp
+++ b/policy/pool_types.hpp
@@ -92,6 +92,7 @@
     target_missed, ///< The first token would come too late.
     queue_full,
     no_endpoint, ///< No endpoint can take it at all.
+    none_usable, ///< Those that could take it are down or broken now.
     taking_over, ///< The owner waits out the previous one's lease.
 };
 
--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -99,8 +99,10 @@
 class Fleet:
     """A running fleet. Every process is started and ended by its id."""
 
-    def __init__(self, shape, tls=False, torture=False, keep=False):
+    def __init__(self, shape, tls=False, torture=False, keep=False,
+                 platform_port=0):
         self.shape = shape
+        self.platform_port = platform_port
         self.tls = tls
         self.torture = torture
         self.keep = keep
@@ -149,6 +151,10 @@
         for seed, other in self.hosts.items():
             text += [f"[seed {seed}]", f"peer = 127.0.0.1:{other['peer']}",
                      f"control = {'yes' if seed in self.control else 'no'}"]
+        if self.platform_port:
+            text += ["[platform]",
+                     f"list = 127.0.0.1:{self.platform_port}",
+                     "lag_ms = 3000"]
         if self.tls:
             text += ["[tls]", "mode = mutual",
                      f"authority = {self.folder}/tls/authority.pem",
--- a/tests/policy/scheduler_test.cpp
+++ b/tests/policy/scheduler_test.cpp
@@ -127,6 +127,19 @@
         std::get<refusal>(actions[0]).reason_, refusal_reason::no_endpoint);
 }
 
+TEST_F(scheduler_test, nobody_waits_for_an_engine_that_is_down)
+{
+    ending lost;
+    lost.endpoint_lost_ = true;
+    lost.lost_endpoint_ = "p";
+    owner_.end(lost, now_);
+    // The decode side is well, but nothing can prefill.
+    const auto actions = owner_.ask(make(1), now_);
+    ASSERT_TRUE(first_is<refusal>(actions));
+    EXPECT_EQ(
+        std::get<refusal>(actions[0]).reason_, refusal_reason::none_usable);
+}
+
 TEST_F(scheduler_test, a_new_owner_waits_out_the_lease)
 {
     pool_scheduler fresh(reserve_first(), now_ + core::duration{3'000});
