--- a/control/membership.cpp
+++ b/control/membership.cpp
@@ -50,9 +50,8 @@
     peers_ = std::move(next);
 }
 
-core::host_id membership::next_target(bool own_zone, core::time_point now)
+core::host_id membership::next_target(bool own_zone)
 {
-    static_cast<void>(now);
     std::deque<core::host_id>& round = own_zone ? zone_round_ : other_round_;
     while (!round.empty() && peers_.count(round.front()) == 0)
     {
@@ -79,12 +78,12 @@
     return next;
 }
 
-std::vector<core::host_id> membership::targets(core::time_point now)
+std::vector<core::host_id> membership::targets()
 {
     std::vector<core::host_id> out;
     for (const bool own_zone : {true, false})
     {
-        core::host_id next = next_target(own_zone, now);
+        core::host_id next = next_target(own_zone);
         if (!next.empty())
         {
             out.push_back(std::move(next));
--- a/control/membership.hpp
+++ b/control/membership.hpp
@@ -78,7 +78,7 @@
     void set_hosts(std::span<const peer_record> hosts, core::time_point now);
 
     /// \return whom to probe in this period.
-    std::vector<core::host_id> targets(core::time_point now);
+    std::vector<core::host_id> targets();
 
     /// \param to the host it goes to, which is told of any doubt about it.
     /// \return what to send with a probe or an answer.
@@ -116,7 +116,7 @@
     void spread(const rumour& news);
     void take(const rumour& news, core::time_point now);
     void set_state(peer_record& of, const rumour& news, core::time_point now);
-    core::host_id next_target(bool own_zone, core::time_point now);
+    core::host_id next_target(bool own_zone);
 
     core::host_id self_;
     core::zone_id zone_;
--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -218,7 +218,7 @@
 }
 
 int peer_connection::on_begin_headers(
-    nghttp2_session* session, const nghttp2_frame* frame, void* self)
+    nghttp2_session*, const nghttp2_frame* frame, void* self)
 {
     peer_connection& me = self_of(self);
     if (me.is_server() && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
@@ -226,7 +226,6 @@
         me.exchanges_[frame->hd.stream_id] =
             std::make_shared<exchange>(me.context_);
     }
-    static_cast<void>(session);
     return 0;
 }
 
--- a/node/host_process.cpp
+++ b/node/host_process.cpp
@@ -84,7 +84,7 @@
                 identity.incarnation_,
                 identity.incarnation_);
         board_.section<escrow_section>().shares_ =
-            std::make_shared<policy::escrow>(core::steady_now());
+            std::make_shared<policy::escrow>();
     }
 
     const drivers::host_settings_file& settings()
--- a/node/membership_controller.cpp
+++ b/node/membership_controller.cpp
@@ -150,8 +150,7 @@
             }
             with_.membership().leader_ = own_->leader();
         }
-        for (const core::host_id& host :
-             with_.membership().members_->targets(now))
+        for (const core::host_id& host : with_.membership().members_->targets())
         {
             drivers::spawn(with_.io_, probe_one(host));
         }
--- a/node/pool_controller.cpp
+++ b/node/pool_controller.cpp
@@ -308,7 +308,7 @@
         }
         if (was_open)
         {
-            found->second.scheduler_->doubt(endpoint, core::steady_now());
+            found->second.scheduler_->doubt(endpoint);
         }
         else
         {
--- a/policy/endpoint_ledger.cpp
+++ b/policy/endpoint_ledger.cpp
@@ -170,9 +170,8 @@
     return held;
 }
 
-void endpoint_ledger::doubt(core::time_point now)
+void endpoint_ledger::doubt()
 {
-    static_cast<void>(now);
     doubted_ = true;
 }
 
--- a/policy/endpoint_ledger.hpp
+++ b/policy/endpoint_ledger.hpp
@@ -74,7 +74,7 @@
 
     /// Notes that a connection to the endpoint was lost: it may have
     /// restarted. Until its next report it gets next to nothing.
-    void doubt(core::time_point now);
+    void doubt();
 
     /// Notes that an attempt completed, which widens the window.
     void completed(core::time_point now);
--- a/policy/escrow.cpp
+++ b/policy/escrow.cpp
@@ -27,11 +27,6 @@
     return std::max<std::int64_t>(tokens_ - refilled, 0);
 }
 
-escrow::escrow(core::time_point now)
-{
-    static_cast<void>(now);
-}
-
 escrow::entry& escrow::find(
     const core::account_id& account, core::time_point now)
 {
--- a/policy/escrow.hpp
+++ b/policy/escrow.hpp
@@ -31,8 +31,6 @@
 class escrow
 {
 public:
-    explicit escrow(core::time_point now);
-
     /// Sets this host's share of an account's limit.
     void set_share(
         const core::account_id& account,
--- a/policy/pool_scheduler.cpp
+++ b/policy/pool_scheduler.cpp
@@ -674,13 +674,12 @@
     return out;
 }
 
-void pool_scheduler::doubt(
-    const core::endpoint_id& endpoint, core::time_point now)
+void pool_scheduler::doubt(const core::endpoint_id& endpoint)
 {
     const auto ledger = ledgers_.find(endpoint);
     if (ledger != ledgers_.end())
     {
-        ledger->second.doubt(now);
+        ledger->second.doubt();
     }
 }
 
--- a/policy/pool_scheduler.hpp
+++ b/policy/pool_scheduler.hpp
@@ -98,7 +98,7 @@
         const endpoint_report& from, core::time_point now);
 
     /// Notes that a connection to an endpoint was lost.
-    void doubt(const core::endpoint_id& endpoint, core::time_point now);
+    void doubt(const core::endpoint_id& endpoint);
 
     /// Notes that an endpoint did not answer the owner's question.
     void no_report(const core::endpoint_id& endpoint, core::time_point now);
--- a/tests/policy/escrow_test.cpp
+++ b/tests/policy/escrow_test.cpp
@@ -45,7 +45,7 @@
 
 TEST(escrow, a_gift_leaves_its_giver_first)
 {
-    escrow giver({0});
+    escrow giver;
     giver.set_share(account, {100, 100}, {0});
     EXPECT_EQ(giver.level(account, {1'000}), 100);
     const std::int64_t gift = giver.give(account, 40, 0, {1'000});
@@ -55,7 +55,7 @@
 
 TEST(escrow, a_gift_pays_for_a_request_larger_than_the_share)
 {
-    escrow receiver({0});
+    escrow receiver;
     receiver.set_share(account, {0, 10}, {0});
     EXPECT_EQ(receiver.charge(account, 80, {0}), 80);
     const std::vector<gift> gifts{{"g", 50, 0, {0}}, {"h", 40, 0, {0}}};
@@ -65,7 +65,7 @@
 
 TEST(escrow, what_the_giver_refilled_on_the_way_is_taken_off)
 {
-    escrow receiver({0});
+    escrow receiver;
     receiver.set_share(account, {0, 100}, {0});
     // 1,000 tokens a second for 20 ms are 20 tokens.
     const std::vector<gift> gifts{{"g", 50, 1'000, {1}}};
@@ -76,7 +76,7 @@
 
 TEST(escrow, a_host_that_fails_to_pay_still_gives)
 {
-    escrow shares({0});
+    escrow shares;
     shares.set_share(account, {100, 1'000}, {0});
     for (std::int64_t now = 1'000; now < 3'000; now += 50)
     {
@@ -89,9 +89,9 @@
 {
     // Asking for just what is missing leaves a token or two missing after
     // each gift, for ever.
-    escrow receiver({0});
+    escrow receiver;
     receiver.set_share(account, {656, 2'625}, {0});
-    escrow giver({0});
+    escrow giver;
     giver.set_share(account, {656, 2'625}, {0});
     const std::int64_t price = 4'687;
     const core::time_point asked{10'000};
@@ -105,7 +105,7 @@
 
 TEST(escrow, a_smaller_share_cuts_the_level_at_once)
 {
-    escrow shares({0});
+    escrow shares;
     shares.set_share(account, {100, 100}, {0});
     EXPECT_EQ(shares.level(account, {1'000}), 100);
     shares.set_share(account, {100, 30}, {1'000});
--- a/tests/policy/scheduler_test.cpp
+++ b/tests/policy/scheduler_test.cpp
@@ -109,7 +109,7 @@
 
 TEST_F(scheduler_test, a_lost_connection_closes_the_window_until_the_report)
 {
-    owner_.doubt("d", now_);
+    owner_.doubt("d");
     ASSERT_TRUE(first_is<grant>(owner_.ask(make(1), now_)));
     EXPECT_FALSE(first_is<grant>(owner_.ask(make(1), now_)));
     report("b1");
--- a/tests/soak/pool_run.cpp
+++ b/tests/soak/pool_run.cpp
@@ -449,7 +449,7 @@
             of.held_.clear();
             of.reports_.clear();
             // The owner's kept connection to it is reset.
-            owner_->doubt(of.name_, now());
+            owner_->doubt(of.name_);
             ++counts_["engine restarts"];
         }
         if (chance(900))
--- a/tests/soak/share_run.cpp
+++ b/tests/soak/share_run.cpp
@@ -91,7 +91,7 @@
         for (std::size_t at = 0; at < host_count; ++at)
         {
             hosts_.push_back({"h" + std::to_string(at)});
-            hosts_.back().shares_ = std::make_unique<policy::escrow>(now());
+            hosts_.back().shares_ = std::make_unique<policy::escrow>();
         }
         submit(rate_, burst_, host_count);
         largest_ = {rate_, burst_};
@@ -172,7 +172,7 @@
 
     void restart(host& of)
     {
-        of.shares_ = std::make_unique<policy::escrow>(now());
+        of.shares_ = std::make_unique<policy::escrow>();
         // It may come back with an old directory and is not confirmed: its
         // own share is nothing until the control group has spoken.
         of.confirmed_ = false;
