--- /dev/null
+++ b/node/pool_calls.cpp
@@ -0,0 +1,66 @@
+#include "node/pool_calls.hpp"
+
+#include "node/messages.hpp"
+
+namespace poplarroute::node
+{
+
+void register_pool_calls(context& with, pool_controller& pools)
+{
+    with.calls_.add_typed<reserve_request, reserve_reply>(
+        method::reserve,
+        caller_kind::host,
+        [&pools](drivers::peer_identity, reserve_request request)
+            -> awaitable<core::result<reserve_reply>>
+        {
+            reserve_reply reply = co_await pools.reserve(std::move(request));
+            co_return reply;
+        });
+    with.calls_.add_typed<prefilled_request, reserve_reply>(
+        method::prefilled,
+        caller_kind::host,
+        [&pools](drivers::peer_identity, prefilled_request request)
+            -> awaitable<core::result<reserve_reply>>
+        {
+            reserve_reply reply = co_await pools.prefilled(std::move(request));
+            co_return reply;
+        });
+    with.calls_.add_typed<transferred_request, empty_reply>(
+        method::transferred,
+        caller_kind::host,
+        [&pools](drivers::peer_identity, transferred_request request)
+            -> awaitable<core::result<empty_reply>>
+        {
+            pools.transferred(request);
+            co_return empty_reply();
+        });
+    with.calls_.add_typed<end_request, empty_reply>(
+        method::end,
+        caller_kind::host,
+        [&pools](drivers::peer_identity, end_request request)
+            -> awaitable<core::result<empty_reply>>
+        {
+            pools.end(request);
+            co_return empty_reply();
+        });
+    with.calls_.add_typed<renew_request, empty_reply>(
+        method::renew,
+        caller_kind::host,
+        [&pools](drivers::peer_identity, renew_request request)
+            -> awaitable<core::result<empty_reply>>
+        {
+            pools.renew(request);
+            co_return empty_reply();
+        });
+    with.calls_.add_typed<renew_request, empty_reply>(
+        method::hand_over,
+        caller_kind::host,
+        [&pools](drivers::peer_identity, renew_request request)
+            -> awaitable<core::result<empty_reply>>
+        {
+            pools.take_over(request);
+            co_return empty_reply();
+        });
+}
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/pool_calls.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "node/context.hpp"
+#include "node/pool_controller.hpp"
+
+namespace poplarroute::node
+{
+
+/// Registers the calls by which other hosts reach this host's pools.
+void register_pool_calls(context& with, pool_controller& pools);
+
+} // namespace poplarroute::node
--- a/node/pool_controller.cpp
+++ b/node/pool_controller.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "drivers/log.hpp"
+#include "node/pool_calls.hpp"
 #include "policy/ownership.hpp"
 
 namespace poplarroute::node
@@ -28,7 +29,6 @@
 constexpr core::duration hand_over_deadline{1'000};
 constexpr core::duration hand_over_lasts{10'000};
 constexpr core::duration slack{50};
-constexpr core::duration watch_again_after{200};
 
 policy::work_kind kind_of(
     const control::service_settings& service, control::engine_role role)
@@ -108,13 +108,16 @@
 }
 
 pool_controller::pool_controller(context& with)
-    : with_(with), engines_(with.http_), last_tick_(core::steady_now())
+    : with_(with),
+      watch_(with, *this),
+      engines_(with.http_),
+      last_tick_(core::steady_now())
 {
 }
 
 void pool_controller::start()
 {
-    register_calls();
+    register_pool_calls(with_, *this);
     with_.directory().on_change_.emplace_back(
         [this]()
         {
@@ -270,97 +273,16 @@
                 continue;
             }
             set_metrics(service, of);
-            watch_all(service);
-            for (const policy::endpoint_facts& facts : endpoints_of(service))
-            {
-                drivers::spawn(with_.io_, poll(service, facts.name_));
-            }
-        }
-    }
-}
-
-void pool_controller::watch_all(const core::service_id& service)
-{
-    for (const policy::endpoint_facts& facts : endpoints_of(service))
-    {
-        if (pools_[service].watched_.insert(facts.name_).second)
-        {
-            drivers::spawn(with_.io_, watch(service, facts.name_));
-        }
-    }
-}
-
-awaitable<void> pool_controller::watch(
-    core::service_id service, core::endpoint_id endpoint)
-{
-    for (;;)
-    {
-        const std::string address = address_of_endpoint(endpoint);
-        bool was_open = false;
-        if (!address.empty())
-        {
-            was_open = co_await with_.http_.until_closed(address);
-        }
-        const auto found = pools_.find(service);
-        if (found == pools_.end() || address.empty())
-        {
-            co_return;
-        }
-        if (was_open)
-        {
-            found->second.scheduler_->doubt(endpoint);
-        }
-        else
-        {
-            co_await drivers::sleep_for(watch_again_after);
+            watch_.look_at(service, endpoints_of(service));
         }
     }
 }
 
-awaitable<void> pool_controller::poll(
-    core::service_id service, core::endpoint_id endpoint)
+policy::pool_scheduler* pool_controller::scheduler_of(
+    const core::service_id& service)
 {
-    const std::string address = address_of_endpoint(endpoint);
-    const auto report = co_await engines_.report(address, endpoint);
-    auto found = pools_.find(service);
-    if (found == pools_.end())
-    {
-        co_return;
-    }
-    if (!core::is_ok(report))
-    {
-        found->second.scheduler_->no_report(endpoint, core::steady_now());
-        co_return;
-    }
-    perform(
-        service,
-        found->second.scheduler_->report(
-            core::value(report), core::steady_now()));
-    const std::uint64_t after = found->second.events_seen_[endpoint];
-    const auto events = co_await engines_.events(address, after);
-    found = pools_.find(service);
-    if (!core::is_ok(events) || found == pools_.end())
-    {
-        co_return;
-    }
-    const auto& news = core::value(events);
-    policy::prefix_index& prefixes = found->second.scheduler_->prefixes();
-    if (news.gap_ || news.next_ < after)
-    {
-        prefixes.forget(endpoint);
-    }
-    for (const engine_adapter::cache_event& event : news.events_)
-    {
-        if (event.added_)
-        {
-            prefixes.added(endpoint, event.prefix_);
-        }
-        else
-        {
-            prefixes.evicted(endpoint, event.prefix_);
-        }
-    }
-    found->second.events_seen_[endpoint] = news.next_;
+    const auto found = pools_.find(service);
+    return found == pools_.end() ? nullptr : found->second.scheduler_.get();
 }
 
 std::string pool_controller::address_of_endpoint(
@@ -657,68 +579,17 @@
     return out;
 }
 
-void pool_controller::register_calls()
+void pool_controller::take_over(const renew_request& request)
 {
-    with_.calls_.add_typed<reserve_request, reserve_reply>(
-        method::reserve,
-        caller_kind::host,
-        [this](drivers::peer_identity, reserve_request request)
-            -> awaitable<core::result<reserve_reply>>
-        {
-            co_return co_await reserve(std::move(request));
-        });
-    with_.calls_.add_typed<prefilled_request, reserve_reply>(
-        method::prefilled,
-        caller_kind::host,
-        [this](drivers::peer_identity, prefilled_request request)
-            -> awaitable<core::result<reserve_reply>>
-        {
-            co_return co_await prefilled(std::move(request));
-        });
-    with_.calls_.add_typed<transferred_request, empty_reply>(
-        method::transferred,
-        caller_kind::host,
-        [this](drivers::peer_identity, transferred_request request)
-            -> awaitable<core::result<empty_reply>>
-        {
-            transferred(request);
-            co_return empty_reply();
-        });
-    with_.calls_.add_typed<end_request, empty_reply>(
-        method::end,
-        caller_kind::host,
-        [this](drivers::peer_identity, end_request request)
-            -> awaitable<core::result<empty_reply>>
-        {
-            end(request);
-            co_return empty_reply();
-        });
-    with_.calls_.add_typed<renew_request, empty_reply>(
-        method::renew,
-        caller_kind::host,
-        [this](drivers::peer_identity, renew_request request)
-            -> awaitable<core::result<empty_reply>>
-        {
-            renew(request);
-            co_return empty_reply();
-        });
-    with_.calls_.add_typed<renew_request, empty_reply>(
-        method::hand_over,
-        caller_kind::host,
-        [this](drivers::peer_identity, renew_request request)
-            -> awaitable<core::result<empty_reply>>
-        {
-            handed_to_us_[request.service_] = core::steady_now();
-            take_pools();
-            const auto found = pools_.find(request.service_);
-            if (found != pools_.end())
-            {
-                found->second.scheduler_->allow_grants(core::steady_now());
-                handed_to_us_.erase(request.service_);
-            }
-            renew(request);
-            co_return empty_reply();
-        });
+    handed_to_us_[request.service_] = core::steady_now();
+    take_pools();
+    const auto found = pools_.find(request.service_);
+    if (found != pools_.end())
+    {
+        found->second.scheduler_->allow_grants(core::steady_now());
+        handed_to_us_.erase(request.service_);
+    }
+    renew(request);
 }
 
 } // namespace poplarroute::node
--- a/node/pool_controller.hpp
+++ b/node/pool_controller.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "node/context.hpp"
+#include "node/endpoint_watch.hpp"
 #include "node/engine.hpp"
 #include "node/messages.hpp"
 #include "policy/pool_scheduler.hpp"
@@ -32,6 +33,17 @@
     void end(const end_request& request);
     void renew(const renew_request& request);
 
+    /// Takes a pool over from an owner that stops, with the places it gave.
+    void take_over(const renew_request& request);
+
+    /// \return the scheduler of a pool that this host owns; nothing otherwise.
+    policy::pool_scheduler* scheduler_of(const core::service_id& service);
+
+    /// Carries a scheduler's actions out.
+    void perform(
+        const core::service_id& service,
+        const std::vector<policy::pool_action>& actions);
+
     /// Frees what a host's process that is gone had been given.
     void host_gone(const control::rumour& gone);
 
@@ -56,20 +68,11 @@
         std::unique_ptr<policy::pool_scheduler> scheduler_;
         std::map<core::attempt_id, waiter> waiting_;
         std::map<core::attempt_id, waiter> confirming_;
-        std::map<core::endpoint_id, std::uint64_t> events_seen_;
-        std::set<core::endpoint_id> watched_;
     };
 
     awaitable<void> run();
-    awaitable<void> poll(core::service_id service, core::endpoint_id endpoint);
-    awaitable<void> watch(core::service_id service, core::endpoint_id endpoint);
-    void watch_all(const core::service_id& service);
-    void register_calls();
     void take_pools();
     void notice_stall(core::time_point now);
-    void perform(
-        const core::service_id& service,
-        const std::vector<policy::pool_action>& actions);
     reserve_reply reply_for(const pool& of, const policy::grant& given) const;
     std::string address_of_endpoint(const core::endpoint_id& name) const;
     std::vector<policy::endpoint_facts> endpoints_of(
@@ -80,6 +83,7 @@
     bool was_handed(const core::service_id& service, core::time_point now);
 
     context& with_;
+    endpoint_watch watch_;
     engine_adapter engines_;
     std::map<core::service_id, pool> pools_;
     std::map<core::service_id, core::time_point> handed_to_us_;
