Let members of the control group pull the directory too

Cause: a control host whose disk was lost refused all callers until an operator had replaced the member, since it took its directory from its own log alone; one that is far behind would have served an old version. Change: every host pulls what a peer has and it lacks; what peers hold is committed. New checks: a member without its disk still serves, and a valid key is not refused later than seconds after its issue. Ruled out: replacing members without an operator, which needs evidence that the old disk will not come back.

--- a/node/directory_controller.cpp
+++ b/node/directory_controller.cpp
@@ -107,8 +107,10 @@
 void directory_controller::pull_from(const core::host_id& host)
 {
     // A host with a disk has its directory from the log alone.
-    // One pull at a time: several peers would all send the same.
-    if (own_ == nullptr && !pulling_)
+    // One pull at a time: several peers would all send the same. A member of
+    // the control group pulls too: its log may be far behind after a lost
+    // disk, and what peers hold is committed.
+    if (!pulling_)
     {
         pulling_ = true;
         drivers::spawn(with_.io_, pull(host));
--- a/node/directory_controller.hpp
+++ b/node/directory_controller.hpp
@@ -10,7 +10,7 @@
 {
 
 /// Keeps this host's directory up to date: from its own member of the control
-/// group, or from any host that has a newer version; and confirms versions.
+/// group and from any host that has a newer version; and confirms versions.
 class directory_controller
 {
 public:
--- a/policy/pool_scheduler.cpp
+++ b/policy/pool_scheduler.cpp
@@ -369,10 +369,9 @@
     }
 }
 
-core::duration pool_scheduler::forecast_wait(
-    const want& item, core::time_point now) const
+core::duration pool_scheduler::forecast_decode_wait(
+    const want& item, std::int64_t ahead, core::time_point now) const
 {
-    const std::size_t ahead = queue_.ahead_of(item);
     // Each place serves one request after another; the places work side by
     // side. What is ahead is taken to be like this request.
     std::int64_t places = 0;
@@ -396,9 +395,54 @@
     }
     const core::duration each =
         estimates_.decode(estimates_.likely_output(item.output_tokens_));
-    const core::duration queued{
-        static_cast<std::int64_t>(ahead) * each.ms_ / places};
-    return (soonest - now) + queued;
+    return (soonest - now) + core::duration{ahead * each.ms_ / places};
+}
+
+core::duration pool_scheduler::forecast_prefill_wait(
+    const want& item, std::int64_t ahead, core::time_point now) const
+{
+    std::int64_t engines = 0;
+    core::duration shortest = most_retry;
+    for (const auto& [name, ledger] : ledgers_)
+    {
+        if (ledger.facts().can_prefill() && ledger.usable(now))
+        {
+            ++engines;
+            shortest = std::min(
+                shortest, timeline_.backlog(name, item.interactive_, now));
+        }
+    }
+    if (engines == 0)
+    {
+        return most_retry;
+    }
+    const core::duration each = estimates_.prefill(item.prompt_tokens_);
+    return shortest + core::duration{ahead * each.ms_ / engines};
+}
+
+core::duration pool_scheduler::forecast_wait(
+    const want& item, core::time_point now) const
+{
+    const auto ahead = static_cast<std::int64_t>(queue_.ahead_of(item));
+    const core::duration decode = forecast_decode_wait(item, ahead, now);
+    if (is_call(item))
+    {
+        return decode;
+    }
+    // The two sides work at once: the slower one decides.
+    return std::max(decode, forecast_prefill_wait(item, ahead, now));
+}
+
+core::duration pool_scheduler::forecast_first_token(
+    const want& item, core::time_point now) const
+{
+    const core::duration wait = forecast_wait(item, now);
+    if (is_call(item))
+    {
+        return wait;
+    }
+    return wait + estimates_.prefill(item.prompt_tokens_) +
+           estimates_.hand_over(item.prompt_tokens_);
 }
 
 void pool_scheduler::refuse(
@@ -451,7 +495,8 @@
         [&](const want& waiting)
         {
             return waiting.attempt_ == attempt &&
-                   now + forecast_wait(waiting, now) > waiting.first_token_due_;
+                   now + forecast_first_token(waiting, now) >
+                       waiting.first_token_due_;
         });
     for (const want& waiting : hopeless)
     {
--- a/policy/pool_scheduler.hpp
+++ b/policy/pool_scheduler.hpp
@@ -181,7 +181,13 @@
         actions& out,
         core::time_point now);
     bool too_late(const want& item, core::time_point now) const;
+    core::duration forecast_decode_wait(
+        const want& item, std::int64_t ahead, core::time_point now) const;
+    core::duration forecast_prefill_wait(
+        const want& item, std::int64_t ahead, core::time_point now) const;
     core::duration forecast_wait(const want& item, core::time_point now) const;
+    core::duration forecast_first_token(
+        const want& item, core::time_point now) const;
     bool could_ever_fit(const want& item) const;
     bool has_usable(const want& item, core::time_point now) const;
     void refuse_placeless(actions& out, core::time_point now);
--- a/tests/harness/failures.py
+++ b/tests/harness/failures.py
@@ -10,8 +10,9 @@
 
 from fleet import Fleet, Shape, http_json, wait_until
 
-FIRST_PORT = 26000
-PLATFORM_PORT = 26990
+import os
+FIRST_PORT = int(os.environ.get("FIRST_PORT", "26000"))
+PLATFORM_PORT = FIRST_PORT + 290
 
 
 class Platform:
@@ -179,10 +180,23 @@
     wait_until(lambda: not fleet.status()["fleet"]["retired"], "west-2", 30)
 
 
+def a_member_without_its_disk_still_serves(fleet, platform):
+    """Callers do not wait for the operator to replace the member."""
+    fleet.kill("south-1")
+    fleet.wait_end("south-1")
+    fleet.lose_disk("south-1")
+    fleet.restart("south-1")
+    wait_until(lambda: ask(fleet, "south-1", "no disk")[0] == 200,
+               "a host whose disk was lost", 15)
+    peer = fleet.hosts["south-1"]["peer"]
+    fleet.ctl("control", "replace", f"south-1@127.0.0.1:{peer}")
+
+
 CHECKS = (poison_is_quarantined_everywhere, a_withdrawn_key_ends_its_stream,
           a_cut_zone_does_what_is_safe, a_leaving_endpoint_gets_no_new_work,
           a_zone_out_gets_no_new_work, orders_carry_growing_numbers,
-          a_dead_hosts_share_goes_to_others)
+          a_dead_hosts_share_goes_to_others,
+          a_member_without_its_disk_still_serves)
 
 
 def main():
--- a/tests/harness/history.py
+++ b/tests/harness/history.py
@@ -6,6 +6,7 @@
 import time
 
 WITHDRAWAL_SECONDS = 3.0
+ISSUE_SECONDS = 5.0
 RATE_SLACK_SECONDS = 0.5
 
 
@@ -169,6 +170,20 @@
     return problems
 
 
+def check_good_keys(history):
+    """A key that is issued works everywhere within seconds, and goes on
+    working through restarts: no host falls back to a version without it."""
+    began = min((item["began"] for item in history.operations), default=0)
+    problems = []
+    for kind in ("book", "complete"):
+        for item in history.of(kind):
+            late = item["began"] > began + ISSUE_SECONDS
+            if late and item["status"] == 401:
+                problems.append(f"a valid key was refused at "
+                                f"{item['began'] - began:.1f} s")
+    return problems[:3]
+
+
 def check_keys_hidden(stats):
     return [f"{name} saw a caller's key" for name, item in stats.items()
             if item.get("saw_key")]
@@ -186,6 +201,7 @@
                 + check_answers(history)
                 + check_keys(history, fleet)
                 + check_rates(history, fleet)
+                + check_good_keys(history)
                 + check_keys_hidden(stats))
     if fallen:
         problems.append(f"fell over in cold start: {fallen}")
