Look again at an endpoint that resets while it ends

After the connection broke, the look at the endpoint could meet a process that was just ending: it still accepted and then reset, which counted as neither gone nor another process, so that loss spoke against nobody. Change: a broken look is repeated up to four times, 50 ms apart; only silence, which may be a cut or a freeze, still speaks for the endpoint. Ruled out: the weights (a starter's loss and then one alone are enough for two) and a stale kept connection, which is checked before use.

--- a/node/crash_watch.cpp
+++ b/node/crash_watch.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr core::duration tell_deadline{300};
+constexpr core::duration look_again_after{50};
+constexpr int most_looks = 4;
 
 } // namespace
 
@@ -35,13 +37,24 @@
 
 awaitable<bool> crash_watch::was_lost(std::string address, std::string boot)
 {
-    const auto report = co_await engines_.report(address, "");
-    if (core::is_ok(report))
+    core::errc why = core::errc::broken;
+    for (int tries = 0; tries < most_looks; ++tries)
     {
-        co_return core::value(report).boot_ != boot;
+        const auto report = co_await engines_.report(address, "");
+        if (core::is_ok(report))
+        {
+            co_return core::value(report).boot_ != boot;
+        }
+        why = core::failure(report).code_;
+        if (why != core::errc::broken)
+        {
+            break;
+        }
+        // A process that is just ending may still accept and then reset.
+        co_await drivers::sleep_for(look_again_after);
     }
     // Silence may be a cut or a freeze; a refused connection is neither.
-    co_return core::failure(report).code_ == core::errc::unreachable;
+    co_return why != core::errc::timeout;
 }
 
 awaitable<void> crash_watch::tell(
