Let one piece serve where two stood: byte strings and live counts

The byte strings of CBOR were written twice (raft_types, commands_json), a count that lives with its object twice (http_server, entry_controller), and a method and a member had no reader (pool_controller::owns, fleet_controller's settled_). Change: core/codec and core/counted hold the two; what nobody read is gone. No behaviour, check or bound changes. Ruled out: joining the two ways to connect (HTTP and peers) and the two calls to a peer in escrow and pool gateway, which are alike in shape only.

--- a/control/claims.cpp
+++ b/control/claims.cpp
@@ -130,7 +130,7 @@
         {
             row.push_back(held.outcome_->status_);
             row.push_back(held.outcome_->content_type_);
-            row.push_back(binary(held.outcome_->body_));
+            row.push_back(core::binary(held.outcome_->body_));
         }
         rows.push_back(std::move(row));
     }
@@ -163,7 +163,7 @@
                 held.outcome_ = outcome{
                     row.at(5).get<int>(),
                     row.at(6).get<std::string>(),
-                    text_of(row.at(7))};
+                    core::text_of(row.at(7))};
             }
             out.by_age_.emplace(held.wall_ms_, name);
             out.claims_[std::move(name)] = std::move(held);
--- a/control/commands_json.hpp
+++ b/control/commands_json.hpp
@@ -25,33 +25,20 @@
     abandon_claim, account_, key_, attempt_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(take_fence, origin_, endpoint_)
 
-/// Bodies may hold any bytes, which CBOR carries as a byte string.
-inline nlohmann::json binary(const std::string& bytes)
-{
-    return nlohmann::json::binary(
-        std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
-}
-
-inline std::string text_of(const nlohmann::json& document)
-{
-    const auto& bytes = document.get_binary();
-    return {bytes.begin(), bytes.end()};
-}
-
 /// Configurations repeat themselves, and every host gets each one.
 inline void to_json(nlohmann::json& out, const submit_configuration& order)
 {
     out = {
         {"origin_", order.origin_},
         {"base_", order.base_},
-        {"text_", binary(core::compress(order.text_))}};
+        {"text_", core::binary(core::compress(order.text_))}};
 }
 
 inline void from_json(const nlohmann::json& in, submit_configuration& order)
 {
     in.at("origin_").get_to(order.origin_);
     in.at("base_").get_to(order.base_);
-    const auto text = core::decompress(text_of(in.at("text_")));
+    const auto text = core::decompress(core::text_of(in.at("text_")));
     if (!text)
     {
         throw nlohmann::json::other_error::create(
@@ -68,7 +55,7 @@
         {"attempt_", order.attempt_},
         {"status_", order.status_},
         {"content_type_", order.content_type_},
-        {"body_", binary(order.body_)}};
+        {"body_", core::binary(order.body_)}};
 }
 
 inline void from_json(const nlohmann::json& in, record_outcome& order)
@@ -78,7 +65,7 @@
     in.at("attempt_").get_to(order.attempt_);
     in.at("status_").get_to(order.status_);
     in.at("content_type_").get_to(order.content_type_);
-    order.body_ = text_of(in.at("body_"));
+    order.body_ = core::text_of(in.at("body_"));
 }
 
 inline void to_json(nlohmann::json& out, const command_reply& reply)
@@ -90,7 +77,7 @@
         {"attempt_", reply.attempt_},
         {"status_", reply.status_},
         {"content_type_", reply.content_type_},
-        {"body_", binary(reply.body_)},
+        {"body_", core::binary(reply.body_)},
         {"wait_ms_", reply.wait_ms_}};
 }
 
@@ -102,7 +89,7 @@
     in.at("attempt_").get_to(reply.attempt_);
     in.at("status_").get_to(reply.status_);
     in.at("content_type_").get_to(reply.content_type_);
-    reply.body_ = text_of(in.at("body_"));
+    reply.body_ = core::text_of(in.at("body_"));
     reply.wait_ms_ = in.value("wait_ms_", std::int64_t(0));
 }
 
--- a/control/raft_types.cpp
+++ b/control/raft_types.cpp
@@ -16,31 +16,13 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
     append_reply, term_, accepted_, match_, round_)
 
-namespace
-{
-
-/// Payloads may hold any bytes, which CBOR carries as a byte string.
-nlohmann::json binary(const std::string& bytes)
-{
-    return nlohmann::json::binary(
-        std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
-}
-
-std::string text_of(const nlohmann::json& document)
-{
-    const auto& bytes = document.get_binary();
-    return {bytes.begin(), bytes.end()};
-}
-
-} // namespace
-
 static void to_json(nlohmann::json& out, const log_entry& entry)
 {
     out = {
         entry.index_,
         entry.term_,
         static_cast<int>(entry.kind_),
-        binary(entry.payload_)};
+        core::binary(entry.payload_)};
 }
 
 static void from_json(const nlohmann::json& in, log_entry& entry)
@@ -49,12 +31,12 @@
     in.at(1).get_to(entry.term_);
     const int kind = in.at(2).get<int>();
     entry.kind_ = static_cast<entry_kind>(kind);
-    entry.payload_ = text_of(in.at(3));
+    entry.payload_ = core::text_of(in.at(3));
 }
 
 static void to_json(nlohmann::json& out, const snapshot& taken)
 {
-    out = {taken.index_, taken.term_, taken.group_, binary(taken.state_)};
+    out = {taken.index_, taken.term_, taken.group_, core::binary(taken.state_)};
 }
 
 static void from_json(const nlohmann::json& in, snapshot& taken)
@@ -62,7 +44,7 @@
     in.at(0).get_to(taken.index_);
     in.at(1).get_to(taken.term_);
     in.at(2).get_to(taken.group_);
-    taken.state_ = text_of(in.at(3));
+    taken.state_ = core::text_of(in.at(3));
 }
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
--- a/control/state_machine.cpp
+++ b/control/state_machine.cpp
@@ -16,13 +16,13 @@
 
 static void to_json(nlohmann::json& out, const directory_change& change)
 {
-    out = {change.version_, binary(change.command_)};
+    out = {change.version_, core::binary(change.command_)};
 }
 
 static void from_json(const nlohmann::json& in, directory_change& change)
 {
     in.at(0).get_to(change.version_);
-    change.command_ = text_of(in.at(1));
+    change.command_ = core::text_of(in.at(1));
 }
 
 namespace
@@ -167,8 +167,8 @@
         replies.push_back({id, replies_.at(id)});
     }
     return core::to_bytes(nlohmann::json{
-        binary(directory_.encode()),
-        binary(claims_.encode()),
+        core::binary(directory_.encode()),
+        core::binary(claims_.encode()),
         fences_,
         std::move(replies),
         history_,
@@ -185,8 +185,8 @@
     try
     {
         state_machine out;
-        auto fleet = directory::decode(text_of(document->at(0)));
-        auto claims = claim_table::decode(text_of(document->at(1)));
+        auto fleet = directory::decode(core::text_of(document->at(0)));
+        auto claims = claim_table::decode(core::text_of(document->at(1)));
         if (!fleet || !claims)
         {
             return std::nullopt;
--- a/core/codec.hpp
+++ b/core/codec.hpp
@@ -11,6 +11,21 @@
 namespace poplarroute::core
 {
 
+/// \return text that may hold any bytes, as a byte string of CBOR.
+inline nlohmann::json binary(const std::string& bytes)
+{
+    return nlohmann::json::binary(
+        std::vector<std::uint8_t>(bytes.begin(), bytes.end()));
+}
+
+/// Reads what binary wrote.
+/// \throws nlohmann::json::exception when it is no byte string.
+inline std::string text_of(const nlohmann::json& document)
+{
+    const auto& bytes = document.get_binary();
+    return {bytes.begin(), bytes.end()};
+}
+
 /// Encodes a typed message as CBOR.
 /// \param message of any type with nlohmann's to_json.
 template <class Message>
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "core/counted.hpp"
 #include "core/invariant.hpp"
 
 namespace poplarroute::drivers
@@ -233,27 +234,6 @@
            failed != http::error::partial_message;
 }
 
-/// Counts a thing for as long as it lives.
-class counted
-{
-public:
-    explicit counted(std::size_t& count) : count_(count)
-    {
-        ++count_;
-    }
-
-    counted(const counted&) = delete;
-    counted& operator=(const counted&) = delete;
-
-    ~counted()
-    {
-        --count_;
-    }
-
-private:
-    std::size_t& count_;
-};
-
 /// Reads the next request of a connection.
 asio::awaitable<bool> read_request(
     http_server::state& shared,
@@ -294,7 +274,7 @@
 asio::awaitable<void> serve(
     std::shared_ptr<http_server::state> shared, tcp::socket socket)
 {
-    const counted open(shared->open_);
+    const core::counted open(shared->open_);
     error_code ignored;
     const std::string remote =
         socket.remote_endpoint(ignored).address().to_string();
@@ -317,7 +297,7 @@
             shared->limits_,
             take_request(parser.get(), remote),
             keep_alive);
-        const counted active(shared->active_);
+        const core::counted active(shared->active_);
         co_await shared->handler_(exchange);
         more = exchange.keep_alive();
     }
--- a/node/entry_controller.cpp
+++ b/node/entry_controller.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <nlohmann/json.hpp>
 
+#include "core/counted.hpp"
 #include "core/digest.hpp"
 #include "drivers/log.hpp"
 #include "node/model_request.hpp"
@@ -44,27 +45,6 @@
     return target.substr(0, target.find('?'));
 }
 
-/// Counts a request for as long as it is being answered.
-class active_count
-{
-public:
-    explicit active_count(std::size_t& count) : count_(count)
-    {
-        ++count_;
-    }
-
-    ~active_count()
-    {
-        --count_;
-    }
-
-    active_count(const active_count&) = delete;
-    active_count& operator=(const active_count&) = delete;
-
-private:
-    std::size_t& count_;
-};
-
 } // namespace
 
 bool has_settled_version(const context& with)
@@ -250,7 +230,7 @@
 awaitable<void> entry_controller::answer(drivers::http_exchange& exchange)
 {
     using namespace drivers::asio::experimental::awaitable_operators;
-    const active_count counted(active_);
+    const core::counted active(active_);
     if (exchange.request().method_ == "GET" &&
         path_of(exchange.request().target_) == "/v1/models")
     {
--- a/node/fleet_controller.hpp
+++ b/node/fleet_controller.hpp
@@ -41,7 +41,6 @@
     replica& own_;
     control_link& link_;
     std::map<core::host_id, confirmation> confirmed_;
-    std::uint64_t settled_ = 0;
 };
 
 } // namespace poplarroute::node
--- a/node/pool_controller.cpp
+++ b/node/pool_controller.cpp
@@ -142,11 +142,6 @@
     return policy::owner_of(zone + "/" + service, able);
 }
 
-bool pool_controller::owns(const core::service_id& service) const
-{
-    return pools_.count(service) != 0;
-}
-
 std::vector<policy::endpoint_facts> pool_controller::endpoints_of(
     const core::service_id& service) const
 {
--- a/node/pool_controller.hpp
+++ b/node/pool_controller.hpp
@@ -50,9 +50,6 @@
     /// Gives every pool to its next owner, at a graceful stop.
     awaitable<void> hand_over_all();
 
-    /// \return whether this host owns the pool of a service in its zone.
-    bool owns(const core::service_id& service) const;
-
     /// \return the owner of a service's pool in a zone; empty if none.
     core::host_id owner_of(
         const core::zone_id& zone, const core::service_id& service) const;
