--- /dev/null
+++ b/control/catalog_machine.cpp
@@ -0,0 +1,116 @@
+#include "control/catalog_machine.hpp"
+
+#include <utility>
+
+#include "core/codec.hpp"
+#include "core/result.hpp"
+
+namespace poplarroute::control
+{
+
+namespace
+{
+
+enum class command_kind
+{
+    submit = 0,
+    zone = 1,
+    fence = 2,
+};
+
+} // namespace
+
+std::string encode(const catalog_command& order)
+{
+    const nlohmann::json out = std::visit(
+        core::overloaded{
+            [](const submit_catalog& item)
+            {
+                return nlohmann::json::array(
+                    {command_kind::submit,
+                     item.version_,
+                     core::binary(item.text_)});
+            },
+            [](const set_zone_out& item)
+            {
+                return nlohmann::json::array(
+                    {command_kind::zone, item.zone_, item.out_});
+            },
+            [](const draw_fence& item)
+            {
+                return nlohmann::json::array(
+                    {command_kind::fence, item.host_});
+            }},
+        order);
+    return core::to_bytes(out);
+}
+
+catalog_machine::reply catalog_machine::apply(std::string_view bytes)
+{
+    const auto order = core::parse_bytes(bytes);
+    if (!order || !order->is_array() || order->empty())
+    {
+        return {false, version_};
+    }
+    reply out;
+    switch (order->at(0).get<command_kind>())
+    {
+    case command_kind::submit:
+    {
+        const auto version = order->at(1).get<std::uint64_t>();
+        if (version > version_)
+        {
+            version_ = version;
+            text_ = core::text_of(order->at(2));
+            out.changed_ = true;
+        }
+        out.number_ = version_;
+        break;
+    }
+    case command_kind::zone:
+    {
+        const auto zone = order->at(1).get<core::zone_id>();
+        out.changed_ = order->at(2).get<bool>() ? zones_out_.insert(zone).second
+                                                : zones_out_.erase(zone) > 0;
+        out.number_ = version_;
+        break;
+    }
+    case command_kind::fence:
+        out.number_ = ++fence_;
+        break;
+    }
+    revision_ += out.changed_ ? 1 : 0;
+    return out;
+}
+
+std::string catalog_machine::encode() const
+{
+    return core::to_bytes(nlohmann::json::array(
+        {revision_, version_, fence_, core::binary(text_), zones_out_}));
+}
+
+std::optional<catalog_machine> catalog_machine::decode(std::string_view bytes)
+{
+    const auto document = core::parse_bytes(bytes);
+    if (!document)
+    {
+        return std::nullopt;
+    }
+    // The snapshot was written by this program; a damaged one is reported.
+    try
+    {
+        catalog_machine out;
+        out.revision_ = document->at(0).get<std::uint64_t>();
+        out.version_ = document->at(1).get<std::uint64_t>();
+        out.fence_ = document->at(2).get<std::uint64_t>();
+        out.text_ = core::text_of(document->at(3));
+        out.zones_out_ = document->at(4).get<std::set<core::zone_id>>();
+        return out;
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace poplarroute::control
--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -372,6 +372,17 @@
         core::errc::invalid, "a change adds, promotes or removes one member"};
 }
 
+std::optional<core::time_point> raft::heard_from(
+    const core::host_id& host) const
+{
+    const auto found = progress_.find(host);
+    if (found == progress_.end() || found->second.heard_.ms_ == 0)
+    {
+        return std::nullopt;
+    }
+    return found->second.heard_;
+}
+
 bool raft::caught_up(const core::host_id& host) const
 {
     const auto found = progress_.find(host);
--- a/control/raft.hpp
+++ b/control/raft.hpp
@@ -135,6 +135,10 @@
     /// it last reached a majority.
     core::time_point last_contact(core::time_point now) const;
 
+    /// \return when the leader last had a reply of another member; nothing
+    /// when it had none or this member does not lead.
+    std::optional<core::time_point> heard_from(const core::host_id& host) const;
+
     /// \return whether a learner holds everything up to the commit index.
     bool caught_up(const core::host_id& host) const;
 
--- a/control/state_machine.hpp
+++ b/control/state_machine.hpp
@@ -41,6 +41,14 @@
 class state_machine
 {
 public:
+    using reply = command_reply;
+
+    /// \return a number that grows with each change of the directory.
+    std::uint64_t revision() const
+    {
+        return directory_.version();
+    }
+
     /// Applies one committed command.
     /// \param bytes an encoded command.
     /// \return the reply; a command id seen before gets its first reply.
--- a/core/clock.hpp
+++ b/core/clock.hpp
@@ -52,6 +52,11 @@
     return {left.ms_ + right.ms_};
 }
 
+inline duration operator-(duration left, duration right)
+{
+    return {left.ms_ - right.ms_};
+}
+
 inline duration operator*(duration span, std::int64_t factor)
 {
     return {span.ms_ * factor};
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -1,7 +1,11 @@
 #include "drivers/http_client.hpp"
 
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -18,18 +22,37 @@
 {
 
 constexpr std::size_t kept_per_address = 64;
-constexpr core::duration connect_timeout{1'000};
 constexpr std::size_t reply_limit = 16 * 1024 * 1024;
 
+/// A kept connection without a stated limit is used again within this time:
+/// the shortest idle timeout in common use is 5 s.
+constexpr core::duration unstated_idle{4'000};
+
+/// Taken off a stated idle timeout, for the request's way.
+constexpr core::duration idle_margin{700};
+
+/// Unacknowledged bytes end a connection after this time, so that one that
+/// fell silent is noticed before most callers' deadlines.
+constexpr int unacknowledged_ms = 1'500;
+
+/// A connection on which more answers of other requests arrive is given up.
+constexpr int most_foreign_answers = 4;
+
 struct connection
 {
     explicit connection(asio::io_context& context) : stream_(context) {}
 
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
+    core::time_point kept_at_;
+    core::time_point usable_until_;
+    bool reused_ = false;
+    bool writing_ = false;
+    bool write_failed_ = false;
 };
 
-using connection_ptr = std::unique_ptr<connection>;
+using connection_ptr = std::shared_ptr<connection>;
+using parser_type = http::response_parser<http::string_body>;
 
 error failure_of(const error_code& failed)
 {
@@ -38,31 +61,69 @@
     return {code, failed.message()};
 }
 
+/// Reads "timeout=N" of a Keep-Alive header.
+core::duration idle_limit(const http::fields& headers)
+{
+    const auto found = headers.find(http::field::keep_alive);
+    if (found == headers.end())
+    {
+        return unstated_idle;
+    }
+    const std::string_view text(found->value().data(), found->value().size());
+    static constexpr std::string_view key = "timeout=";
+    const std::size_t at = text.find(key);
+    std::int64_t seconds = 0;
+    if (at == std::string_view::npos ||
+        std::from_chars(
+            text.data() + at + key.size(), text.data() + text.size(), seconds)
+                .ec != std::errc())
+    {
+        return unstated_idle;
+    }
+    return core::duration{seconds * 1'000} - idle_margin;
+}
+
 } // namespace
 
 struct http_client::pool
 {
     explicit pool(asio::io_context& context) : context_(context) {}
 
-    void keep(const std::string& address, connection_ptr used)
+    void keep(
+        const std::string& address,
+        const connection_ptr& used,
+        const http::fields& headers)
     {
         auto& idle = idle_[address];
-        if (idle.size() < kept_per_address)
+        const core::time_point now = core::steady_now();
+        used->kept_at_ = now;
+        used->usable_until_ = now + idle_limit(headers);
+        std::erase_if(
+            idle,
+            [now](const connection_ptr& kept)
+            {
+                return kept->usable_until_ <= now;
+            });
+        if (idle.size() < kept_per_address && now < used->usable_until_)
         {
-            idle.push_back(std::move(used));
+            used->stream_.expires_never();
+            idle.push_back(used);
         }
     }
 
     /// \return a kept connection that the other side has not closed.
-    connection_ptr take(const std::string& address)
+    connection_ptr take(const std::string& address, core::duration newest)
     {
         auto& idle = idle_[address];
+        const core::time_point now = core::steady_now();
         while (!idle.empty())
         {
             connection_ptr found = std::move(idle.back());
             idle.pop_back();
-            if (still_open(*found))
+            if (now < found->usable_until_ && now - found->kept_at_ <= newest &&
+                still_open(*found))
             {
+                found->reused_ = true;
                 return found;
             }
         }
@@ -71,6 +132,7 @@
 
     asio::io_context& context_;
     std::map<std::string, std::deque<connection_ptr>> idle_;
+    http_client_counts counts_;
 
 private:
     static bool still_open(connection& kept)
@@ -89,24 +151,30 @@
 {
 
 asio::awaitable<core::result<connection_ptr>> connect(
-    http_client::pool& pool, const std::string& address)
+    http_client::pool& pool, const http_call& call)
 {
-    connection_ptr ready = pool.take(address);
+    connection_ptr ready = pool.take(call.address_, call.newest_idle_);
     if (ready)
     {
+        ++pool.counts_.reused_;
         co_return std::move(ready);
     }
-    ready = std::make_unique<connection>(pool.context_);
-    ready->stream_.expires_after(connect_timeout.chrono());
+    ready = std::make_shared<connection>(pool.context_);
+    ready->stream_.expires_after(call.connect_timeout_.chrono());
     error_code failed;
     co_await ready->stream_.async_connect(
-        parse_endpoint(address),
+        parse_endpoint(call.address_),
         asio::redirect_error(asio::use_awaitable, failed));
     if (failed)
     {
         co_return error{errc::unreachable, failed.message()};
     }
-    ready->stream_.socket().set_option(tcp::no_delay(true), failed);
+    ++pool.counts_.opened_;
+    tcp::socket& socket = ready->stream_.socket();
+    socket.set_option(tcp::no_delay(true), failed);
+    using user_timeout =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket.set_option(user_timeout(unacknowledged_ms), failed);
     co_return std::move(ready);
 }
 
@@ -119,35 +187,35 @@
     message.set(http::field::host, call.address_);
     for (const auto& [key, text] : call.headers_)
     {
-        message.set(key, text);
+        if (beast::iequals(key, "Host"))
+        {
+            message.set(key, text);
+        }
+        else
+        {
+            message.insert(key, text);
+        }
     }
     message.body() = call.body_;
-    message.prepare_payload();
+    const bool bodyless = call.body_.empty() && call.method_ != "POST" &&
+                          call.method_ != "PUT";
+    if (!bodyless)
+    {
+        message.prepare_payload();
+    }
     return message;
 }
 
-asio::awaitable<core::result<connection_ptr>> send(
-    http_client::pool& pool, const http_call& call)
+asio::awaitable<void> write_message(
+    connection_ptr to, std::shared_ptr<http::request<http::string_body>> message)
 {
-    core::result<connection_ptr> connected =
-        co_await connect(pool, call.address_);
-    if (!core::is_ok(connected))
-    {
-        co_return std::move(connected);
-    }
-    connection& out = *core::value(connected);
-    const http::request<http::string_body> message = message_of(call);
-    out.stream_.expires_after(call.timeout_.chrono());
     error_code failed;
     co_await http::async_write(
-        out.stream_,
-        message,
+        to->stream_,
+        *message,
         asio::redirect_error(asio::use_awaitable, failed));
-    if (failed)
-    {
-        co_return failure_of(failed);
-    }
-    co_return std::move(connected);
+    to->writing_ = false;
+    to->write_failed_ = static_cast<bool>(failed);
 }
 
 class beast_stream final : public http_stream
@@ -161,23 +229,65 @@
           address_(std::move(address)),
           used_(std::move(used))
     {
-        parser_.body_limit(boost::none);
+        fresh_parser();
     }
 
-    asio::awaitable<error_code> read_header()
+    ~beast_stream() override
     {
-        error_code failed;
-        co_await http::async_read_header(
-            used_->stream_,
-            used_->buffer_,
-            parser_,
-            asio::redirect_error(asio::use_awaitable, failed));
-        co_return failed;
+        if (used_)
+        {
+            used_->stream_.close();
+        }
+    }
+
+    beast_stream(const beast_stream&) = delete;
+    beast_stream& operator=(const beast_stream&) = delete;
+
+    /// Reads headers until one belongs to the request.
+    asio::awaitable<error_code> read_header(
+        std::string echo_header, std::string echo_value)
+    {
+        for (int skipped = 0; skipped <= most_foreign_answers; ++skipped)
+        {
+            error_code failed;
+            co_await http::async_read_header(
+                used_->stream_,
+                used_->buffer_,
+                *parser_,
+                asio::redirect_error(asio::use_awaitable, failed));
+            if (failed || !is_foreign(echo_header, echo_value))
+            {
+                co_return failed;
+            }
+            ++pool_->counts_.foreign_answers_;
+            foreign_ = true;
+            co_await http::async_read(
+                used_->stream_,
+                used_->buffer_,
+                *parser_,
+                asio::redirect_error(asio::use_awaitable, failed));
+            if (failed)
+            {
+                co_return failed;
+            }
+            fresh_parser();
+        }
+        co_return make_error_code(http::error::bad_value);
     }
 
     int status() const override
     {
-        return static_cast<int>(parser_.get().result_int());
+        return static_cast<int>(parser_->get().result_int());
+    }
+
+    header_list headers() const override
+    {
+        header_list out;
+        for (const auto& field : parser_->get())
+        {
+            out.emplace_back(field.name_string(), field.value());
+        }
+        return out;
     }
 
     asio::awaitable<core::result<std::optional<std::string>>> next_line(
@@ -189,7 +299,23 @@
             {
                 co_return std::move(line);
             }
-            if (parser_.is_done())
+            core::result<std::optional<std::string>> piece =
+                co_await next_piece(timeout);
+            if (!core::is_ok(piece) || !core::value(piece))
+            {
+                co_return std::move(piece);
+            }
+            pending_ += *core::value(piece);
+        }
+    }
+
+    asio::awaitable<core::result<std::optional<std::string>>> next_piece(
+        core::duration timeout) override
+    {
+        std::string& body = parser_->get().body();
+        while (body.empty())
+        {
+            if (parser_->is_done())
             {
                 keep_connection();
                 co_return std::optional<std::string>();
@@ -199,18 +325,61 @@
             co_await http::async_read_some(
                 used_->stream_,
                 used_->buffer_,
-                parser_,
+                *parser_,
                 asio::redirect_error(asio::use_awaitable, failed));
             if (failed)
             {
                 co_return failure_of(failed);
             }
-            pending_ += parser_.get().body();
-            parser_.get().body().clear();
+        }
+        std::optional<std::string> out(std::exchange(body, std::string()));
+        co_return std::move(out);
+    }
+
+    asio::awaitable<core::result<std::string>> read_rest(
+        core::duration timeout, std::size_t most) override
+    {
+        const core::time_point until = core::steady_now() + timeout;
+        std::string out;
+        for (;;)
+        {
+            const core::duration left = until - core::steady_now();
+            core::result<std::optional<std::string>> piece =
+                co_await next_piece(std::max(left, core::duration{1}));
+            if (!core::is_ok(piece))
+            {
+                co_return core::failure(piece);
+            }
+            if (!core::value(piece))
+            {
+                co_return std::move(out);
+            }
+            out += *core::value(piece);
+            if (out.size() > most)
+            {
+                co_return error{errc::invalid, "the answer is too large"};
+            }
         }
     }
 
 private:
+    void fresh_parser()
+    {
+        parser_.emplace();
+        parser_->body_limit(boost::none);
+    }
+
+    bool is_foreign(
+        const std::string& echo_header, const std::string& echo_value) const
+    {
+        if (echo_header.empty())
+        {
+            return false;
+        }
+        const auto found = parser_->get().find(echo_header);
+        return found != parser_->get().end() && found->value() != echo_value;
+    }
+
     std::optional<std::string> take_line()
     {
         const std::size_t end = pending_.find('\n');
@@ -223,19 +392,33 @@
         return line;
     }
 
+    /// Bytes beyond the answer, or a request not yet written, make the
+    /// connection unfit for another request.
     void keep_connection()
     {
-        if (used_ && parser_.get().keep_alive())
+        if (!used_)
+        {
+            return;
+        }
+        const connection_ptr used = std::exchange(used_, nullptr);
+        const bool fit = parser_->keep_alive() && !parser_->need_eof() &&
+                         !foreign_ && !used->writing_ &&
+                         !used->write_failed_ && used->buffer_.size() == 0;
+        if (fit)
+        {
+            pool_->keep(address_, used, parser_->get());
+        }
+        else
         {
-            used_->stream_.expires_never();
-            pool_->keep(address_, std::move(used_));
+            used->stream_.close();
         }
     }
 
     std::shared_ptr<http_client::pool> pool_;
     std::string address_;
     connection_ptr used_;
-    http::response_parser<http::string_body> parser_;
+    std::optional<parser_type> parser_;
+    bool foreign_ = false;
     std::string pending_;
 };
 
@@ -246,52 +429,54 @@
 {
 }
 
+const http_client_counts& http_client::counts() const
+{
+    return pool_->counts_;
+}
+
 asio::awaitable<core::result<http_reply>> http_client::request(http_call call)
 {
-    core::result<connection_ptr> sent = co_await send(*pool_, call);
-    if (!core::is_ok(sent))
-    {
-        co_return core::failure(sent);
-    }
-    connection_ptr used = std::move(core::value(sent));
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(reply_limit);
-    error_code failed;
-    co_await http::async_read(
-        used->stream_,
-        used->buffer_,
-        parser,
-        asio::redirect_error(asio::use_awaitable, failed));
-    if (failed)
+    const core::time_point until = core::steady_now() + call.timeout_;
+    core::result<std::unique_ptr<http_stream>> opened =
+        co_await open(std::move(call));
+    if (!core::is_ok(opened))
     {
-        co_return failure_of(failed);
+        co_return core::failure(opened);
     }
+    const std::unique_ptr<http_stream> stream = std::move(core::value(opened));
     http_reply reply;
-    reply.status_ = static_cast<int>(parser.get().result_int());
-    for (const auto& field : parser.get())
+    reply.status_ = stream->status();
+    reply.headers_ = stream->headers();
+    const core::duration left = until - core::steady_now();
+    core::result<std::string> body = co_await stream->read_rest(
+        std::max(left, core::duration{1}), reply_limit);
+    if (!core::is_ok(body))
     {
-        reply.headers_.emplace_back(field.name_string(), field.value());
+        co_return core::failure(body);
     }
-    reply.body_ = std::move(parser.get().body());
-    if (parser.get().keep_alive())
-    {
-        used->stream_.expires_never();
-        pool_->keep(call.address_, std::move(used));
-    }
-    co_return reply;
+    reply.body_ = std::move(core::value(body));
+    co_return std::move(reply);
 }
 
 asio::awaitable<core::result<std::unique_ptr<http_stream>>> http_client::open(
     http_call call)
 {
-    core::result<connection_ptr> sent = co_await send(*pool_, call);
-    if (!core::is_ok(sent))
+    const std::shared_ptr<pool> shared = pool_;
+    core::result<connection_ptr> connected = co_await connect(*shared, call);
+    if (!core::is_ok(connected))
     {
-        co_return core::failure(sent);
+        co_return core::failure(connected);
     }
-    auto stream = std::make_unique<beast_stream>(
-        pool_, call.address_, std::move(core::value(sent)));
-    const error_code failed = co_await stream->read_header();
+    const connection_ptr used = core::value(connected);
+    auto message = std::make_shared<http::request<http::string_body>>(
+        message_of(call));
+    used->stream_.expires_after(call.timeout_.chrono());
+    used->writing_ = true;
+    auto stream =
+        std::make_unique<beast_stream>(shared, call.address_, used);
+    spawn(shared->context_, write_message(used, std::move(message)));
+    const error_code failed =
+        co_await stream->read_header(call.echo_header_, call.echo_value_);
     if (failed)
     {
         co_return failure_of(failed);
@@ -302,7 +487,8 @@
 asio::awaitable<bool> http_client::until_closed(std::string address)
 {
     beast::tcp_stream stream(pool_->context_);
-    stream.expires_after(connect_timeout.chrono());
+    http_call call;
+    stream.expires_after(call.connect_timeout_.chrono());
     error_code failed;
     co_await stream.async_connect(
         parse_endpoint(address),
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -1,5 +1,6 @@
 #include "drivers/http_server.hpp"
 
+#include <array>
 #include <chrono>
 #include <set>
 #include <stdexcept>
@@ -37,6 +38,7 @@
     http_limits limits_;
     http_handler handler_;
     bool stopping_ = false;
+    bool closing_ = false; ///< Each answer ends its connection.
     std::size_t active_ = 0;
     std::set<beast::tcp_stream*> idle_; ///< Waiting between two requests.
     std::size_t open_ = 0;
@@ -62,10 +64,13 @@
 public:
     beast_exchange(
         beast::tcp_stream& stream,
-        const http_limits& limits,
+        const http_server::state& shared,
         http_request request,
         bool keep_alive)
-        : stream_(stream), limits_(limits), keep_alive_(keep_alive)
+        : stream_(stream),
+          limits_(shared.limits_),
+          closing_(shared.closing_),
+          keep_alive_(keep_alive)
     {
         request_ = std::move(request);
     }
@@ -174,13 +179,15 @@
         answer.result(static_cast<unsigned>(status));
         for (const auto& [key, text] : headers)
         {
-            answer.set(key, text);
+            answer.insert(key, text);
         }
+        keep_alive_ = keep_alive_ && !closing_;
         answer.keep_alive(keep_alive_);
     }
 
     beast::tcp_stream& stream_;
     const http_limits& limits_;
+    const bool& closing_;
     bool keep_alive_;
     bool broken_ = false;
 };
@@ -271,6 +278,23 @@
     co_return !failed;
 }
 
+/// Ends a connection so that the last answer arrives: closing with unread
+/// bytes would reset it.
+asio::awaitable<void> linger(beast::tcp_stream& stream)
+{
+    static constexpr core::duration longest_linger{500};
+    error_code failed;
+    stream.socket().shutdown(tcp::socket::shutdown_send, failed);
+    stream.expires_after(longest_linger.chrono());
+    std::array<char, 1024> dropped{};
+    while (!failed)
+    {
+        co_await stream.async_read_some(
+            asio::buffer(dropped),
+            asio::redirect_error(asio::use_awaitable, failed));
+    }
+}
+
 asio::awaitable<void> serve(
     std::shared_ptr<http_server::state> shared, tcp::socket socket)
 {
@@ -294,14 +318,14 @@
         const bool keep_alive = parser.get().keep_alive();
         beast_exchange exchange(
             stream,
-            shared->limits_,
+            *shared,
             take_request(parser.get(), remote),
             keep_alive);
         const core::counted active(shared->active_);
         co_await shared->handler_(exchange);
         more = exchange.keep_alive();
     }
-    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    co_await linger(stream);
 }
 
 asio::awaitable<void> accept_loop(std::shared_ptr<http_server::state> shared)
@@ -385,6 +409,16 @@
     }
 }
 
+void http_server::announce_close()
+{
+    state_->closing_ = true;
+}
+
+void http_server::set_limits(http_limits limits)
+{
+    state_->limits_ = limits;
+}
+
 std::size_t http_server::connections() const
 {
     return state_->open_;
--- a/drivers/http_server.hpp
+++ b/drivers/http_server.hpp
@@ -113,6 +113,13 @@
     /// answer under way.
     void stop_accepting();
 
+    /// Says on each further answer that its connection ends, while requests
+    /// on open connections are still read.
+    void announce_close();
+
+    /// Changes what the port accepts, from the next request on.
+    void set_limits(http_limits limits);
+
     /// \return connections that are open now.
     std::size_t connections() const;
 
--- a/drivers/log.cpp
+++ b/drivers/log.cpp
@@ -1,8 +1,16 @@
 #include "drivers/log.hpp"
 
+#include <algorithm>
+#include <map>
+#include <memory>
+
+#include <fcntl.h>
 #include <nlohmann/json.hpp>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include "core/clock.hpp"
 
 namespace poplarroute::drivers
 {
@@ -12,6 +20,97 @@
 
 bool as_json = false;
 std::string host_name;
+log_counts counts;
+
+/// Lines kept for a reader that is behind; about a second of a full log.
+constexpr std::size_t most_pending_bytes = 256 * 1024;
+
+/// Lines of one event a second, and at once. A host answers some tens of
+/// requests a second; a storm beyond that is told by the counters.
+constexpr double lines_per_second = 60;
+constexpr double lines_at_once = 240;
+constexpr double ms_per_second = 1'000;
+
+/// Standard output, written without waiting for its reader.
+class bounded_sink final
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex>
+{
+public:
+    bounded_sink()
+    {
+        const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+        if (flags >= 0)
+        {
+            ::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        }
+    }
+
+protected:
+    void sink_it_(const spdlog::details::log_msg& message) override
+    {
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        if (pending_.size() + line.size() > most_pending_bytes)
+        {
+            ++counts.dropped_;
+            return;
+        }
+        pending_.append(line.data(), line.size());
+        ++counts.written_;
+        flush_();
+    }
+
+    void flush_() override
+    {
+        while (!pending_.empty())
+        {
+            const ssize_t size =
+                ::write(STDOUT_FILENO, pending_.data(), pending_.size());
+            if (size <= 0)
+            {
+                return;
+            }
+            pending_.erase(0, static_cast<std::size_t>(size));
+        }
+    }
+
+private:
+    std::string pending_;
+};
+
+/// Bounds the lines of one event.
+class event_allowance
+{
+public:
+    bool take(core::time_point now)
+    {
+        const auto passed = static_cast<double>((now - filled_at_).ms_);
+        level_ = std::min(
+            lines_at_once, level_ + passed * lines_per_second / ms_per_second);
+        filled_at_ = now;
+        if (level_ < 1)
+        {
+            return false;
+        }
+        level_ -= 1;
+        return true;
+    }
+
+private:
+    double level_ = lines_at_once;
+    core::time_point filled_at_;
+};
+
+bool allowed(std::string_view event)
+{
+    static std::map<std::string, event_allowance, std::less<>> allowances;
+    auto found = allowances.find(event);
+    if (found == allowances.end())
+    {
+        found = allowances.emplace(event, event_allowance()).first;
+    }
+    return found->second.take(core::steady_now());
+}
 
 spdlog::level::level_enum spdlog_level(log_level level)
 {
@@ -94,7 +193,8 @@
 {
     as_json = json;
     host_name = std::string(host);
-    auto logger = spdlog::stderr_logger_mt("poplarroute");
+    auto logger = std::make_shared<spdlog::logger>(
+        "poplarroute", std::make_shared<bounded_sink>());
     logger->set_pattern(
         json ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v)"
              : "time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v");
@@ -102,6 +202,16 @@
     spdlog::set_default_logger(logger);
 }
 
+void flush_log()
+{
+    spdlog::default_logger_raw()->flush();
+}
+
+const log_counts& log_line_counts()
+{
+    return counts;
+}
+
 void log_event(
     log_level level,
     std::string_view event,
@@ -112,6 +222,11 @@
     {
         return;
     }
+    if (!allowed(event))
+    {
+        ++counts.suppressed_;
+        return;
+    }
     // The pattern opens the JSON object, so the line's own brace is left out.
     const std::string line = as_json ? json_line(event, fields).substr(1)
                                      : key_value_line(event, fields);
--- a/drivers/log.hpp
+++ b/drivers/log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -33,12 +34,27 @@
     std::string text_;
 };
 
-/// Sets up the log on standard error, a line per event.
+/// Sets up the log on standard output, a line per event. A reader that does
+/// not read never blocks the process: lines beyond a bounded buffer are
+/// dropped and counted, and so are lines of one event beyond its rate.
 /// \param host named in each line.
 /// \param level "debug", "info", "warning" or "error".
 /// \param json whether lines are JSON instead of key=value.
 void open_log(std::string_view host, std::string_view level, bool json);
 
+/// Tries to write what a slow reader has left in the buffer.
+void flush_log();
+
+/// Counts of lines since the start.
+struct log_counts
+{
+    std::uint64_t written_ = 0;
+    std::uint64_t dropped_ = 0;    ///< The reader was too slow.
+    std::uint64_t suppressed_ = 0; ///< Too many of one event.
+};
+
+const log_counts& log_line_counts();
+
 /// Writes one event.
 /// \param event a stable name, such as "request_done".
 void log_event(
--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -170,6 +170,7 @@
     auto self = shared_from_this();
     auto made = std::make_shared<exchange>(context_);
     made->outgoing_ = std::move(body);
+    const core::time_point asked_at = core::steady_now();
     const std::string path = path_prefix + method;
     const std::array<nghttp2_nv, 4> headers{
         header(":method", "POST"),
@@ -205,6 +206,12 @@
     {
         co_return core::error{core::errc::broken, "connection lost"};
     }
+    if (last_read_ < asked_at)
+    {
+        // The connection has gone silent; a new one may work.
+        close();
+        co_return core::error{core::errc::timeout, "silent: " + method};
+    }
     nghttp2_submit_rst_stream(
         session_, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
     wake_writer();
@@ -443,6 +450,7 @@
             break;
         }
         traffic().bytes_in_ += size;
+        last_read_ = core::steady_now();
         const ssize_t used = nghttp2_session_mem_recv(
             session_, reinterpret_cast<const std::uint8_t*>(room.data()), size);
         if (used < 0)
--- a/drivers/peer_connection.hpp
+++ b/drivers/peer_connection.hpp
@@ -117,6 +117,7 @@
     asio::steady_timer writable_;
     std::map<std::int32_t, exchange_ptr> exchanges_;
     bool closed_ = false;
+    core::time_point last_read_;
 };
 
 } // namespace poplarroute::drivers
--- a/main/poplarroute.cpp
+++ b/main/poplarroute.cpp
@@ -7,7 +7,11 @@
 #include "drivers/host_settings.hpp"
 #include "drivers/log.hpp"
 #include "main/version.hpp"
+#include "node/fleet_process.hpp"
 #include "node/host_process.hpp"
+#include "platform/dialect.hpp"
+#include "platform/operator_calls.hpp"
+#include "platform/settings.hpp"
 
 namespace
 {
@@ -15,6 +19,7 @@
 namespace core = poplarroute::core;
 namespace drivers = poplarroute::drivers;
 namespace node = poplarroute::node;
+namespace platform = poplarroute::platform;
 
 constexpr int exit_usage = 2;
 constexpr int exit_not_opened = 1;
@@ -25,9 +30,11 @@
         "poplarroute",
         "The process of one host. Examples:\n"
         "  poplarroute --settings /etc/poplarroute/host.ini\n"
-        "  poplarroute --settings host.ini --check\n");
+        "  poplarroute --settings host.ini --check\n"
+        "  poplarroute --platform\n");
     options.add_options()(
         "settings", "the host's settings file", cxxopts::value<std::string>())(
+        "platform", "take the settings from the users' platform")(
         "check", "check the settings and end")("version", "print the version")(
         "help", "print this page");
     return options;
@@ -69,6 +76,48 @@
     return process.run();
 }
 
+std::optional<node::fleet_settings> load_platform_settings()
+{
+    core::finding_list findings;
+    auto settings = platform::load_settings(findings);
+    if (!settings)
+    {
+        std::cerr << findings.text();
+    }
+    return settings;
+}
+
+int serve_on_platform(bool check_only)
+{
+    auto settings = load_platform_settings();
+    if (!settings)
+    {
+        return exit_usage;
+    }
+    if (check_only)
+    {
+        std::cout << "the settings are in order\n";
+        return 0;
+    }
+    drivers::open_log(settings->host_, "info", false);
+    node::fleet_process process(
+        std::move(*settings),
+        load_platform_settings,
+        std::make_unique<platform::dialect>(),
+        platform::operator_calls);
+    const core::result<core::done> opened = process.open();
+    if (!core::is_ok(opened))
+    {
+        drivers::log_event(
+            drivers::log_level::error,
+            "not_started",
+            {{"why", core::failure(opened).message_}});
+        drivers::flush_log();
+        return exit_not_opened;
+    }
+    return process.run();
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -87,6 +136,10 @@
             std::cout << poplarroute::version << '\n';
             return 0;
         }
+        if (given.count("platform") != 0)
+        {
+            return serve_on_platform(given.count("check") != 0);
+        }
         if (given.count("settings") == 0)
         {
             std::cerr << "poplarroute: --settings FILE is needed\n";
--- /dev/null
+++ b/node/catalog_feed.cpp
@@ -0,0 +1,297 @@
+#include "node/catalog_feed.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "drivers/log.hpp"
+
+namespace poplarroute::node
+{
+
+using drivers::log_event;
+using drivers::log_level;
+
+namespace
+{
+
+/// How long the leader may leave a watch unanswered.
+constexpr core::duration watch_wait{800};
+constexpr core::duration watch_deadline{1'300};
+
+/// Between two tries to find a leader.
+constexpr core::duration search_every{60};
+
+/// Between two settlements of accounts' use.
+constexpr core::duration settle_every{150};
+constexpr core::duration settle_deadline{500};
+
+/// A list that nobody has told of for so long is read here.
+constexpr core::duration list_old_after{2'500};
+
+} // namespace
+
+catalog_feed::catalog_feed(context& with, const wire_dialect& dialect)
+    : with_(with), dialect_(dialect)
+{
+}
+
+void catalog_feed::start()
+{
+    drivers::spawn(with_.io_, follow());
+    drivers::spawn(with_.io_, settle_loop());
+}
+
+bool catalog_feed::list_is_old() const
+{
+    const endpoint_section& list = with_.board_.section<endpoint_section>();
+    return core::steady_now() - list.read_at_ > list_old_after &&
+           with_.board_.section<catalog_section>().view_ != nullptr;
+}
+
+core::host_id catalog_feed::next_member()
+{
+    const group_section& group = with_.board_.section<group_section>();
+    const auto& seeds =
+        with_.board_.section<settings_section>().settings_.seeds_;
+    std::vector<core::host_id> all = group.members_;
+    for (const std::string& seed : seeds)
+    {
+        if (std::find(all.begin(), all.end(), seed) == all.end())
+        {
+            all.push_back(seed);
+        }
+    }
+    return all.empty() ? core::host_id() : all[next_seed_++ % all.size()];
+}
+
+watch_request catalog_feed::next_request(bool wait) const
+{
+    const endpoint_section& list = with_.board_.section<endpoint_section>();
+    watch_request out;
+    out.host_ = with_.identity().host_;
+    out.revision_ = with_.board_.section<catalog_section>().revision_;
+    out.list_epoch_ = list.epoch_;
+    out.list_revision_ = list.revision_;
+    out.crash_revision_ = crash_revision_;
+    out.wait_ms_ = wait ? watch_wait.ms_ : 0;
+    const core::time_point now = core::steady_now();
+    for (const auto& [id, item] :
+         with_.board_.section<stream_section>().running_)
+    {
+        place_message told = item.place_;
+        told.age_ms_ = (now - item.placed_at_).ms_;
+        out.places_.push_back(std::move(told));
+    }
+    return out;
+}
+
+void catalog_feed::lose_leader(
+    const core::host_id& asked, const core::error& why)
+{
+    group_section& group = with_.board_.section<group_section>();
+    if (!group.leader_.empty())
+    {
+        log_event(
+            log_level::warning,
+            "leader_lost",
+            {{"leader", group.leader_},
+             {"asked", asked},
+             {"problem", why.message_},
+             {"heard_ms_ago", (core::steady_now() - group.heard_at_).ms_}});
+    }
+    group.leader_.clear();
+}
+
+awaitable<void> catalog_feed::follow()
+{
+    bool wait = false;
+    for (;;)
+    {
+        group_section& group = with_.board_.section<group_section>();
+        const core::host_id asked =
+            group.leader_.empty() ? next_member() : group.leader_;
+        if (asked.empty())
+        {
+            co_await drivers::sleep_for(search_every);
+            continue;
+        }
+        const watch_request request = next_request(wait);
+        const core::result<watch_reply> reply = co_await ask<watch_reply>(
+            with_.peers_,
+            asked,
+            method::catalog_watch,
+            request,
+            watch_deadline);
+        if (!core::is_ok(reply))
+        {
+            lose_leader(asked, core::failure(reply));
+            wait = false;
+            co_await drivers::sleep_for(search_every);
+            continue;
+        }
+        take(core::value(reply), asked);
+        wait = core::value(reply).leads_;
+        if (!wait)
+        {
+            co_await drivers::sleep_for(search_every);
+        }
+    }
+}
+
+void catalog_feed::take(const watch_reply& reply, const core::host_id& from)
+{
+    group_section& group = with_.board_.section<group_section>();
+    if (!reply.members_.empty())
+    {
+        group.members_ = reply.members_;
+    }
+    take_catalog(reply);
+    const core::host_id leader = reply.leads_ ? from : reply.leader_;
+    // A member that was just asked in vain is not the leader to ask.
+    const core::host_id next = leader == from && !reply.leads_ ? "" : leader;
+    if (next != group.leader_)
+    {
+        log_event(
+            log_level::info,
+            next.empty() ? "leader_lost" : "leader_known",
+            {{"leader", next}, {"told_by", from}});
+        group.leader_ = next;
+    }
+    if (!reply.leads_)
+    {
+        return;
+    }
+    group.heard_at_ = core::steady_now();
+    if (group.hosts_ != reply.hosts_)
+    {
+        group.hosts_ = reply.hosts_;
+        refresh_limits();
+    }
+    crash_revision_ = reply.crash_revision_;
+    group.crashers_ = {reply.crashers_.begin(), reply.crashers_.end()};
+    take_endpoints(reply);
+}
+
+void catalog_feed::take_catalog(const watch_reply& reply)
+{
+    catalog_section& section = with_.board_.section<catalog_section>();
+    if (reply.revision_ <= section.revision_ || !reply.text_.is_binary())
+    {
+        return;
+    }
+    core::finding_list findings;
+    const std::string text = core::text_of(reply.text_);
+    if (text.empty())
+    {
+        return;
+    }
+    auto read = dialect_.decode_catalog(text, findings);
+    if (!read)
+    {
+        log_event(
+            log_level::error,
+            "catalog_unreadable",
+            {{"revision", reply.revision_}, {"findings", findings.text()}});
+        return;
+    }
+    section.view_ = std::make_shared<control::catalog_view>(std::move(*read));
+    section.revision_ = reply.revision_;
+    section.zones_out_ = {reply.zones_out_.begin(), reply.zones_out_.end()};
+    log_event(
+        log_level::info,
+        "catalog_in_force",
+        {{"version", section.view_->whole().version_},
+         {"revision", reply.revision_},
+         {"zones_out", section.zones_out_.size()}});
+    refresh_limits();
+    for (const auto& call : section.on_change_)
+    {
+        call();
+    }
+}
+
+void catalog_feed::refresh_limits()
+{
+    const catalog_section& section = with_.board_.section<catalog_section>();
+    if (!section.view_)
+    {
+        return;
+    }
+    with_.board_.section<meter_section>().meter_.set_limits(
+        limits_of(
+            section.view_->whole(),
+            with_.board_.section<settings_section>().settings_.bounds_),
+        with_.board_.section<group_section>().hosts_,
+        core::steady_now());
+}
+
+void catalog_feed::take_endpoints(const watch_reply& reply)
+{
+    endpoint_section& list = with_.board_.section<endpoint_section>();
+    const core::time_point read_at =
+        core::steady_now() - core::duration{reply.list_age_ms_};
+    if (reply.list_epoch_.empty())
+    {
+        return;
+    }
+    if (!reply.list_sent_)
+    {
+        list.read_at_ = std::max(list.read_at_, read_at);
+        return;
+    }
+    std::vector<listed_endpoint> all;
+    all.reserve(reply.list_.size());
+    for (const endpoint_message& item : reply.list_)
+    {
+        all.push_back(from_message(item));
+    }
+    list.epoch_ = reply.list_epoch_;
+    take_list(list, all, read_at);
+    list.revision_ = reply.list_revision_;
+}
+
+awaitable<void> catalog_feed::settle_loop()
+{
+    for (;;)
+    {
+        co_await drivers::sleep_for(settle_every);
+        drivers::flush_log();
+        const core::host_id leader =
+            with_.board_.section<group_section>().leader_;
+        if (!leader.empty())
+        {
+            co_await settle_once(leader);
+        }
+    }
+}
+
+awaitable<void> catalog_feed::settle_once(core::host_id leader)
+{
+    policy::account_meter& meter = with_.board_.section<meter_section>().meter_;
+    const std::vector<policy::unsettled_use> uses =
+        meter.take_unsettled(core::steady_now());
+    if (uses.empty())
+    {
+        co_return;
+    }
+    settle_request request;
+    request.host_ = with_.identity().host_;
+    for (const policy::unsettled_use& use : uses)
+    {
+        request.uses_.push_back({use.account_, use.used_, use.level_});
+    }
+    const core::result<settle_reply> reply = co_await ask<settle_reply>(
+        with_.peers_, leader, method::meters_settle, request, settle_deadline);
+    if (!core::is_ok(reply))
+    {
+        meter.not_settled(uses);
+        co_return;
+    }
+    const core::time_point now = core::steady_now();
+    for (const use_message& level : core::value(reply).levels_)
+    {
+        meter.settled(level.account_, level.level_, now);
+    }
+}
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/catalog_messages.cpp
@@ -0,0 +1,86 @@
+#include "node/catalog_messages.hpp"
+
+namespace poplarroute::node
+{
+
+endpoint_message to_message(const listed_endpoint& item)
+{
+    return {
+        item.name_,
+        item.service_,
+        item.address_,
+        item.zone_,
+        item.slots_,
+        item.leaving_,
+        item.cold_for_.ms_,
+        item.reads_prompts_};
+}
+
+listed_endpoint from_message(const endpoint_message& item)
+{
+    return {
+        item.name_,
+        item.service_,
+        item.address_,
+        item.zone_,
+        item.slots_,
+        item.leaving_,
+        core::duration{item.cold_ms_},
+        item.reads_prompts_};
+}
+
+policy::stream_want from_message(const want_message& item, core::time_point now)
+{
+    policy::stream_want out;
+    out.id_ = item.id_;
+    out.host_ = item.host_;
+    out.zone_ = item.zone_;
+    out.prompt_tokens_ = item.prompt_tokens_;
+    out.most_output_ = item.most_output_;
+    out.output_hint_ = item.output_hint_;
+    out.priority_ = item.priority_;
+    out.on_time_until_ = now + core::duration{item.on_time_ms_};
+    out.give_up_at_ = now + core::duration{item.give_up_ms_};
+    out.prompt_is_read_ = item.prompt_is_read_;
+    out.decode_reads_prompt_ = item.decode_reads_prompt_;
+    out.avoid_.insert(item.avoid_.begin(), item.avoid_.end());
+    return out;
+}
+
+policy::stream_end from_message(const end_message& item)
+{
+    policy::stream_end out;
+    out.id_ = item.id_;
+    out.complete_ = item.complete_;
+    out.prompt_tokens_ = item.prompt_tokens_;
+    out.read_ = {item.read_ms_};
+    out.output_tokens_ = item.output_tokens_;
+    out.decode_ = {item.decode_ms_};
+    return out;
+}
+
+place_reply to_message(const policy::stream_decision& item)
+{
+    return std::visit(
+        core::overloaded{
+            [](const policy::stream_place& place)
+            {
+                place_reply out;
+                out.placed_ = true;
+                out.reader_ = place.reader_;
+                out.decoder_ = place.decoder_;
+                out.waited_ms_ = place.waited_.ms_;
+                return out;
+            },
+            [](const policy::stream_refusal& refusal)
+            {
+                place_reply out;
+                out.reason_ = policy::name_of(refusal.reason_);
+                out.retry_ms_ = refusal.retry_after_.ms_;
+                out.waiting_ = refusal.waiting_;
+                return out;
+            }},
+        item);
+}
+
+} // namespace poplarroute::node
--- a/node/context.cpp
+++ b/node/context.cpp
@@ -1,5 +1,7 @@
 #include "node/context.hpp"
 
+#include "core/ini.hpp"
+
 namespace poplarroute::node
 {
 
@@ -18,6 +20,11 @@
             return seed.peer_;
         }
     }
+    // Hosts of a group that the platform places go by their address.
+    if (core::is_address(host))
+    {
+        return host;
+    }
     return std::nullopt;
 }
 
--- /dev/null
+++ b/node/event_reader.cpp
@@ -0,0 +1,81 @@
+#include "node/event_reader.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace poplarroute::node
+{
+
+namespace
+{
+
+/// \return the end of the first event, after its empty line; npos: none yet.
+std::size_t end_of_event(std::string_view text)
+{
+    for (std::size_t at = text.find('\n'); at != std::string_view::npos;
+         at = text.find('\n', at + 1))
+    {
+        const std::string_view rest = text.substr(at + 1);
+        if (rest.starts_with('\n'))
+        {
+            return at + 2;
+        }
+        if (rest.starts_with("\r\n"))
+        {
+            return at + 3;
+        }
+    }
+    return std::string_view::npos;
+}
+
+std::optional<std::int64_t> id_of(std::string_view event)
+{
+    static constexpr std::string_view key = "id:";
+    while (!event.empty())
+    {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(
+            end == std::string_view::npos ? event.size() : end + 1);
+        if (!line.starts_with(key))
+        {
+            continue;
+        }
+        line.remove_prefix(key.size());
+        while (line.starts_with(' '))
+        {
+            line.remove_prefix(1);
+        }
+        std::int64_t id = 0;
+        const auto read =
+            std::from_chars(line.data(), line.data() + line.size(), id);
+        if (read.ec == std::errc())
+        {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void event_reader::add(std::string_view bytes)
+{
+    pending_ += bytes;
+}
+
+std::optional<stream_event> event_reader::next()
+{
+    const std::size_t end = end_of_event(pending_);
+    if (end == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    stream_event out;
+    out.bytes_ = pending_.substr(0, end);
+    pending_.erase(0, end);
+    out.id_ = id_of(out.bytes_);
+    return out;
+}
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/fleet_process.cpp
@@ -0,0 +1,435 @@
+#include "node/fleet_process.hpp"
+
+#include <csignal>
+#include <utility>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "core/digest.hpp"
+#include "drivers/log.hpp"
+#include "node/catalog_feed.hpp"
+#include "node/edge_controller.hpp"
+#include "node/list_reader.hpp"
+
+namespace poplarroute::node
+{
+
+namespace asio = drivers::asio;
+using drivers::log_event;
+using drivers::log_level;
+
+namespace
+{
+
+/// The balancer asks once a second and takes a host out after two refusals.
+constexpr core::duration balancer_lag{2'600};
+
+/// Kept of the grace for the process's own end.
+constexpr core::duration exit_margin{500};
+constexpr core::duration drain_step{20};
+
+/// Last messages to other hosts go out before the process ends.
+constexpr core::duration farewell{60};
+
+constexpr core::duration settings_check{2'000};
+constexpr std::size_t epoch_bytes = 6;
+constexpr int status_ok = 200;
+constexpr int exit_cut = 4;
+
+} // namespace
+
+struct fleet_process::parts
+{
+    parts(
+        fleet_settings settings,
+        settings_source reload,
+        std::unique_ptr<wire_dialect> dialect,
+        operator_api operators)
+        : reload_(std::move(reload)),
+          dialect_(std::move(dialect)),
+          operators_(std::move(operators)),
+          http_(io_),
+          peers_(io_, nullptr),
+          with_{io_, board_, peers_, http_, metrics_, calls_},
+          signals_(io_, SIGTERM, SIGINT),
+          hangups_(io_, SIGHUP)
+    {
+        identity_section& identity = board_.section<identity_section>();
+        identity.host_ = settings.peer_listen_;
+        identity.zone_ = settings.zone_;
+        identity.incarnation_ = static_cast<std::uint64_t>(core::wall_ms());
+        identity.settings_.data_folder_ = settings.data_folder_;
+        settings_section& section = board_.section<settings_section>();
+        section.settings_ = std::move(settings);
+        section.epoch_ = core::random_hex(epoch_bytes);
+    }
+
+    const fleet_settings& settings()
+    {
+        return board_.section<settings_section>().settings_;
+    }
+
+    bool is_entry()
+    {
+        return !settings().client_listen_.empty();
+    }
+
+    core::result<core::done> build();
+    void open_ports();
+    void open_entry_ports();
+    void start();
+    void take_settings();
+    awaitable<void> watch_hangups();
+    awaitable<void> watch_settings();
+    awaitable<void> stop();
+    awaitable<void> drain();
+    awaitable<void> answer_ready(drivers::http_exchange& exchange);
+    awaitable<void> answer_metrics(drivers::http_exchange& exchange);
+    void refresh_gauges();
+
+    settings_source reload_;
+    std::unique_ptr<wire_dialect> dialect_;
+    operator_api operators_;
+    asio::io_context io_{1};
+    core::blackboard board_;
+    drivers::metrics metrics_;
+    call_table calls_;
+    drivers::http_client http_;
+    drivers::peer_client peers_;
+    context with_;
+    asio::signal_set signals_;
+    asio::signal_set hangups_;
+    int exit_status_ = 0;
+
+    std::unique_ptr<catalog_replica> group_;
+    std::unique_ptr<catalog_keeper> keeper_;
+    std::unique_ptr<list_reader> list_;
+    std::unique_ptr<catalog_feed> feed_;
+    std::unique_ptr<edge_controller> edge_;
+    std::unique_ptr<drivers::http_server> client_port_;
+    std::unique_ptr<drivers::http_server> ready_port_;
+    std::unique_ptr<drivers::http_server> control_port_;
+    std::unique_ptr<drivers::http_server> metrics_port_;
+    std::unique_ptr<drivers::peer_server> peer_port_;
+};
+
+core::result<core::done> fleet_process::parts::build()
+{
+    if (is_entry())
+    {
+        feed_ = std::make_unique<catalog_feed>(with_, *dialect_);
+        edge_ = std::make_unique<edge_controller>(with_, *dialect_);
+        list_ = std::make_unique<list_reader>(
+            with_,
+            *dialect_,
+            [this]()
+            {
+                return feed_->list_is_old();
+            });
+        return core::done();
+    }
+    group_ = std::make_unique<catalog_replica>(with_);
+    const core::result<core::done> opened = group_->open();
+    if (!core::is_ok(opened))
+    {
+        return opened;
+    }
+    keeper_ = std::make_unique<catalog_keeper>(with_, *group_, *dialect_);
+    list_ = std::make_unique<list_reader>(
+        with_,
+        *dialect_,
+        [this]()
+        {
+            return keeper_->leads() && group_->state().version() > 0;
+        });
+    return core::done();
+}
+
+void fleet_process::parts::open_entry_ports()
+{
+    client_port_ = std::make_unique<drivers::http_server>(
+        io_,
+        settings().client_listen_,
+        drivers::http_limits(),
+        [this](drivers::http_exchange& exchange)
+        {
+            return edge_->answer(exchange);
+        });
+    ready_port_ = std::make_unique<drivers::http_server>(
+        io_,
+        settings().ready_listen_,
+        drivers::http_limits(),
+        [this](drivers::http_exchange& exchange)
+        {
+            return answer_ready(exchange);
+        });
+    board_.section<catalog_section>().on_change_.emplace_back(
+        [this]()
+        {
+            const control::caller_limits& told =
+                board_.section<catalog_section>().view_->whole().limits_;
+            drivers::http_limits limits;
+            limits.header_bytes_ = static_cast<std::size_t>(told.header_bytes_);
+            limits.body_bytes_ = static_cast<std::size_t>(told.body_bytes_);
+            limits.read_timeout_ = told.header_time_ * 2;
+            limits.idle_timeout_ = told.idle_time_;
+            client_port_->set_limits(limits);
+        });
+}
+
+void fleet_process::parts::open_ports()
+{
+    if (is_entry())
+    {
+        open_entry_ports();
+    }
+    else
+    {
+        control_port_ = std::make_unique<drivers::http_server>(
+            io_,
+            settings().control_listen_,
+            drivers::http_limits(),
+            operators_(*keeper_));
+    }
+    metrics_port_ = std::make_unique<drivers::http_server>(
+        io_,
+        settings().metrics_listen_,
+        drivers::http_limits(),
+        [this](drivers::http_exchange& exchange)
+        {
+            return answer_metrics(exchange);
+        });
+    peer_port_ = std::make_unique<drivers::peer_server>(
+        io_,
+        settings().peer_listen_,
+        nullptr,
+        [this](drivers::peer_identity from, std::string name, std::string body)
+        {
+            return calls_.answer(
+                std::move(from), std::move(name), std::move(body));
+        });
+}
+
+awaitable<void> fleet_process::parts::answer_ready(
+    drivers::http_exchange& exchange)
+{
+    const bool ready = board_.section<catalog_section>().view_ != nullptr &&
+                       !board_.section<lifecycle_section>().leaving_;
+    const int status = ready ? status_ok : status_unavailable;
+    drivers::header_list headers;
+    std::string body;
+    co_await exchange.send(status, std::move(headers), std::move(body));
+}
+
+void fleet_process::parts::refresh_gauges()
+{
+    const drivers::log_counts& lines = drivers::log_line_counts();
+    metrics_.set(
+        "poplarroute_log_lines",
+        {{"end", "written"}},
+        static_cast<double>(lines.written_));
+    metrics_.set(
+        "poplarroute_log_lines",
+        {{"end", "dropped"}},
+        static_cast<double>(lines.dropped_));
+    metrics_.set(
+        "poplarroute_log_lines",
+        {{"end", "suppressed"}},
+        static_cast<double>(lines.suppressed_));
+    const drivers::http_client_counts& calls = http_.counts();
+    metrics_.set(
+        "poplarroute_endpoint_connections",
+        {{"use", "opened"}},
+        static_cast<double>(calls.opened_));
+    metrics_.set(
+        "poplarroute_endpoint_connections",
+        {{"use", "reused"}},
+        static_cast<double>(calls.reused_));
+    metrics_.set(
+        "poplarroute_directory_version",
+        {},
+        static_cast<double>(board_.section<catalog_section>().revision_));
+    if (edge_)
+    {
+        metrics_.set(
+            "poplarroute_active_requests",
+            {},
+            static_cast<double>(edge_->active()));
+    }
+    if (group_)
+    {
+        metrics_.set(
+            "poplarroute_control_role", {}, group_->leads() ? 1.0 : 0.0);
+    }
+}
+
+awaitable<void> fleet_process::parts::answer_metrics(
+    drivers::http_exchange& exchange)
+{
+    refresh_gauges();
+    drivers::header_list headers{{"Content-Type", "text/plain"}};
+    std::string body = metrics_.text();
+    co_await exchange.send(status_ok, std::move(headers), std::move(body));
+}
+
+void fleet_process::parts::start()
+{
+    if (group_)
+    {
+        group_->start();
+        keeper_->start();
+        control_port_->start();
+    }
+    if (edge_)
+    {
+        feed_->start();
+        edge_->start();
+        client_port_->start();
+        ready_port_->start();
+    }
+    list_->start();
+    peer_port_->start();
+    metrics_port_->start();
+}
+
+void fleet_process::parts::take_settings()
+{
+    std::optional<fleet_settings> fresh = reload_();
+    if (!fresh)
+    {
+        log_event(log_level::error, "settings_unreadable", {});
+        return;
+    }
+    // Addresses and the role are those of the process's start.
+    settings_section& section = board_.section<settings_section>();
+    section.settings_.seeds_ = fresh->seeds_;
+    section.settings_.bounds_ = fresh->bounds_;
+    section.settings_.list_address_ = fresh->list_address_;
+}
+
+awaitable<void> fleet_process::parts::watch_hangups()
+{
+    for (;;)
+    {
+        drivers::error_code failed;
+        co_await hangups_.async_wait(
+            asio::redirect_error(asio::use_awaitable, failed));
+        if (failed)
+        {
+            co_return;
+        }
+        take_settings();
+        log_event(
+            log_level::info, "reloaded", {{"seeds", settings().seeds_.size()}});
+    }
+}
+
+/// The file may change without a signal; that matters to a host that has
+/// lost the group.
+awaitable<void> fleet_process::parts::watch_settings()
+{
+    for (;;)
+    {
+        co_await drivers::sleep_for(settings_check);
+        const bool lost = is_entry()
+                              ? board_.section<group_section>().leader_.empty()
+                              : group_->leader().empty();
+        if (lost)
+        {
+            take_settings();
+        }
+    }
+}
+
+awaitable<void> fleet_process::parts::drain()
+{
+    const core::time_point began = core::steady_now();
+    const core::time_point until =
+        began + settings().bounds_.stop_grace_ - exit_margin;
+    board_.section<lifecycle_section>().leaving_ = true;
+    client_port_->announce_close();
+    co_await drivers::sleep_for(balancer_lag);
+    client_port_->stop_accepting();
+    while (edge_->active() > 0 && core::steady_now() < until)
+    {
+        co_await drivers::sleep_for(drain_step);
+    }
+    if (edge_->active() > 0)
+    {
+        log_event(
+            log_level::error, "requests_cut", {{"active", edge_->active()}});
+        exit_status_ = exit_cut;
+    }
+}
+
+awaitable<void> fleet_process::parts::stop()
+{
+    drivers::error_code failed;
+    co_await signals_.async_wait(
+        asio::redirect_error(asio::use_awaitable, failed));
+    log_event(
+        log_level::info, "stopping", {{"active", edge_ ? edge_->active() : 0}});
+    if (edge_)
+    {
+        co_await drain();
+    }
+    co_await drivers::sleep_for(farewell);
+    log_event(log_level::info, "stopped", {});
+    drivers::flush_log();
+    io_.stop();
+}
+
+fleet_process::fleet_process(
+    fleet_settings settings,
+    settings_source reload,
+    std::unique_ptr<wire_dialect> dialect,
+    operator_api operators)
+    : parts_(std::make_unique<parts>(
+          std::move(settings),
+          std::move(reload),
+          std::move(dialect),
+          std::move(operators)))
+{
+}
+
+fleet_process::~fleet_process() = default;
+
+core::result<core::done> fleet_process::open()
+{
+    const core::result<core::done> built = parts_->build();
+    if (!core::is_ok(built))
+    {
+        return built;
+    }
+    try
+    {
+        parts_->open_ports();
+    }
+    catch (const boost::system::system_error& thrown)
+    {
+        return core::error{core::errc::invalid, thrown.what()};
+    }
+    return core::done();
+}
+
+int fleet_process::run()
+{
+    parts& all = *parts_;
+    std::signal(SIGPIPE, SIG_IGN);
+    all.start();
+    drivers::spawn(all.io_, all.stop());
+    drivers::spawn(all.io_, all.watch_hangups());
+    drivers::spawn(all.io_, all.watch_settings());
+    log_event(
+        log_level::info,
+        "started",
+        {{"zone", all.settings().zone_},
+         {"entry", all.is_entry() ? 1 : 0},
+         {"first_start", all.settings().first_start_ ? 1 : 0},
+         {"seeds", all.settings().seeds_.size()}});
+    all.io_.run();
+    return all.exit_status_;
+}
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/fleet_sections.cpp
@@ -0,0 +1,143 @@
+#include "node/fleet_sections.hpp"
+
+#include <algorithm>
+
+namespace poplarroute::node
+{
+
+namespace
+{
+
+/// Part of what a cold endpoint bears that is used, since several hosts count.
+constexpr double cold_part = 0.8;
+
+/// Part of the slack on rates that is used: hosts learn of each other's use
+/// with a lag, and that lag needs the rest.
+constexpr double slack_part = 0.35;
+
+std::int64_t cold_starts(
+    const control::catalog_service& service,
+    const known_endpoint& item,
+    std::int64_t hosts,
+    core::time_point now)
+{
+    if (now >= item.cold_until_ || service.cold_calls_per_second_ == 0)
+    {
+        return 0;
+    }
+    const auto part = static_cast<std::int64_t>(
+        cold_part * static_cast<double>(service.cold_calls_per_second_) /
+        static_cast<double>(std::max<std::int64_t>(hosts, 1)));
+    return std::max<std::int64_t>(part, 1);
+}
+
+bool usable(const catalog_section& catalog, const listed_endpoint& item)
+{
+    return !item.leaving_ && catalog.zones_out_.count(item.zone_) == 0;
+}
+
+} // namespace
+
+std::map<core::service_id, std::vector<policy::engine_facts>> engines_of(
+    const catalog_section& catalog,
+    const endpoint_section& endpoints,
+    core::time_point now)
+{
+    std::map<core::service_id, std::vector<policy::engine_facts>> out;
+    if (!catalog.view_)
+    {
+        return out;
+    }
+    for (const auto& [name, item] : endpoints.endpoints_)
+    {
+        const control::catalog_service* service =
+            catalog.view_->find_service(item.listed_.service_);
+        if (service == nullptr || !service->engine_)
+        {
+            continue;
+        }
+        policy::engine_facts facts;
+        facts.name_ = name;
+        facts.zone_ = item.listed_.zone_;
+        facts.reads_prompts_ = item.listed_.reads_prompts_;
+        facts.usable_ = usable(catalog, item.listed_);
+        facts.slots_ = service->engine_->slots_;
+        facts.memory_tokens_ = service->engine_->memory_tokens_;
+        facts.starts_per_second_ = cold_starts(*service, item, 1, now);
+        out[service->name_].push_back(std::move(facts));
+    }
+    return out;
+}
+
+std::vector<policy::plain_endpoint> plain_endpoints_of(
+    const catalog_section& catalog,
+    const endpoint_section& endpoints,
+    const core::service_id& service,
+    std::int64_t hosts,
+    core::time_point now)
+{
+    std::vector<policy::plain_endpoint> out;
+    const control::catalog_service* known =
+        catalog.view_ ? catalog.view_->find_service(service) : nullptr;
+    if (known == nullptr)
+    {
+        return out;
+    }
+    for (const auto& [name, item] : endpoints.endpoints_)
+    {
+        if (item.listed_.service_ == service)
+        {
+            out.push_back(
+                {name,
+                 item.listed_.zone_,
+                 item.listed_.slots_,
+                 usable(catalog, item.listed_),
+                 cold_starts(*known, item, hosts, now)});
+        }
+    }
+    return out;
+}
+
+std::map<core::account_id, policy::rate_limit> limits_of(
+    const control::catalog& catalog, const fleet_bounds& bounds)
+{
+    std::map<core::account_id, policy::rate_limit> out;
+    for (const control::catalog_account& account : catalog.accounts_)
+    {
+        if (account.rate_ <= 0)
+        {
+            continue;
+        }
+        const double excess = 1 + bounds.rate_excess_ * slack_part;
+        const double slack =
+            account.counts_tokens_
+                ? slack_part * static_cast<double>(bounds.rate_slack_)
+                : 0;
+        out[account.name_] = {
+            static_cast<std::int64_t>(
+                static_cast<double>(account.rate_) * excess),
+            static_cast<std::int64_t>(
+                static_cast<double>(account.burst_) * excess + slack)};
+    }
+    return out;
+}
+
+void take_list(
+    endpoint_section& section,
+    std::span<const listed_endpoint> list,
+    core::time_point read_at)
+{
+    section.endpoints_.clear();
+    for (const listed_endpoint& item : list)
+    {
+        section.endpoints_[item.name_] = {item, read_at + item.cold_for_};
+    }
+    section.read_at_ = read_at;
+    ++section.revision_;
+    for (const auto& call : section.on_change_)
+    {
+        call();
+    }
+}
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/plain_edge.cpp
@@ -0,0 +1,231 @@
+#include "node/plain_edge.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace poplarroute::node
+{
+
+namespace
+{
+
+/// An endpoint that does not take a connection in this time is not there;
+/// the way between zones and back takes some milliseconds.
+constexpr core::duration connect_patience{150};
+
+/// Less time than this is not worth a send.
+constexpr core::duration least_left{10};
+
+/// Endpoints tried in a row that could not be reached, or rejected the call.
+constexpr int most_unsent = 4;
+constexpr int most_rejected = 3;
+
+/// The first send of an idempotent call may take this part of the time left;
+/// the rest is for another endpoint.
+constexpr std::int64_t first_send_part = 2;
+
+/// When to come back after a refusal for want of an endpoint or its room.
+constexpr core::duration retry_after{150};
+
+constexpr int first_error_status = 500;
+
+} // namespace
+
+plain_edge::plain_edge(edge_tools& tools, edge_call& call, edge_end& end)
+    : tools_(tools),
+      call_(call),
+      end_(end),
+      balancer_(
+          tools.balancers_
+              .try_emplace(
+                  call.service_,
+                  static_cast<std::uint64_t>(core::steady_now().ms_))
+              .first->second)
+{
+}
+
+plain_edge::~plain_edge()
+{
+    // Reached with a try under way only when the caller has left.
+    close_try(policy::call_outcome::shed);
+}
+
+void plain_edge::close_try(policy::call_outcome outcome)
+{
+    if (!endpoint_.empty())
+    {
+        balancer_.end(endpoint_, outcome, began_, core::steady_now());
+        endpoint_.clear();
+    }
+}
+
+bool plain_edge::idempotent() const
+{
+    return call_.route_.kind_ == control::call_kind::idempotent;
+}
+
+bool plain_edge::choose()
+{
+    const core::time_point now = core::steady_now();
+    const context& with = tools_.with_;
+    const std::vector<policy::plain_endpoint> known = plain_endpoints_of(
+        with.board_.section<catalog_section>(),
+        with.board_.section<endpoint_section>(),
+        call_.service_,
+        with.board_.section<group_section>().hosts_,
+        now);
+    balancer_.set_endpoints(known);
+    const auto chosen = balancer_.begin(
+        with.board_.section<settings_section>().settings_.zone_, avoid_, now);
+    if (!chosen)
+    {
+        return false;
+    }
+    endpoint_ = *chosen;
+    end_.endpoint_ = endpoint_;
+    began_ = now;
+    return true;
+}
+
+core::duration plain_edge::patience() const
+{
+    const core::duration left = time_left(call_);
+    const bool another = idempotent() && end_.sends_ == 0 &&
+                         call_.route_.most_endpoints_ > 1;
+    return another ? core::duration{left.ms_ / first_send_part} : left;
+}
+
+awaitable<plain_edge::verdict> plain_edge::send()
+{
+    const known_endpoint* to = tools_.find(endpoint_);
+    if (to == nullptr)
+    {
+        close_try(policy::call_outcome::unreachable);
+        co_return verdict::nothing_sent;
+    }
+    send_plan plan;
+    plan.address_ = to->listed_.address_;
+    plan.endpoint_ = endpoint_;
+    plan.account_ = call_.account_;
+    plan.deadline_ = time_left(call_);
+    drivers::http_call out = tools_.dialect_.encode_call(call_.request_, plan);
+    out.timeout_ = patience();
+    out.connect_timeout_ = std::min(connect_patience, out.timeout_);
+    ++end_.sends_;
+    const core::result<drivers::http_reply> reply =
+        co_await tools_.with_.http_.request(std::move(out));
+    co_return judge(reply);
+}
+
+plain_edge::verdict plain_edge::judge(
+    const core::result<drivers::http_reply>& reply)
+{
+    using policy::call_outcome;
+    if (!core::is_ok(reply))
+    {
+        const core::error& why = core::failure(reply);
+        end_.detail_ = why.message_;
+        if (why.code_ == core::errc::unreachable)
+        {
+            --end_.sends_;
+            close_try(call_outcome::unreachable);
+            return verdict::nothing_sent;
+        }
+        close_try(call_outcome::broken);
+        return verdict::may_have_run;
+    }
+    const drivers::http_reply& got = core::value(reply);
+    const answer_facts facts = tools_.dialect_.facts_of(
+        call_.request_, got.status_, got.headers_);
+    if (facts.running_)
+    {
+        balancer_.told_load(
+            endpoint_, *facts.running_, facts.waiting_, core::steady_now());
+    }
+    if (facts.misdirected_ || facts.not_run_)
+    {
+        end_.detail_ =
+            facts.misdirected_ ? "misdirected" : "rejected by the endpoint";
+        close_try(
+            facts.misdirected_ ? call_outcome::unreachable
+                               : call_outcome::shed);
+        return verdict::not_run;
+    }
+    if (!facts.signed_ || !facts.echoes_attempt_)
+    {
+        end_.detail_ = "the answer is not this request's";
+        close_try(call_outcome::broken);
+        return verdict::may_have_run;
+    }
+    const bool error = got.status_ >= first_error_status;
+    close_try(error ? call_outcome::errored : call_outcome::answered);
+    reply_ = got;
+    return verdict::answered;
+}
+
+bool plain_edge::may_go_on(verdict last)
+{
+    if (time_left(call_) <= least_left)
+    {
+        return false;
+    }
+    switch (last)
+    {
+    case verdict::answered:
+        return false;
+    case verdict::nothing_sent:
+        return ++unsent_ < most_unsent;
+    case verdict::not_run:
+        return ++rejected_ < most_rejected && tools_.may_resend(call_.service_);
+    case verdict::may_have_run:
+        in_doubt_ = true;
+        return idempotent() && end_.sends_ < call_.route_.most_endpoints_ &&
+               tools_.may_resend(call_.service_);
+    }
+    return false;
+}
+
+awaitable<void> plain_edge::run(drivers::http_exchange& exchange)
+{
+    verdict last = verdict::nothing_sent;
+    bool more = true;
+    while (more)
+    {
+        const bool chosen = choose();
+        if (!chosen)
+        {
+            break;
+        }
+        const core::endpoint_id tried = endpoint_;
+        last = co_await send();
+        avoid_.insert(tried);
+        more = may_go_on(last);
+    }
+    if (last == verdict::answered)
+    {
+        end_.status_ = reply_.status_;
+        end_.outcome_ = "answered";
+        drivers::header_list headers =
+            tools_.dialect_.answer_headers(reply_.headers_);
+        co_await exchange.send(
+            reply_.status_, std::move(headers), std::move(reply_.body_));
+        co_return;
+    }
+    std::optional<core::duration> retry;
+    if (!in_doubt_)
+    {
+        end_.status_ = status_unavailable;
+        end_.outcome_ = "refused_no_endpoint";
+        retry = retry_after;
+    }
+    else
+    {
+        const bool late = time_left(call_) <= least_left;
+        end_.status_ = late ? status_timeout : status_bad_gateway;
+        end_.outcome_ = late ? "timed_out" : "endpoint_lost";
+    }
+    co_await answer_own(
+        exchange, tools_.dialect_, call_.request_, end_.status_, retry);
+}
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/plain_edge.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "node/edge_call.hpp"
+
+namespace poplarroute::node
+{
+
+/// Carries one call to a plain service: chooses endpoints, sends it, sends it
+/// again where that is allowed, and answers the caller.
+class plain_edge
+{
+public:
+    plain_edge(edge_tools& tools, edge_call& call, edge_end& end);
+    ~plain_edge();
+    plain_edge(const plain_edge&) = delete;
+    plain_edge& operator=(const plain_edge&) = delete;
+
+    awaitable<void> run(drivers::http_exchange& exchange);
+
+private:
+    /// What one send came to.
+    enum class verdict
+    {
+        answered,   ///< There is an answer for the caller.
+        not_run,    ///< The endpoint says it did not run it.
+        nothing_sent,
+        may_have_run,
+    };
+
+    bool idempotent() const;
+    bool choose();
+    core::duration patience() const;
+    awaitable<verdict> send();
+    verdict judge(const core::result<drivers::http_reply>& reply);
+    bool may_go_on(verdict last);
+    void close_try(policy::call_outcome outcome);
+
+    edge_tools& tools_;
+    edge_call& call_;
+    edge_end& end_;
+    policy::plain_balancer& balancer_;
+    std::set<core::endpoint_id> avoid_;
+    core::endpoint_id endpoint_; ///< Of the try under way; empty: none.
+    core::time_point began_;
+    drivers::http_reply reply_;
+    int unsent_ = 0;
+    int rejected_ = 0;
+    bool in_doubt_ = false; ///< A send may have run.
+};
+
+} // namespace poplarroute::node
--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -32,24 +32,41 @@
 constexpr std::size_t most_messages = 4'096;
 constexpr int storage_exit_status = 3;
 
+/// Between two tries to use a disk again that refused a write.
+constexpr core::duration reopen_every{250};
+
+template <class Machine>
 control::snapshot first_snapshot(const control::member_group& group)
 {
-    return {1, 1, group, control::state_machine().encode()};
+    return {1, 1, group, Machine().encode()};
 }
 
-/// The member's disk can no longer be trusted to hold what it promised.
+/// What the member was told or holds cannot be read by this program.
 [[noreturn]] void stop_for_storage(const std::string& why)
 {
     log_event(log_level::error, "storage_failed", {{"why", why}});
+    drivers::flush_log();
     std::_Exit(storage_exit_status);
 }
 
 } // namespace
 
-replica::replica(context& with) : with_(with), wake_(with.io_) {}
+template <class Machine>
+log_member<Machine>::log_member(context& with) : with_(with), wake_(with.io_) {}
+
+template <class Machine>
+core::result<core::done> log_member<Machine>::open()
+{
+    return load();
+}
 
-core::result<core::done> replica::open()
+template <class Machine>
+core::result<core::done> log_member<Machine>::load()
 {
+    disk_.reset();
+    contents_ = {};
+    machine_ = Machine();
+    applied_ = 0;
     auto opened = drivers::disk_log::open(
         with_.identity().settings_.data_folder_, contents_);
     if (!core::is_ok(opened))
@@ -66,7 +83,7 @@
     }
     if (contents_.snapshot_.index_ > 0)
     {
-        auto state = control::state_machine::decode(contents_.snapshot_.state_);
+        auto state = Machine::decode(contents_.snapshot_.state_);
         if (!state)
         {
             return error{errc::storage, "the snapshot's state is damaged"};
@@ -78,7 +95,8 @@
     return core::done();
 }
 
-void replica::make_raft()
+template <class Machine>
+void log_member<Machine>::make_raft()
 {
     control::raft_start start;
     start.host_ = with_.identity().host_;
@@ -92,32 +110,37 @@
         std::make_unique<control::raft>(std::move(start), core::steady_now());
 }
 
-void replica::start()
+template <class Machine>
+void log_member<Machine>::start()
 {
     register_calls();
     drivers::spawn(with_.io_, run());
 }
 
-void replica::on_change(std::function<void()> call)
+template <class Machine>
+void log_member<Machine>::on_change(std::function<void()> call)
 {
     on_change_.push_back(std::move(call));
 }
 
-bool replica::leads() const
+template <class Machine>
+bool log_member<Machine>::leads() const
 {
-    return raft_->role() == control::raft_role::leader;
+    return !suspended_ && raft_->role() == control::raft_role::leader;
 }
 
-core::host_id replica::leader() const
+template <class Machine>
+core::host_id log_member<Machine>::leader() const
 {
     return raft_->leader();
 }
 
-std::optional<core::time_point> replica::current_at() const
+template <class Machine>
+std::optional<core::time_point> log_member<Machine>::current_at() const
 {
     const core::time_point now = core::steady_now();
     const core::time_point heard = raft_->last_contact(now);
-    if (heard.ms_ == 0 || raft_->commit_index() != applied_ ||
+    if (suspended_ || heard.ms_ == 0 || raft_->commit_index() != applied_ ||
         raft_->leader().empty())
     {
         return std::nullopt;
@@ -125,12 +148,15 @@
     return heard;
 }
 
-void replica::wake()
+template <class Machine>
+void log_member<Machine>::wake()
 {
     wake_.cancel();
 }
 
-awaitable<core::result<control::command_reply>> replica::submit(
+template <class Machine>
+awaitable<core::result<typename log_member<Machine>::command_reply>>
+log_member<Machine>::submit(
     std::string bytes)
 {
     if (!leads())
@@ -142,7 +168,7 @@
         co_return error{errc::overloaded, "too many commands wait"};
     }
     auto reply =
-        std::make_shared<awaited<core::result<control::command_reply>>>(
+        std::make_shared<awaited<core::result<command_reply>>>(
             with_.io_);
     proposals_.push_back({std::move(bytes), reply});
     wake();
@@ -154,7 +180,8 @@
     co_return *got;
 }
 
-awaitable<core::result<core::done>> replica::read_barrier()
+template <class Machine>
+awaitable<core::result<core::done>> log_member<Machine>::read_barrier()
 {
     if (!leads())
     {
@@ -171,7 +198,8 @@
     co_return *got;
 }
 
-awaitable<void> replica::run()
+template <class Machine>
+awaitable<void> log_member<Machine>::run()
 {
     for (;;)
     {
@@ -188,7 +216,8 @@
     }
 }
 
-awaitable<void> replica::step_all()
+template <class Machine>
+awaitable<void> log_member<Machine>::step_all()
 {
     co_await perform(raft_->tick(core::steady_now()));
     std::deque<control::raft_message> messages = std::move(inbox_);
@@ -214,7 +243,8 @@
     co_await snapshot_if_due();
 }
 
-awaitable<void> replica::step_proposals()
+template <class Machine>
+awaitable<void> log_member<Machine>::step_proposals()
 {
     std::vector<proposal> batch = std::move(proposals_);
     proposals_.clear();
@@ -250,7 +280,8 @@
     co_await perform(std::move(core::value(actions)));
 }
 
-awaitable<void> replica::step_group_changes()
+template <class Machine>
+awaitable<void> log_member<Machine>::step_group_changes()
 {
     std::vector<group_change> changes = std::move(group_changes_);
     group_changes_.clear();
@@ -274,32 +305,35 @@
     }
 }
 
-awaitable<void> replica::perform(control::raft_actions actions)
+template <class Machine>
+awaitable<void> log_member<Machine>::perform(control::raft_actions actions)
 {
     if (actions.touches_disk())
     {
-        co_await write(actions);
+        const bool written = co_await write(actions);
+        if (!written)
+        {
+            co_return;
+        }
     }
     if (actions.install_)
     {
-        auto state = control::state_machine::decode(actions.install_->state_);
+        auto state = Machine::decode(actions.install_->state_);
         if (!state)
         {
             stop_for_storage("the leader's snapshot cannot be read");
         }
         machine_ = std::move(*state);
         applied_ = actions.install_->index_;
-        for (const auto& call : on_change_)
-        {
-            call();
-        }
+        notify();
     }
     send(actions.send_);
     apply(actions.committed_);
     answer_reads(actions);
 }
 
-awaitable<void> replica::write(const control::raft_actions& actions)
+template <class Machine>
+awaitable<bool> log_member<Machine>::write(const control::raft_actions& actions)
 {
     const auto work = [&]() -> awaitable<core::result<core::done>>
     {
@@ -307,13 +341,41 @@
     };
     const core::result<core::done> written =
         co_await asio::co_spawn(disk_thread_, work, asio::use_awaitable);
-    if (!core::is_ok(written))
+    if (core::is_ok(written))
+    {
+        co_return true;
+    }
+    std::string why = core::failure(written).message_;
+    co_await reopen(std::move(why));
+    co_return false;
+}
+
+/// Starts again from what the disk holds, once it takes writes. Nothing of
+/// the failed step was sent, so this is the same as a restart.
+template <class Machine>
+awaitable<void> log_member<Machine>::reopen(std::string why)
+{
+    suspended_ = true;
+    log_event(log_level::error, "disk_lost", {{"why", why}});
+    fail_waiting();
+    for (;;)
     {
-        stop_for_storage(core::failure(written).message_);
+        co_await drivers::sleep_for(reopen_every);
+        const core::result<core::done> loaded = load();
+        if (core::is_ok(loaded))
+        {
+            break;
+        }
     }
+    suspended_ = false;
+    inbox_.clear();
+    log_event(
+        log_level::info, "disk_regained", {{"index", raft_->log().last_index()}});
+    notify();
 }
 
-void replica::send(const std::vector<control::raft_message>& messages)
+template <class Machine>
+void log_member<Machine>::send(const std::vector<control::raft_message>& messages)
 {
     for (const control::raft_message& message : messages)
     {
@@ -334,7 +396,8 @@
     }
 }
 
-void replica::apply(const std::vector<control::log_entry>& entries)
+template <class Machine>
+void log_member<Machine>::apply(const std::vector<control::log_entry>& entries)
 {
     bool changed = false;
     for (const control::log_entry& entry : entries)
@@ -357,9 +420,9 @@
         {
             continue;
         }
-        const std::uint64_t before = machine_.fleet().version();
-        const control::command_reply reply = machine_.apply(entry.payload_);
-        changed = changed || machine_.fleet().version() != before;
+        const std::uint64_t before = machine_.revision();
+        const command_reply reply = machine_.apply(entry.payload_);
+        changed = changed || machine_.revision() != before;
         const auto found = waiting_.find(entry.index_);
         if (found != waiting_.end() && own)
         {
@@ -369,14 +432,21 @@
     }
     if (changed)
     {
-        for (const auto& call : on_change_)
-        {
-            call();
-        }
+        notify();
     }
 }
 
-void replica::answer_reads(const control::raft_actions& actions)
+template <class Machine>
+void log_member<Machine>::notify()
+{
+    for (const auto& call : on_change_)
+    {
+        call();
+    }
+}
+
+template <class Machine>
+void log_member<Machine>::answer_reads(const control::raft_actions& actions)
 {
     const auto answer = [&](std::uint64_t id, core::result<core::done> reply)
     {
@@ -397,7 +467,8 @@
     }
 }
 
-void replica::fail_waiting()
+template <class Machine>
+void log_member<Machine>::fail_waiting()
 {
     const error lost{errc::not_leader, raft_->leader()};
     for (auto& [index, item] : waiting_)
@@ -412,7 +483,8 @@
     waiting_changes_.clear();
 }
 
-awaitable<void> replica::snapshot_if_due()
+template <class Machine>
+awaitable<void> log_member<Machine>::snapshot_if_due()
 {
     const control::log_index last = raft_->log().latest_snapshot().index_;
     if (applied_ < last + snapshot_every)
@@ -429,12 +501,15 @@
         co_await asio::co_spawn(disk_thread_, work, asio::use_awaitable);
     if (!core::is_ok(written))
     {
-        stop_for_storage(core::failure(written).message_);
+        std::string why = core::failure(written).message_;
+        co_await reopen(std::move(why));
+        co_return;
     }
     log_event(log_level::info, "snapshot_taken", {{"index", taken.index_}});
 }
 
-core::result<core::done> replica::bootstrap(const control::member_group& group)
+template <class Machine>
+core::result<core::done> log_member<Machine>::bootstrap(const control::member_group& group)
 {
     const control::member* self = group.find(with_.identity().host_);
     if (self == nullptr || self->store_ != contents_.store_)
@@ -449,20 +524,22 @@
     {
         return error{errc::conflict, "this member has a group already"};
     }
-    const control::snapshot first = first_snapshot(group);
+    const control::snapshot first = first_snapshot<Machine>(group);
     const core::result<core::done> written = disk_->write_snapshot(first);
     if (!core::is_ok(written))
     {
-        stop_for_storage(core::failure(written).message_);
+        return core::failure(written);
     }
     contents_.snapshot_ = first;
+    machine_ = Machine();
     applied_ = first.index_;
     make_raft();
     log_event(log_level::info, "bootstrapped", {{"store", contents_.store_}});
     return core::done();
 }
 
-awaitable<core::result<core::done>> replica::change_group(
+template <class Machine>
+awaitable<core::result<core::done>> log_member<Machine>::change_group(
     std::string action, core::host_id host, std::string store)
 {
     if (!leads())
@@ -511,7 +588,8 @@
     co_return *got;
 }
 
-void replica::register_calls()
+template <class Machine>
+void log_member<Machine>::register_calls()
 {
     with_.calls_.add(
         method::raft,
@@ -581,4 +659,7 @@
         });
 }
 
+template class log_member<control::state_machine>;
+template class log_member<control::catalog_machine>;
+
 } // namespace poplarroute::node
--- a/node/replica.hpp
+++ b/node/replica.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/thread_pool.hpp>
 
+#include "control/catalog_machine.hpp"
 #include "control/raft.hpp"
 #include "control/state_machine.hpp"
 #include "drivers/disk_log.hpp"
@@ -28,11 +29,18 @@
 ///
 /// Steps run one after another. What a step wants on the disk is written and
 /// synced on a thread of its own before anything is sent or applied, and all
-/// commands that came meanwhile go into the next step together.
-class replica
+/// commands that came meanwhile go into the next step together. A disk that
+/// refuses a write is read again from its files until it takes writes: the
+/// member is silent meanwhile, as if its process had stopped.
+/// \tparam Machine what the log drives: apply(), revision(), encode(),
+/// decode() and the type reply.
+template <class Machine>
+class log_member
 {
 public:
-    explicit replica(context& with);
+    using command_reply = typename Machine::reply;
+
+    explicit log_member(context& with);
 
     /// Opens the data folder.
     /// \return an error of kind storage when it cannot be used.
@@ -45,7 +53,7 @@
     /// \param bytes an encoded command.
     /// \return its reply once committed and applied; not_leader, also when
     /// the leadership was lost meanwhile and the outcome is unknown.
-    awaitable<core::result<control::command_reply>> submit(std::string bytes);
+    awaitable<core::result<command_reply>> submit(std::string bytes);
 
     /// Waits until this member, as leader, may answer reads.
     awaitable<core::result<core::done>> read_barrier();
@@ -55,7 +63,7 @@
 
     bool leads() const;
     core::host_id leader() const;
-    const control::state_machine& state() const
+    const Machine& state() const
     {
         return machine_;
     }
@@ -65,6 +73,19 @@
         return raft_.get();
     }
 
+    const control::store_id& store() const
+    {
+        return contents_.store_;
+    }
+
+    /// Gives a blank member its first group.
+    core::result<core::done> bootstrap(const control::member_group& group);
+
+    /// Changes the group by one member, at the leader.
+    /// \param action "add", "promote" or "remove".
+    awaitable<core::result<core::done>> change_group(
+        std::string action, core::host_id host, std::string store);
+
     /// Called after the directory has changed.
     void on_change(std::function<void()> call);
 
@@ -72,7 +93,7 @@
     struct proposal
     {
         std::string bytes_;
-        std::shared_ptr<awaited<core::result<control::command_reply>>> reply_;
+        std::shared_ptr<awaited<core::result<command_reply>>> reply_;
     };
 
     struct group_change
@@ -90,22 +111,23 @@
     awaitable<void> step_proposals();
     awaitable<void> step_group_changes();
     awaitable<void> perform(control::raft_actions actions);
-    awaitable<void> write(const control::raft_actions& actions);
+    awaitable<bool> write(const control::raft_actions& actions);
+    awaitable<void> reopen(std::string why);
+    core::result<core::done> load();
+    void notify();
     awaitable<void> snapshot_if_due();
     void send(const std::vector<control::raft_message>& messages);
     void apply(const std::vector<control::log_entry>& entries);
     void answer_reads(const control::raft_actions& actions);
     void fail_waiting();
     void wake();
-    core::result<core::done> bootstrap(const control::member_group& group);
-    awaitable<core::result<core::done>> change_group(
-        std::string action, core::host_id host, std::string store);
 
     context& with_;
     drivers::disk_contents contents_;
     std::unique_ptr<drivers::disk_log> disk_;
     std::unique_ptr<control::raft> raft_;
-    control::state_machine machine_;
+    Machine machine_;
+    bool suspended_ = false; ///< The disk refuses writes.
     control::log_index applied_ = 0;
     drivers::asio::thread_pool disk_thread_{1};
     drivers::asio::steady_timer wake_;
@@ -121,4 +143,13 @@
     std::vector<std::function<void()>> on_change_;
 };
 
+extern template class log_member<control::state_machine>;
+extern template class log_member<control::catalog_machine>;
+
+/// A member of the group that keeps the product's own directory.
+using replica = log_member<control::state_machine>;
+
+/// A member of the group that keeps the catalog.
+using catalog_replica = log_member<control::catalog_machine>;
+
 } // namespace poplarroute::node
--- /dev/null
+++ b/node/stream_desk.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "node/catalog_messages.hpp"
+#include "node/context.hpp"
+#include "node/fleet_sections.hpp"
+#include "policy/stream_broker.hpp"
+
+namespace poplarroute::node
+{
+
+/// Lets streams wait for the decisions of a broker, one broker a service.
+///
+/// The group's leader has one for the fleet; an entry host has one of its own
+/// for when it reaches no leader.
+class stream_desk
+{
+public:
+    explicit stream_desk(context& with);
+
+    void start();
+
+    /// Takes over engines from the catalog and the list.
+    void refresh();
+
+    /// Waits for a place.
+    awaitable<place_reply> place(want_message want);
+
+    void end(const end_message& ending);
+    void note(const note_message& what);
+    void reconcile(
+        const core::host_id& host, const std::vector<place_message>& places);
+
+    /// Forgets all places: another desk has decided meanwhile.
+    void reset();
+
+private:
+    using answer = std::shared_ptr<awaited<place_reply>>;
+
+    awaitable<void> run();
+    void decide_all();
+    policy::stream_broker* find(const core::service_id& service);
+
+    context& with_;
+    std::map<core::service_id, policy::stream_broker> brokers_;
+    std::map<std::string, answer> waiting_;
+};
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/stream_edge.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "node/catalog_feed.hpp"
+#include "node/catalog_messages.hpp"
+#include "node/edge_call.hpp"
+#include "node/event_reader.hpp"
+#include "node/stream_desk.hpp"
+
+namespace poplarroute::node
+{
+
+/// Asks for streams' places: the group's leader, or this host's own desk when
+/// no leader is reached.
+class placement_link
+{
+public:
+    placement_link(context& with, stream_desk& own);
+
+    awaitable<place_reply> place(want_message want);
+
+    /// Says that a place is free, and how its stream went.
+    void end(end_message ending);
+
+    /// Says what happened at an engine.
+    void note(note_message what);
+
+private:
+    awaitable<void> tell_end(core::host_id leader, end_message ending);
+    awaitable<void> tell_note(core::host_id leader, note_message what);
+
+    context& with_;
+    stream_desk& own_;
+};
+
+/// Carries one stream: waits for its place, has the prompt read, relays the
+/// decode engine's events whole and in order, and goes on at another engine
+/// where the route allows it.
+class stream_edge
+{
+public:
+    stream_edge(
+        edge_tools& tools,
+        placement_link& places,
+        edge_call& call,
+        edge_end& end);
+    ~stream_edge();
+    stream_edge(const stream_edge&) = delete;
+    stream_edge& operator=(const stream_edge&) = delete;
+
+    awaitable<void> run(drivers::http_exchange& exchange);
+
+private:
+    /// What became of a part of the work.
+    enum class step
+    {
+        done,
+        again,   ///< Another place may do better.
+        refused, ///< Nothing has run; the caller may come back.
+        failed,  ///< It may have run.
+    };
+
+    want_message next_want() const;
+    awaitable<step> take_place();
+    awaitable<step> read_prompt();
+    awaitable<step> open_decode();
+    step judge_decode();
+    awaitable<step> relay(drivers::http_exchange& exchange);
+    awaitable<bool> pass_on(
+        drivers::http_exchange& exchange, stream_event event);
+    awaitable<step> one_run(drivers::http_exchange& exchange);
+    bool may_try_again();
+    bool may_resume() const;
+    void leave_place(bool complete);
+    void forget_handle();
+    void blame(const core::endpoint_id& engine);
+    awaitable<void> answer_failure(
+        drivers::http_exchange& exchange, step last);
+
+    edge_tools& tools_;
+    placement_link& places_;
+    edge_call& call_;
+    edge_end& end_;
+    place_reply place_;
+    bool has_place_ = false;
+    std::string place_id_;
+    int places_taken_ = 0;
+    std::set<core::endpoint_id> avoid_;
+    bool decode_reads_prompt_ = false;
+    std::optional<prompt_handle> handle_;
+    std::string handle_address_;
+    core::time_point handle_at_;
+    core::duration read_;
+    std::unique_ptr<drivers::http_stream> stream_;
+    event_reader events_;
+    std::optional<std::int64_t> last_event_;
+    core::time_point first_event_at_;
+    core::time_point last_event_at_;
+    core::duration retry_after_;
+    int prompt_reads_ = 0;
+};
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/policy/account_meter.cpp
@@ -0,0 +1,226 @@
+#include "policy/account_meter.hpp"
+
+#include <algorithm>
+
+namespace poplarroute::policy
+{
+
+namespace
+{
+
+constexpr double ms_per_second = 1'000;
+
+/// Without word for so long, a host keeps to its own part of each limit. Word
+/// comes each fifth of a second.
+constexpr core::duration word_valid{1'000};
+
+/// A new ledger believes what hosts tell of levels for so long.
+constexpr core::duration settling{1'500};
+
+} // namespace
+
+void meter_ledger::refill(entry& of, core::time_point now)
+{
+    const auto passed = static_cast<double>((now - of.filled_at_).ms_);
+    of.level_ = std::min(
+        static_cast<double>(of.limit_.burst_),
+        of.level_ +
+            passed * static_cast<double>(of.limit_.rate_) / ms_per_second);
+    of.filled_at_ = now;
+}
+
+void meter_ledger::set_limits(
+    const std::map<core::account_id, rate_limit>& limits, core::time_point now)
+{
+    std::erase_if(
+        entries_,
+        [&](const auto& item)
+        {
+            return limits.count(item.first) == 0;
+        });
+    for (const auto& [account, limit] : limits)
+    {
+        const auto [found, fresh] = entries_.try_emplace(account);
+        entry& of = found->second;
+        if (fresh)
+        {
+            of.level_ = static_cast<double>(limit.burst_);
+            of.filled_at_ = now;
+            of.began_ = now;
+        }
+        refill(of, now);
+        of.limit_ = limit;
+        of.level_ = std::min(of.level_, static_cast<double>(limit.burst_));
+    }
+}
+
+std::int64_t meter_ledger::settle(
+    const core::account_id& account,
+    std::int64_t used,
+    std::int64_t told_level,
+    core::time_point now)
+{
+    const auto found = entries_.find(account);
+    if (found == entries_.end())
+    {
+        return told_level;
+    }
+    entry& of = found->second;
+    refill(of, now);
+    of.level_ -= static_cast<double>(used);
+    if (now - of.began_ < settling)
+    {
+        of.level_ = std::min(of.level_, static_cast<double>(told_level));
+    }
+    return static_cast<std::int64_t>(of.level_);
+}
+
+void account_meter::set_limits(
+    const std::map<core::account_id, rate_limit>& limits,
+    std::int64_t hosts,
+    core::time_point now)
+{
+    hosts_ = std::max<std::int64_t>(hosts, 1);
+    std::erase_if(
+        entries_,
+        [&](const auto& item)
+        {
+            return limits.count(item.first) == 0;
+        });
+    for (const auto& [account, limit] : limits)
+    {
+        const auto [found, fresh] = entries_.try_emplace(account);
+        entry& of = found->second;
+        if (fresh)
+        {
+            of.level_ = static_cast<double>(limit.burst_);
+            of.filled_at_ = now;
+            of.told_at_ = now;
+        }
+        refill(of, now);
+        of.limit_ = limit;
+        of.level_ = std::min(of.level_, static_cast<double>(limit.burst_));
+    }
+}
+
+void account_meter::refill(entry& of, core::time_point now) const
+{
+    const bool alone = now - of.told_at_ > word_valid;
+    const auto parts = static_cast<double>(alone ? hosts_ : 1);
+    const auto burst = static_cast<double>(of.limit_.burst_) / parts;
+    const auto passed = static_cast<double>((now - of.filled_at_).ms_);
+    if (alone && !of.alone_)
+    {
+        of.level_ = std::min(of.level_, burst);
+    }
+    of.alone_ = alone;
+    of.level_ = std::min(
+        burst,
+        of.level_ + passed * static_cast<double>(of.limit_.rate_) / parts /
+                        ms_per_second);
+    of.filled_at_ = now;
+}
+
+bool account_meter::admit(
+    const core::account_id& account, std::int64_t tokens, core::time_point now)
+{
+    const auto found = entries_.find(account);
+    if (found == entries_.end() || found->second.limit_.rate_ == 0)
+    {
+        return true;
+    }
+    entry& of = found->second;
+    refill(of, now);
+    if (of.level_ < static_cast<double>(tokens))
+    {
+        return false;
+    }
+    of.level_ -= static_cast<double>(tokens);
+    of.unsettled_ += tokens;
+    return true;
+}
+
+void account_meter::refund(const core::account_id& account, std::int64_t tokens)
+{
+    const auto found = entries_.find(account);
+    if (found != entries_.end())
+    {
+        found->second.level_ += static_cast<double>(tokens);
+        found->second.unsettled_ -= tokens;
+    }
+}
+
+core::duration account_meter::wait_for(
+    const core::account_id& account, std::int64_t tokens, core::time_point now)
+{
+    const auto found = entries_.find(account);
+    if (found == entries_.end() || found->second.limit_.rate_ == 0)
+    {
+        return {};
+    }
+    entry& of = found->second;
+    refill(of, now);
+    const double lacking = static_cast<double>(tokens) - of.level_;
+    const auto parts = static_cast<double>(of.alone_ ? hosts_ : 1);
+    return {static_cast<std::int64_t>(
+        std::max(lacking, 0.0) * ms_per_second * parts /
+        static_cast<double>(of.limit_.rate_))};
+}
+
+std::vector<unsettled_use> account_meter::take_unsettled(core::time_point now)
+{
+    std::vector<unsettled_use> out;
+    for (auto& [account, of] : entries_)
+    {
+        if (of.limit_.rate_ == 0)
+        {
+            continue;
+        }
+        refill(of, now);
+        out.push_back(
+            {account, of.unsettled_, static_cast<std::int64_t>(of.level_)});
+        of.unsettled_ = 0;
+    }
+    return out;
+}
+
+void account_meter::settled(
+    const core::account_id& account, std::int64_t level, core::time_point now)
+{
+    const auto found = entries_.find(account);
+    if (found == entries_.end())
+    {
+        return;
+    }
+    entry& of = found->second;
+    of.level_ = static_cast<double>(level - of.unsettled_);
+    of.filled_at_ = now;
+    of.told_at_ = now;
+    of.alone_ = false;
+}
+
+void account_meter::not_settled(std::span<const unsettled_use> uses)
+{
+    for (const unsettled_use& use : uses)
+    {
+        const auto found = entries_.find(use.account_);
+        if (found != entries_.end())
+        {
+            found->second.unsettled_ += use.used_;
+        }
+    }
+}
+
+std::int64_t account_meter::level(
+    const core::account_id& account, core::time_point now)
+{
+    const auto found = entries_.find(account);
+    if (found == entries_.end())
+    {
+        return 0;
+    }
+    refill(found->second, now);
+    return static_cast<std::int64_t>(found->second.level_);
+}
+
+} // namespace poplarroute::policy
--- /dev/null
+++ b/policy/resend_allowance.cpp
@@ -0,0 +1,56 @@
+#include "policy/resend_allowance.hpp"
+
+#include <algorithm>
+
+namespace poplarroute::policy
+{
+
+namespace
+{
+
+/// Part of the bound that is used: requests shift between hosts and windows.
+constexpr double used_part = 0.6;
+
+} // namespace
+
+void resend_allowance::set_bound(resend_bound bound, std::int64_t hosts)
+{
+    bound_ = bound;
+    hosts_ = std::max<std::int64_t>(hosts, 1);
+}
+
+void resend_allowance::forget(core::time_point now)
+{
+    const core::time_point since = now - bound_.window_;
+    while (!requests_.empty() && requests_.front() < since)
+    {
+        requests_.pop_front();
+    }
+    while (!sends_.empty() && sends_.front() < since)
+    {
+        sends_.pop_front();
+    }
+}
+
+void resend_allowance::request(core::time_point now)
+{
+    forget(now);
+    requests_.push_back(now);
+}
+
+bool resend_allowance::take(core::time_point now)
+{
+    forget(now);
+    const double most =
+        used_part *
+        (bound_.ratio_ * static_cast<double>(requests_.size()) +
+         static_cast<double>(bound_.slack_) / static_cast<double>(hosts_));
+    if (static_cast<double>(sends_.size()) + 1 > most)
+    {
+        return false;
+    }
+    sends_.push_back(now);
+    return true;
+}
+
+} // namespace poplarroute::policy
--- /dev/null
+++ b/policy/resend_allowance.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+
+#include "core/clock.hpp"
+
+namespace poplarroute::policy
+{
+
+/// The fleet's bound on sending requests a second time.
+struct resend_bound
+{
+    double ratio_ = 0.2;           ///< Of the requests in the window.
+    std::int64_t slack_ = 0;       ///< Besides, over all hosts together.
+    core::duration window_{10'000}; ///< Any span of this length counts.
+};
+
+/// One host's part of a bound on second sends over all hosts: its own
+/// requests pay in, and the slack is divided evenly.
+class resend_allowance
+{
+public:
+    void set_bound(resend_bound bound, std::int64_t hosts);
+
+    /// Notes a request.
+    void request(core::time_point now);
+
+    /// \return whether a second send may go out; it is noted then.
+    bool take(core::time_point now);
+
+private:
+    void forget(core::time_point now);
+
+    resend_bound bound_;
+    std::int64_t hosts_ = 1;
+    std::deque<core::time_point> requests_;
+    std::deque<core::time_point> sends_;
+};
+
+} // namespace poplarroute::policy
--- /dev/null
+++ b/policy/stream_broker.cpp
@@ -0,0 +1,539 @@
+#include "policy/stream_broker.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace poplarroute::policy
+{
+
+namespace
+{
+
+/// Weight of a new observation in a running mean.
+constexpr double news = 0.1;
+
+/// Used until answers have been seen: a large engine's usual figures.
+constexpr double first_read_rate = 45;
+constexpr double first_token_ms = 0.9;
+
+/// Without a hint or a mean, answers are taken for this part of the most.
+constexpr double first_output_part = 0.55;
+
+/// Memory that placed streams may be expected to use, of an engine's whole.
+/// The rest absorbs answers that are longer than expected.
+constexpr double fill_on_time = 0.92;
+constexpr double fill_late = 0.80;
+
+/// Mean part of its answer that a stream has made while it runs.
+constexpr double mean_progress = 0.55;
+
+/// A reader's backlog in ms up to which it is given another prompt: one that
+/// is about to finish keeps it busy, and more would only wait there.
+constexpr double reader_backlog_ms = 90;
+
+/// A failed engine is left out for so long, doubled up to a most.
+constexpr core::duration first_out{500};
+constexpr core::duration longest_out{8'000};
+
+/// Longer than a message's way: a place given just now is not yet told of.
+constexpr core::duration untold{1'500};
+
+/// A host that has said nothing for so long is gone with its streams.
+constexpr core::duration host_silence{4'000};
+
+/// Preference for engines near each other and near the caller, as a part of
+/// an engine's load.
+constexpr double far_penalty = 0.03;
+
+constexpr core::duration one_second{1'000};
+constexpr core::duration least_retry{300};
+
+void learn(double& mean, double seen)
+{
+    mean = mean == 0 ? seen : mean + news * (seen - mean);
+}
+
+} // namespace
+
+const char* name_of(stream_refusal_reason reason)
+{
+    switch (reason)
+    {
+    case stream_refusal_reason::no_engine:
+        return "no_engine";
+    case stream_refusal_reason::too_large:
+        return "too_large";
+    case stream_refusal_reason::no_room_soon:
+        return "no_room_soon";
+    case stream_refusal_reason::waited_out:
+        return "waited_out";
+    }
+    return "unknown";
+}
+
+void stream_broker::set_engines(std::span<const engine_facts> engines)
+{
+    std::map<core::endpoint_id, engine> next;
+    for (const engine_facts& facts : engines)
+    {
+        const auto found = engines_.find(facts.name_);
+        engine item = found == engines_.end() ? engine() : found->second;
+        item.facts_ = facts;
+        next.emplace(facts.name_, std::move(item));
+    }
+    engines_ = std::move(next);
+}
+
+void stream_broker::ask(stream_want want, core::time_point now)
+{
+    hosts_[want.host_] = now;
+    waiting_.push_back({std::move(want), now});
+}
+
+void stream_broker::free_reader(run& of)
+{
+    const auto reader = engines_.find(of.reader_);
+    if (reader != engines_.end())
+    {
+        reader->second.reading_tokens_ = std::max<std::int64_t>(
+            reader->second.reading_tokens_ - of.prompt_tokens_, 0);
+    }
+    of.reader_.clear();
+}
+
+void stream_broker::prompt_read(const std::string& id)
+{
+    const auto found = runs_.find(id);
+    if (found != runs_.end())
+    {
+        free_reader(found->second);
+    }
+}
+
+void stream_broker::release(const std::string& id)
+{
+    const auto found = runs_.find(id);
+    if (found != runs_.end())
+    {
+        free_reader(found->second);
+        runs_.erase(found);
+    }
+}
+
+void stream_broker::finished(const stream_end& end, core::time_point now)
+{
+    std::erase_if(
+        waiting_,
+        [&](const waiting_stream& item)
+        {
+            return item.want_.id_ == end.id_;
+        });
+    const auto found = runs_.find(end.id_);
+    if (found != runs_.end())
+    {
+        hosts_[found->second.host_] = now;
+    }
+    release(end.id_);
+    if (end.read_.ms_ > 0)
+    {
+        learn(
+            read_rate_,
+            static_cast<double>(end.prompt_tokens_) /
+                static_cast<double>(end.read_.ms_));
+    }
+    if (end.complete_ && end.output_tokens_ > 0)
+    {
+        const auto tokens = static_cast<double>(end.output_tokens_);
+        learn(output_mean_, tokens);
+        if (end.decode_.ms_ > 0)
+        {
+            learn(token_ms_, static_cast<double>(end.decode_.ms_) / tokens);
+        }
+    }
+}
+
+void stream_broker::failed(const core::endpoint_id& name, core::time_point now)
+{
+    const auto found = engines_.find(name);
+    if (found == engines_.end() || now < found->second.out_until_)
+    {
+        return;
+    }
+    engine& item = found->second;
+    item.out_for_ = item.out_for_.ms_ == 0
+                        ? first_out
+                        : std::min(item.out_for_ * 2, longest_out);
+    item.out_until_ = now + item.out_for_;
+}
+
+void stream_broker::worked(const core::endpoint_id& name)
+{
+    const auto found = engines_.find(name);
+    if (found != engines_.end())
+    {
+        found->second.out_for_ = {};
+        found->second.out_until_ = {};
+    }
+}
+
+void stream_broker::reconcile(
+    const core::host_id& host,
+    std::span<const held_place> held,
+    core::time_point now)
+{
+    hosts_[host] = now;
+    std::set<std::string> told;
+    for (const held_place& place : held)
+    {
+        told.insert(place.id_);
+        if (runs_.count(place.id_) != 0)
+        {
+            continue;
+        }
+        run item;
+        item.host_ = host;
+        item.decoder_ = place.decoder_;
+        item.prompt_tokens_ = place.prompt_tokens_;
+        item.expected_output_ = place.output_hint_;
+        item.placed_at_ = now - place.age_;
+        runs_.emplace(place.id_, std::move(item));
+    }
+    std::vector<std::string> gone;
+    for (const auto& [id, item] : runs_)
+    {
+        if (item.host_ == host && told.count(id) == 0 &&
+            now - item.placed_at_ > untold)
+        {
+            gone.push_back(id);
+        }
+    }
+    for (const std::string& id : gone)
+    {
+        release(id);
+    }
+}
+
+void stream_broker::expire(core::time_point now)
+{
+    std::erase_if(
+        hosts_,
+        [now](const auto& item)
+        {
+            return now - item.second > host_silence;
+        });
+    std::vector<std::string> gone;
+    for (const auto& [id, item] : runs_)
+    {
+        if (hosts_.count(item.host_) == 0)
+        {
+            gone.push_back(id);
+        }
+    }
+    for (const std::string& id : gone)
+    {
+        release(id);
+    }
+    std::erase_if(
+        waiting_,
+        [this](const waiting_stream& item)
+        {
+            return hosts_.count(item.want_.host_) == 0;
+        });
+}
+
+std::int64_t stream_broker::expected_output(const stream_want& want) const
+{
+    const auto most = static_cast<double>(want.most_output_);
+    double mean = output_mean_ > 0 ? output_mean_ : most * first_output_part;
+    if (want.output_hint_ > 0)
+    {
+        // The hint is right at its median and often far off.
+        mean = std::sqrt(mean * static_cast<double>(want.output_hint_));
+    }
+    return static_cast<std::int64_t>(std::min(mean, std::max(most, 1.0)));
+}
+
+stream_broker::load stream_broker::load_of(
+    const core::endpoint_id& name, core::time_point now) const
+{
+    const double token_ms = token_ms_ > 0 ? token_ms_ : first_token_ms;
+    load out;
+    for (const auto& [id, item] : runs_)
+    {
+        if (item.decoder_ != name)
+        {
+            continue;
+        }
+        const auto age = static_cast<double>((now - item.placed_at_).ms_);
+        const auto made = std::min<std::int64_t>(
+            static_cast<std::int64_t>(age / token_ms), item.expected_output_);
+        const auto mean = static_cast<std::int64_t>(
+            mean_progress * static_cast<double>(item.expected_output_));
+        out.now_tokens_ += item.prompt_tokens_ + made;
+        out.mean_tokens_ += item.prompt_tokens_ + std::max(made, mean);
+        ++out.runs_;
+    }
+    return out;
+}
+
+double stream_broker::fill(core::time_point now) const
+{
+    std::int64_t used = 0;
+    std::int64_t all = 0;
+    for (const auto& [name, item] : engines_)
+    {
+        if (!item.facts_.reads_prompts_)
+        {
+            used += load_of(name, now).mean_tokens_;
+            all += item.facts_.memory_tokens_;
+        }
+    }
+    return all == 0 ? 0
+                    : static_cast<double>(used) / static_cast<double>(all);
+}
+
+bool stream_broker::in_use(const engine& item, core::time_point now) const
+{
+    return item.facts_.usable_ && item.out_until_ <= now;
+}
+
+bool stream_broker::may_start(engine& item, core::time_point now) const
+{
+    while (!item.starts_.empty() && now - item.starts_.front() > one_second)
+    {
+        item.starts_.pop_front();
+    }
+    return item.facts_.starts_per_second_ == 0 ||
+           static_cast<std::int64_t>(item.starts_.size()) <
+               item.facts_.starts_per_second_;
+}
+
+stream_broker::engine* stream_broker::pick_reader(
+    const stream_want& want, core::time_point now)
+{
+    const double rate = read_rate_ > 0 ? read_rate_ : first_read_rate;
+    engine* best = nullptr;
+    double best_score = 0;
+    for (auto& [name, item] : engines_)
+    {
+        if (!item.facts_.reads_prompts_ || !in_use(item, now) ||
+            want.avoid_.count(name) != 0 || !may_start(item, now))
+        {
+            continue;
+        }
+        const double backlog =
+            static_cast<double>(item.reading_tokens_) / rate;
+        if (backlog > reader_backlog_ms)
+        {
+            continue;
+        }
+        const bool far = item.facts_.zone_ != want.zone_;
+        const double score =
+            backlog / reader_backlog_ms + (far ? far_penalty : 0);
+        if (best == nullptr || score < best_score)
+        {
+            best = &item;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+stream_broker::engine* stream_broker::pick_decoder(
+    const stream_want& want,
+    const core::zone_id& reader_zone,
+    bool late,
+    core::time_point now)
+{
+    const std::int64_t output = expected_output(want);
+    const double most_fill = late ? fill_late : fill_on_time;
+    engine* best = nullptr;
+    double best_score = 0;
+    for (auto& [name, item] : engines_)
+    {
+        if (item.facts_.reads_prompts_ || !in_use(item, now) ||
+            want.avoid_.count(name) != 0 || !may_start(item, now))
+        {
+            continue;
+        }
+        const load used = load_of(name, now);
+        const auto memory = static_cast<double>(item.facts_.memory_tokens_);
+        const auto own_mean = static_cast<double>(want.prompt_tokens_) +
+                              mean_progress * static_cast<double>(output);
+        const double after =
+            (static_cast<double>(used.mean_tokens_) + own_mean) / memory;
+        const double now_after =
+            static_cast<double>(used.now_tokens_ + want.prompt_tokens_) /
+            memory;
+        const bool alone = used.runs_ == 0;
+        const bool fits = after <= most_fill && now_after <= most_fill &&
+                          used.runs_ < item.facts_.slots_;
+        if (!fits && !alone)
+        {
+            continue;
+        }
+        const double score = after +
+                             (item.facts_.zone_ != reader_zone ? far_penalty : 0) +
+                             (item.facts_.zone_ != want.zone_ ? far_penalty : 0);
+        if (best == nullptr || score < best_score)
+        {
+            best = &item;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+bool stream_broker::try_place(
+    waiting_stream& item,
+    core::time_point now,
+    std::vector<stream_decision>& out)
+{
+    const stream_want& want = item.want_;
+    const bool late = now > want.on_time_until_;
+    const bool needs_reader =
+        !want.prompt_is_read_ && !want.decode_reads_prompt_;
+    engine* reader = nullptr;
+    if (needs_reader)
+    {
+        reader = pick_reader(want, now);
+        if (reader == nullptr)
+        {
+            return false;
+        }
+    }
+    const core::zone_id zone =
+        reader == nullptr ? want.zone_ : reader->facts_.zone_;
+    engine* decoder = pick_decoder(want, zone, late, now);
+    if (decoder == nullptr)
+    {
+        return false;
+    }
+    run placed;
+    placed.host_ = want.host_;
+    placed.decoder_ = decoder->facts_.name_;
+    placed.prompt_tokens_ = want.prompt_tokens_;
+    placed.expected_output_ = expected_output(want);
+    placed.placed_at_ = now;
+    decoder->starts_.push_back(now);
+    if (reader != nullptr)
+    {
+        placed.reader_ = reader->facts_.name_;
+        reader->reading_tokens_ += want.prompt_tokens_;
+        reader->starts_.push_back(now);
+    }
+    out.emplace_back(stream_place{
+        want.id_, placed.reader_, placed.decoder_, now - item.asked_at_});
+    release(want.id_);
+    runs_[want.id_] = std::move(placed);
+    return true;
+}
+
+std::optional<stream_refusal_reason> stream_broker::hopeless(
+    const waiting_stream& item, core::time_point now) const
+{
+    bool decoder = false;
+    bool large_enough = false;
+    for (const auto& [name, engine] : engines_)
+    {
+        if (engine.facts_.reads_prompts_ || !engine.facts_.usable_)
+        {
+            continue;
+        }
+        decoder = true;
+        large_enough = large_enough || engine.facts_.memory_tokens_ >
+                                           item.want_.prompt_tokens_;
+    }
+    if (!decoder)
+    {
+        return stream_refusal_reason::no_engine;
+    }
+    if (!large_enough)
+    {
+        return stream_refusal_reason::too_large;
+    }
+    if (now >= item.want_.give_up_at_)
+    {
+        return stream_refusal_reason::waited_out;
+    }
+    return std::nullopt;
+}
+
+core::duration stream_broker::time_to_room() const
+{
+    // A stream's place frees after its answer's time; places end evenly.
+    const double token_ms = token_ms_ > 0 ? token_ms_ : first_token_ms;
+    const double span = std::max(output_mean_, 1'000.0) * token_ms;
+    const double per_ms = static_cast<double>(std::max<std::size_t>(
+                              runs_.size(), 1)) /
+                          span;
+    return {static_cast<std::int64_t>(
+        static_cast<double>(waiting_.size() + 1) / per_ms)};
+}
+
+std::vector<stream_decision> stream_broker::decide(core::time_point now)
+{
+    std::vector<stream_decision> out;
+    std::stable_sort(
+        waiting_.begin(),
+        waiting_.end(),
+        [now](const waiting_stream& left, const waiting_stream& right)
+        {
+            const bool left_late = now > left.want_.on_time_until_;
+            const bool right_late = now > right.want_.on_time_until_;
+            if (left_late != right_late)
+            {
+                return right_late;
+            }
+            if (left.want_.priority_ != right.want_.priority_)
+            {
+                return left.want_.priority_ < right.want_.priority_;
+            }
+            return left.asked_at_ < right.asked_at_;
+        });
+    std::vector<waiting_stream> rest;
+    for (waiting_stream& item : waiting_)
+    {
+        const auto reason = hopeless(item, now);
+        if (reason)
+        {
+            out.emplace_back(stream_refusal{
+                item.want_.id_,
+                *reason,
+                std::max(time_to_room(), least_retry),
+                static_cast<std::int64_t>(waiting_.size())});
+            continue;
+        }
+        if (!try_place(item, now, out))
+        {
+            rest.push_back(std::move(item));
+        }
+    }
+    waiting_ = std::move(rest);
+    // What waits before the last ones takes longer than they can wait.
+    std::vector<waiting_stream> kept;
+    for (waiting_stream& item : waiting_)
+    {
+        const core::duration left = item.want_.give_up_at_ - now;
+        const double share = static_cast<double>(kept.size() + 1) /
+                             static_cast<double>(waiting_.size() + 1);
+        const core::duration wait{static_cast<std::int64_t>(
+            share * static_cast<double>(time_to_room().ms_))};
+        if (item.asked_at_ == now && wait > left)
+        {
+            out.emplace_back(stream_refusal{
+                item.want_.id_,
+                stream_refusal_reason::no_room_soon,
+                std::max(wait, least_retry),
+                static_cast<std::int64_t>(waiting_.size())});
+            continue;
+        }
+        kept.push_back(std::move(item));
+    }
+    waiting_ = std::move(kept);
+    return out;
+}
+
+} // namespace poplarroute::policy
--- /dev/null
+++ b/policy/stream_broker.hpp
@@ -0,0 +1,219 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/clock.hpp"
+#include "core/ids.hpp"
+
+namespace poplarroute::policy
+{
+
+/// An engine as the configuration and the platform's list describe it.
+struct engine_facts
+{
+    core::endpoint_id name_;
+    core::zone_id zone_;
+    bool reads_prompts_ = false; ///< It prefills; others decode.
+    bool usable_ = true;         ///< Not leaving, its zone not taken out.
+    std::int64_t slots_ = 1;
+    std::int64_t memory_tokens_ = 0;
+    std::int64_t starts_per_second_ = 0; ///< While it is cold; 0: any.
+};
+
+/// A stream that wants a prompt reader and memory at a decode engine.
+struct stream_want
+{
+    std::string id_;
+    core::host_id host_; ///< The entry host that will run it.
+    core::zone_id zone_; ///< Of that host.
+    std::int64_t prompt_tokens_ = 0;
+    std::int64_t most_output_ = 0;
+    std::int64_t output_hint_ = 0; ///< The caller's estimate; 0: none.
+    int priority_ = 0;             ///< 0 is first.
+    core::time_point on_time_until_; ///< Its first event is due by then.
+    core::time_point give_up_at_;
+    bool prompt_is_read_ = false;     ///< Only the decode side is wanted.
+    bool decode_reads_prompt_ = false; ///< The decode engine reads it itself.
+    std::set<core::endpoint_id> avoid_;
+};
+
+/// Where a stream runs. No reader: the decode engine reads the prompt, or it
+/// has been read.
+struct stream_place
+{
+    std::string id_;
+    core::endpoint_id reader_;
+    core::endpoint_id decoder_;
+    core::duration waited_;
+};
+
+enum class stream_refusal_reason
+{
+    no_engine,    ///< None is there that could take it.
+    too_large,    ///< It does not fit into any engine's memory.
+    no_room_soon, ///< What waits before it takes longer than it can wait.
+    waited_out,   ///< It has waited for as long as it could.
+};
+
+/// A stream that was not run.
+struct stream_refusal
+{
+    std::string id_;
+    stream_refusal_reason reason_ = stream_refusal_reason::no_engine;
+    core::duration retry_after_;
+    std::int64_t waiting_ = 0; ///< Streams that waited when it was decided.
+};
+
+using stream_decision = std::variant<stream_place, stream_refusal>;
+
+/// How a stream ended, as its entry host saw it.
+struct stream_end
+{
+    std::string id_;
+    bool complete_ = false;
+    std::int64_t prompt_tokens_ = 0;
+    core::duration read_; ///< Time the prompt took; 0 when it was not read.
+    std::int64_t output_tokens_ = 0;
+    core::duration decode_; ///< From the first to the last event.
+};
+
+/// A place that an entry host says it holds.
+struct held_place
+{
+    std::string id_;
+    core::endpoint_id decoder_;
+    std::int64_t prompt_tokens_ = 0;
+    std::int64_t output_hint_ = 0;
+    core::duration age_;
+};
+
+/// \return the reason's stable name, for logs.
+const char* name_of(stream_refusal_reason reason);
+
+/// Places the streams of one service on its prompt readers and decode engines.
+///
+/// It answers bursts of about twice the steady load, in which the decode
+/// engines' memory is short: a stream is placed when its expected use over
+/// time fits beside the others, so that no prompt is read in vain; until then
+/// it waits here, streams that can still start on time first. Setting the
+/// stated largest output aside would leave half of the memory empty.
+///
+/// Pure: time comes in with each call.
+class stream_broker
+{
+public:
+    /// Takes over the engines as they are now known.
+    void set_engines(std::span<const engine_facts> engines);
+
+    /// Takes a stream in.
+    void ask(stream_want want, core::time_point now);
+
+    /// Drops a stream that waits, or frees its place.
+    void finished(const stream_end& end, core::time_point now);
+
+    /// The prompt of a stream has been read.
+    void prompt_read(const std::string& id);
+
+    /// An engine failed a call or could not be reached.
+    void failed(const core::endpoint_id& engine, core::time_point now);
+
+    /// An engine answered a call.
+    void worked(const core::endpoint_id& engine);
+
+    /// Takes the places that a host says it holds, in place of those known
+    /// of it that are older than a message's way.
+    void reconcile(
+        const core::host_id& host,
+        std::span<const held_place> held,
+        core::time_point now);
+
+    /// Frees what hosts hold that have not been heard of for a while.
+    void expire(core::time_point now);
+
+    /// Decides what can be decided now.
+    std::vector<stream_decision> decide(core::time_point now);
+
+    std::size_t waiting() const
+    {
+        return waiting_.size();
+    }
+
+    std::size_t running() const
+    {
+        return runs_.size();
+    }
+
+    /// \return the part of the decode memory that is expected to be in use.
+    double fill(core::time_point now) const;
+
+private:
+    struct engine
+    {
+        engine_facts facts_;
+        core::time_point out_until_;
+        core::duration out_for_;
+        std::int64_t reading_tokens_ = 0;
+        std::deque<core::time_point> starts_;
+    };
+
+    struct run
+    {
+        core::host_id host_;
+        core::endpoint_id reader_; ///< Empty once the prompt is read.
+        core::endpoint_id decoder_;
+        std::int64_t prompt_tokens_ = 0;
+        std::int64_t expected_output_ = 0;
+        core::time_point placed_at_;
+    };
+
+    struct waiting_stream
+    {
+        stream_want want_;
+        core::time_point asked_at_;
+    };
+
+    struct load
+    {
+        std::int64_t now_tokens_ = 0;
+        std::int64_t mean_tokens_ = 0;
+        std::int64_t runs_ = 0;
+    };
+
+    load load_of(const core::endpoint_id& name, core::time_point now) const;
+    std::int64_t expected_output(const stream_want& want) const;
+    bool in_use(const engine& item, core::time_point now) const;
+    bool may_start(engine& item, core::time_point now) const;
+    engine* pick_reader(const stream_want& want, core::time_point now);
+    engine* pick_decoder(
+        const stream_want& want,
+        const core::zone_id& reader_zone,
+        bool late,
+        core::time_point now);
+    bool try_place(
+        waiting_stream& item,
+        core::time_point now,
+        std::vector<stream_decision>& out);
+    std::optional<stream_refusal_reason> hopeless(
+        const waiting_stream& item, core::time_point now) const;
+    void release(const std::string& id);
+    void free_reader(run& of);
+    core::duration time_to_room() const;
+
+    std::map<core::endpoint_id, engine> engines_;
+    std::map<std::string, run> runs_;
+    std::vector<waiting_stream> waiting_;
+    std::map<core::host_id, core::time_point> hosts_;
+    double output_mean_ = 0;   ///< Tokens of an answer, of those seen.
+    double read_rate_ = 0;     ///< Prompt tokens a ms.
+    double token_ms_ = 0;      ///< Between two tokens of a stream.
+};
+
+} // namespace poplarroute::policy
