--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -351,14 +351,19 @@
     client_port_->announce_close();
     co_await drivers::sleep_for(balancer_lag);
     client_port_->stop_accepting();
-    while (edge_->active() > 0 && core::steady_now() < until)
+    // A request that is being read is not active yet, but its connection is
+    // open.
+    while (client_port_->connections() > 0 && core::steady_now() < until)
     {
         co_await drivers::sleep_for(drain_step);
     }
-    if (edge_->active() > 0)
+    if (client_port_->connections() > 0)
     {
         log_event(
-            log_level::error, "requests_cut", {{"active", edge_->active()}});
+            log_level::error,
+            "connections_cut",
+            {{"open", client_port_->connections()},
+             {"active", edge_->active()}});
         exit_status_ = exit_cut;
     }
 }
