Count lone hosts' use as their part; wait for leaders in parts of a second

Cause: after a cut without a leader the hosts told all that they had used in it, and the new ledger took it off a level that had not been refilled for that time: levels of -650,000 tokens, and four seconds of refusals within the limit. A host that searched a leader waited 1.3 s for each member that was cut off, and a place asked of a lost leader was waited for to its end. Ruled out: the price of requests (13,000 tokens against a burst of 111,854). Change: use while alone is within the host's part and is not told; a new ledger adds up the parts that hosts tell; a host that knows of no ledger uses its part, one that may be cut off half of it. Searching asks each member for 0.3 s.

--- a/drivers/peer_channel.cpp
+++ b/drivers/peer_channel.cpp
@@ -19,7 +19,7 @@
 constexpr core::duration connect_timeout{1'000};
 constexpr core::duration handshake_timeout{2'000};
 constexpr core::duration first_backoff{100};
-constexpr core::duration longest_backoff{3'000};
+constexpr core::duration longest_backoff{500};
 constexpr std::size_t connections_at_once = 2'048;
 constexpr int name_room = 256;
 
@@ -258,10 +258,10 @@
 using remote = peer_client::state::remote;
 
 asio::awaitable<std::shared_ptr<peer_connection>> connect(
-    client_state shared, std::string address)
+    client_state shared, std::string address, core::duration patience)
 {
     plain_stream plain(shared->context_);
-    plain.expires_after(connect_timeout.chrono());
+    plain.expires_after(std::min(connect_timeout, patience).chrono());
     error_code failed;
     co_await plain.async_connect(
         parse_endpoint(address),
@@ -287,7 +287,7 @@
 
 /// Connects once however many calls wait for the same address.
 asio::awaitable<std::shared_ptr<peer_connection>> connection_to(
-    client_state shared, std::string address)
+    client_state shared, std::string address, core::duration patience)
 {
     remote& to = shared->remotes_[address];
     if (to.connection_ && !to.connection_->closed())
@@ -308,7 +308,7 @@
     }
     to.connecting_ = std::make_shared<asio::steady_timer>(shared->context_);
     to.connecting_->expires_at(asio::steady_timer::time_point::max());
-    to.connection_ = co_await connect(shared, address);
+    to.connection_ = co_await connect(shared, address, patience);
     if (to.connection_)
     {
         to.backoff_ = first_backoff;
@@ -341,7 +341,7 @@
     {
         co_return core::error{core::errc::unreachable, "cut off: " + address};
     }
-    const auto connection = co_await connection_to(shared, address);
+    const auto connection = co_await connection_to(shared, address, deadline);
     if (!connection)
     {
         co_return core::error{
--- a/node/catalog_feed.cpp
+++ b/node/catalog_feed.cpp
@@ -18,8 +18,13 @@
 constexpr core::duration watch_wait{800};
 constexpr core::duration watch_deadline{1'300};
 
-/// Between two tries to find a leader.
+/// Between two tries to find a leader, and for one of them: some ways between
+/// zones and back, so that several members can be asked within a second.
 constexpr core::duration search_every{60};
+constexpr core::duration search_deadline{300};
+
+/// How long a member's word that it knows no leader counts.
+constexpr core::duration leaderless_valid{1'500};
 
 /// Between two settlements of accounts' use.
 constexpr core::duration settle_every{150};
@@ -102,6 +107,27 @@
     group.leader_.clear();
 }
 
+/// More than half of the group without a leader: there is none anywhere.
+void catalog_feed::note_answer(const core::host_id& member, bool leader_known)
+{
+    const core::time_point now = core::steady_now();
+    leaderless_.erase(member);
+    if (!leader_known)
+    {
+        leaderless_[member] = now;
+    }
+    std::erase_if(
+        leaderless_,
+        [now](const auto& item)
+        {
+            return now - item.second > leaderless_valid;
+        });
+    const std::size_t members =
+        with_.board_.section<group_section>().members_.size();
+    with_.board_.section<meter_section>().meter_.set_no_ledger(
+        leaderless_.size() * 2 > members);
+}
+
 awaitable<void> catalog_feed::follow()
 {
     bool wait = false;
@@ -116,12 +142,14 @@
             continue;
         }
         const watch_request request = next_request(wait);
+        const core::duration deadline =
+            group.leader_.empty() ? search_deadline : watch_deadline;
         const core::result<watch_reply> reply = co_await ask<watch_reply>(
             with_.peers_,
             asked,
             method::catalog_watch,
             request,
-            watch_deadline);
+            deadline);
         if (!core::is_ok(reply))
         {
             lose_leader(asked, core::failure(reply));
@@ -130,6 +158,7 @@
             continue;
         }
         take(core::value(reply), asked);
+        note_answer(asked, !core::value(reply).leader_.empty());
         wait = core::value(reply).leads_;
         if (!wait)
         {
@@ -278,7 +307,7 @@
     request.host_ = with_.identity().host_;
     for (const policy::unsettled_use& use : uses)
     {
-        request.uses_.push_back({use.account_, use.used_, use.level_});
+        request.uses_.push_back({use.account_, use.used_, use.part_});
     }
     const core::result<settle_reply> reply = co_await ask<settle_reply>(
         with_.peers_, leader, method::meters_settle, request, settle_deadline);
--- a/node/catalog_feed.hpp
+++ b/node/catalog_feed.hpp
@@ -53,12 +53,16 @@
     void take_endpoints(const watch_reply& reply);
     void refresh_limits();
     watch_request next_request(bool wait) const;
+    void note_answer(const core::host_id& member, bool leader_known);
     void lose_leader(const core::host_id& asked, const core::error& why);
 
     context& with_;
     const wire_dialect& dialect_;
     std::size_t next_seed_ = 0;
     std::uint64_t crash_revision_ = 0;
+
+    /// Members that lately said that they know no leader.
+    std::map<core::host_id, core::time_point> leaderless_;
 };
 
 } // namespace poplarroute::node
--- a/node/catalog_keeper.cpp
+++ b/node/catalog_keeper.cpp
@@ -612,7 +612,8 @@
         out.levels_.push_back(
             {use.account_,
              0,
-             ledger_.settle(use.account_, use.used_, use.level_, now)});
+             ledger_.settle(
+                 use.account_, request.host_, use.used_, use.level_, now)});
     }
     return out;
 }
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -152,7 +152,7 @@
 {
     core::account_id account_;
     std::int64_t used_ = 0;
-    std::int64_t level_ = 0;
+    std::int64_t level_ = 0; ///< Asking: this host's part. Answering: all.
 };
 
 struct settle_request
--- a/node/edge_controller.cpp
+++ b/node/edge_controller.cpp
@@ -81,7 +81,7 @@
         {
             return std::nullopt;
         }
-        return refusal{status_unauthorized, "unknown_key", std::nullopt};
+        return refusal{status_unauthorized, "unknown_key", std::nullopt, ""};
     }
     call.account_ = account->name_;
     call.priority_ = account->priority_.value_or(call.route_.priority_);
@@ -135,7 +135,13 @@
     }
     const core::duration wait = std::max(
         meter.wait_for(call.account_, call.price_, now), least_rate_retry);
-    return refusal{status_too_many, "over_rate", wait};
+    const group_section& group = with_.board_.section<group_section>();
+    std::string inputs =
+        "price " + std::to_string(call.price_) + ", level " +
+        std::to_string(meter.level(call.account_, now)) + ", leader heard " +
+        std::to_string((now - group.heard_at_).ms_) + " ms ago, hosts " +
+        std::to_string(group.hosts_);
+    return refusal{status_too_many, "over_rate", wait, std::move(inputs)};
 }
 
 std::optional<edge_controller::refusal> edge_controller::prepare(
@@ -145,14 +151,14 @@
     if (!section.view_)
     {
         return refusal{
-            status_unavailable, "no_catalog_yet", retry_without_catalog};
+            status_unavailable, "no_catalog_yet", retry_without_catalog, ""};
     }
     call.catalog_ = section.view_;
     const control::catalog_route* route = call.catalog_->find_route(
         call.request_.virtual_host_, call.request_.path_);
     if (route == nullptr)
     {
-        return refusal{status_not_found, "no_route", std::nullopt};
+        return refusal{status_not_found, "no_route", std::nullopt, ""};
     }
     call.route_ = *route;
     call.priority_ = route->priority_;
@@ -198,6 +204,7 @@
     {
         end.status_ = refused->status_;
         end.outcome_ = refused->outcome_;
+        end.detail_ = refused->inputs_;
         co_await answer_own(
             exchange,
             tools_.dialect_,
--- a/node/edge_controller.hpp
+++ b/node/edge_controller.hpp
@@ -35,6 +35,7 @@
         int status_ = 0;
         std::string outcome_;
         std::optional<core::duration> retry_after_;
+        std::string inputs_; ///< What decided it.
     };
 
     std::optional<refusal> prepare(edge_call& call);
--- a/node/stream_edge.cpp
+++ b/node/stream_edge.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
 #include "drivers/log.hpp"
 
 namespace poplarroute::node
@@ -43,6 +45,7 @@
 
 constexpr int most_places = 4;
 constexpr core::duration place_slack{400};
+constexpr core::duration leader_check{60};
 constexpr core::duration note_deadline{1'000};
 constexpr core::duration least_retry{300};
 
@@ -56,27 +59,51 @@
 {
 }
 
+/// \return nothing when the leader did not answer.
+awaitable<std::optional<place_reply>> placement_link::ask_leader(
+    core::host_id leader, want_message want)
+{
+    const core::time_point asked_at = core::steady_now();
+    const core::duration deadline =
+        core::duration{want.give_up_ms_} + place_slack;
+    const core::result<place_reply> told = co_await ask<place_reply>(
+        with_.peers_, leader, method::streams_place, want, deadline);
+    if (core::is_ok(told))
+    {
+        co_return core::value(told);
+    }
+    drivers::log_event(
+        drivers::log_level::warning,
+        "place_unanswered",
+        {{"id", want.id_},
+         {"leader", leader},
+         {"problem", core::failure(told).message_},
+         {"after_ms", (core::steady_now() - asked_at).ms_}});
+    co_return std::nullopt;
+}
+
+awaitable<void> placement_link::until_leader_changes(core::host_id leader)
+{
+    const group_section& group = with_.board_.section<group_section>();
+    while (group.leader_ == leader)
+    {
+        co_await drivers::sleep_for(leader_check);
+    }
+}
+
 awaitable<place_reply> placement_link::place(want_message want)
 {
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
+    using namespace drivers::asio::experimental::awaitable_operators;
     const core::time_point asked_at = core::steady_now();
+    const core::host_id leader = with_.board_.section<group_section>().leader_;
     if (!leader.empty())
     {
-        const core::duration deadline =
-            core::duration{want.give_up_ms_} + place_slack;
-        core::result<place_reply> told = co_await ask<place_reply>(
-            with_.peers_, leader, method::streams_place, want, deadline);
-        if (core::is_ok(told))
+        const auto told = co_await (
+            ask_leader(leader, want) || until_leader_changes(leader));
+        if (told.index() == 0 && std::get<0>(told))
         {
-            co_return std::move(core::value(told));
+            co_return *std::get<0>(told);
         }
-        drivers::log_event(
-            drivers::log_level::warning,
-            "place_unanswered",
-            {{"id", want.id_},
-             {"leader", leader},
-             {"problem", core::failure(told).message_},
-             {"after_ms", (core::steady_now() - asked_at).ms_}});
     }
     const core::duration gone = core::steady_now() - asked_at;
     want.on_time_ms_ -= gone.ms_;
--- a/node/stream_edge.hpp
+++ b/node/stream_edge.hpp
@@ -25,6 +25,9 @@
     void note(note_message what);
 
 private:
+    awaitable<std::optional<place_reply>> ask_leader(
+        core::host_id leader, want_message want);
+    awaitable<void> until_leader_changes(core::host_id leader);
     awaitable<void> tell_end(core::host_id leader, end_message ending);
     awaitable<void> tell_note(core::host_id leader, note_message what);
 
--- a/policy/account_meter.cpp
+++ b/policy/account_meter.cpp
@@ -14,7 +14,10 @@
 /// comes each fifth of a second.
 constexpr core::duration word_valid{1'000};
 
-/// A new ledger believes what hosts tell of levels for so long.
+/// Part of its part that a host uses which may be cut off from a ledger.
+constexpr double cut_off_part = 0.5;
+
+/// A new ledger takes what hosts tell of levels for so long.
 constexpr core::duration settling{1'500};
 
 } // namespace
@@ -44,7 +47,6 @@
         entry& of = found->second;
         if (fresh)
         {
-            of.level_ = static_cast<double>(limit.burst_);
             of.filled_at_ = now;
             of.began_ = now;
         }
@@ -56,22 +58,27 @@
 
 std::int64_t meter_ledger::settle(
     const core::account_id& account,
+    const core::host_id& host,
     std::int64_t used,
-    std::int64_t told_level,
+    std::int64_t told_part,
     core::time_point now)
 {
     const auto found = entries_.find(account);
     if (found == entries_.end())
     {
-        return told_level;
+        return told_part;
     }
     entry& of = found->second;
     refill(of, now);
-    of.level_ -= static_cast<double>(used);
-    if (now - of.began_ < settling)
+    if (now - of.began_ < settling && of.told_.insert(host).second)
     {
-        of.level_ = std::min(of.level_, static_cast<double>(told_level));
+        // What the host has used is off the part that it tells already.
+        of.level_ += static_cast<double>(told_part);
+        used = 0;
     }
+    of.level_ = std::min(
+        of.level_ - static_cast<double>(used),
+        static_cast<double>(of.limit_.burst_));
     return static_cast<std::int64_t>(of.level_);
 }
 
@@ -106,18 +113,27 @@
 void account_meter::refill(entry& of, core::time_point now) const
 {
     const bool alone = now - of.told_at_ > word_valid;
-    const auto parts = static_cast<double>(alone ? hosts_ : 1);
-    const auto burst = static_cast<double>(of.limit_.burst_) / parts;
+    const auto hosts = static_cast<double>(hosts_);
+    const double part = !alone        ? 1
+                        : no_ledger_ ? 1 / hosts
+                                      : cut_off_part / hosts;
+    const double burst = static_cast<double>(of.limit_.burst_) * part;
     const auto passed = static_cast<double>((now - of.filled_at_).ms_);
     if (alone && !of.alone_)
     {
-        of.level_ = std::min(of.level_, burst);
+        of.level_ = std::min(of.level_ / hosts, burst);
+    }
+    if (alone)
+    {
+        // Within this host's own part, which nobody else uses.
+        of.unsettled_ = 0;
     }
     of.alone_ = alone;
     of.level_ = std::min(
         burst,
-        of.level_ + passed * static_cast<double>(of.limit_.rate_) / parts /
-                        ms_per_second);
+        of.level_ +
+            passed * static_cast<double>(of.limit_.rate_) * part /
+                ms_per_second);
     of.filled_at_ = now;
 }
 
@@ -177,11 +193,11 @@
             continue;
         }
         refill(of, now);
-        const std::int64_t parts = of.alone_ ? hosts_ : 1;
+        const std::int64_t parts = of.alone_ ? 1 : hosts_;
         out.push_back(
             {account,
              of.unsettled_,
-             static_cast<std::int64_t>(of.level_) * parts});
+             static_cast<std::int64_t>(of.level_) / parts});
         of.unsettled_ = 0;
     }
     return out;
--- a/policy/account_meter.hpp
+++ b/policy/account_meter.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -21,19 +22,21 @@
 class meter_ledger
 {
 public:
-    /// Takes over the limits. A new account starts with its whole burst.
+    /// Takes over the limits. A new account starts empty: hosts tell what
+    /// they hold of its level.
     void set_limits(
         const std::map<core::account_id, rate_limit>& limits,
         core::time_point now);
 
     /// Adds what a host has admitted.
-    /// \param told_level what that host holds for the level; a ledger that
-    /// starts anew begins with the least that a host knows.
+    /// \param told_part what that host holds for its part of the level; a
+    /// ledger that starts anew begins with the sum of these.
     /// \return the level after it, in tokens.
     std::int64_t settle(
         const core::account_id& account,
+        const core::host_id& host,
         std::int64_t used,
-        std::int64_t told_level,
+        std::int64_t told_part,
         core::time_point now);
 
 private:
@@ -43,6 +46,7 @@
         double level_ = 0;
         core::time_point filled_at_;
         core::time_point began_;
+        std::set<core::host_id> told_; ///< Hosts whose part is in the level.
     };
 
     static void refill(entry& of, core::time_point now);
@@ -55,7 +59,7 @@
 {
     core::account_id account_;
     std::int64_t used_ = 0;
-    std::int64_t level_ = 0; ///< As this host holds it.
+    std::int64_t part_ = 0; ///< This host's part of the level, as it knows.
 };
 
 /// One host's view of the accounts' levels.
@@ -87,9 +91,15 @@
         std::int64_t tokens,
         core::time_point now);
 
+    /// Says whether it is known that no ledger is kept anywhere. A host that
+    /// only hears nothing may be cut off from one that goes on, and uses half
+    /// of its part.
+    void set_no_ledger(bool none)
+    {
+        no_ledger_ = none;
+    }
+
     /// \return what is to be told; those accounts count as told from now on.
-    /// The level told is that of all hosts together: a host that was alone
-    /// tells its part times the hosts.
     std::vector<unsettled_use> take_unsettled(core::time_point now);
 
     /// Takes the level after what was told.
@@ -119,6 +129,7 @@
 
     std::map<core::account_id, entry> entries_;
     std::int64_t hosts_ = 1;
+    bool no_ledger_ = false;
 };
 
 } // namespace poplarroute::policy
--- a/tests/policy/account_meter_test.cpp
+++ b/tests/policy/account_meter_test.cpp
@@ -13,13 +13,17 @@
 
 const std::map<core::account_id, rate_limit> limits{{"a", {1'000, 1'000}}};
 
-void settle(account_meter& host, meter_ledger& ledger, time_point now)
+void settle(
+    account_meter& host,
+    meter_ledger& ledger,
+    time_point now,
+    const std::string& name = "host-1")
 {
     for (const unsettled_use& use : host.take_unsettled(now))
     {
         host.settled(
             use.account_,
-            ledger.settle(use.account_, use.used_, use.level_, now),
+            ledger.settle(use.account_, name, use.used_, use.part_, now),
             now);
     }
 }
@@ -40,40 +44,66 @@
     account_meter one;
     account_meter other;
     time_point now{10'000};
-    ledger.set_limits(limits, now - duration{5'000});
+    ledger.set_limits(limits, now);
     one.set_limits(limits, 2, now);
     other.set_limits(limits, 2, now);
+    settle(one, ledger, now, "host-1");
+    settle(other, ledger, now, "host-2");
+    settle(one, ledger, now, "host-1");
     EXPECT_TRUE(one.admit("a", 900, now));
-    settle(one, ledger, now);
-    settle(other, ledger, now);
+    settle(one, ledger, now, "host-1");
+    settle(other, ledger, now, "host-2");
     EXPECT_FALSE(other.admit("a", 900, now));
     EXPECT_TRUE(other.admit("a", 100, now));
 }
 
-TEST(account_meter, keeps_to_its_part_when_it_hears_nothing)
+TEST(account_meter, keeps_to_its_part_when_there_is_no_ledger)
 {
     account_meter host;
     time_point now{10'000};
     host.set_limits(limits, 4, now);
+    host.set_no_ledger(true);
     now = now + duration{2'000};
     EXPECT_FALSE(host.admit("a", 300, now));
     EXPECT_TRUE(host.admit("a", 250, now));
 }
 
-// Found on the bench: after a cut without a leader, a new ledger began with
-// the least level told, each of which was one host's part only, and refused
-// for seconds what was within the limit.
-TEST(account_meter, a_new_ledger_takes_the_parts_of_lone_hosts_for_parts)
+TEST(account_meter, keeps_to_half_its_part_when_it_may_be_cut_off)
 {
-    meter_ledger ledger;
     account_meter host;
     time_point now{10'000};
     host.set_limits(limits, 4, now);
-    now = now + duration{8'000};
-    EXPECT_LE(host.level("a", now), 250);
+    now = now + duration{2'000};
+    EXPECT_FALSE(host.admit("a", 130, now));
+    EXPECT_TRUE(host.admit("a", 125, now));
+}
+
+// Found on the bench: after a cut without a leader, a new ledger began with
+// the least level told, each of which was one host's part only, and took off
+// again what hosts had used within their parts; it refused for seconds what
+// was within the limit.
+TEST(account_meter, a_new_ledger_adds_up_the_parts_of_lone_hosts)
+{
+    meter_ledger ledger;
+    std::vector<account_meter> hosts(4);
+    time_point now{10'000};
+    for (account_meter& host : hosts)
+    {
+        host.set_limits(limits, 4, now);
+        host.set_no_ledger(true);
+    }
+    for (int second = 0; second < 8; ++second)
+    {
+        now = now + duration{1'000};
+        EXPECT_TRUE(hosts[0].admit("a", 200, now));
+    }
     ledger.set_limits(limits, now);
-    settle(host, ledger, now);
-    EXPECT_EQ(host.level("a", now), 1'000);
+    for (std::size_t at = 0; at < hosts.size(); ++at)
+    {
+        settle(hosts[at], ledger, now, "host-" + std::to_string(at));
+    }
+    settle(hosts[0], ledger, now, "host-0");
+    EXPECT_EQ(hosts[0].level("a", now), 800);
 }
 
 // Load: one account sends several times its rate through all hosts.
@@ -87,7 +117,7 @@
     std::vector<account_meter> all(hosts);
     time_point now{100'000};
     const time_point began = now;
-    ledger.set_limits(limits, now - duration{5'000});
+    ledger.set_limits(limits, now);
     for (account_meter& host : all)
     {
         host.set_limits(limits, hosts, now);
@@ -110,9 +140,10 @@
         }
         if (at % 8 == 7)
         {
-            for (account_meter& host : all)
+            for (std::size_t which = 0; which < all.size(); ++which)
             {
-                settle(host, ledger, now);
+                settle(
+                    all[which], ledger, now, "host-" + std::to_string(which));
             }
             most_between = std::max(most_between, since_settled);
             since_settled = 0;
