--- a/control/catalog.cpp
+++ b/control/catalog.cpp
@@ -65,7 +65,8 @@
     for (const catalog_route& route : whole.routes_)
     {
         check_route(whole, route, findings);
-        if (!places.insert(route_key(route.virtual_host_, route.prefix_)).second)
+        if (!places.insert(route_key(route.virtual_host_, route.prefix_))
+                 .second)
         {
             findings.add(
                 place_of("route " + route.name_, "prefix"),
--- a/control/catalog.hpp
+++ b/control/catalog.hpp
@@ -53,7 +53,6 @@
     std::int64_t slots_ = 1;
     std::int64_t memory_tokens_ = 0;
     std::int64_t tokens_per_event_ = 1;
-    core::duration handle_life_; ///< Of a prompt read for another engine.
 };
 
 struct catalog_service
@@ -77,8 +76,8 @@
 {
     core::account_id name_;
     std::vector<std::string> keys_;
-    std::optional<int> priority_; ///< Goes before the route's.
-    bool counts_tokens_ = false;  ///< The limit is in tokens, not requests.
+    std::optional<int> priority_;   ///< Goes before the route's.
+    bool counts_tokens_ = false;    ///< The limit is in tokens, not requests.
     std::int64_t plain_tokens_ = 0; ///< Price of a call without token counts.
     std::int64_t rate_ = 0;         ///< A second; 0: no limit.
     std::int64_t burst_ = 0;
--- a/control/catalog_machine.cpp
+++ b/control/catalog_machine.cpp
@@ -15,7 +15,6 @@
 {
     submit = 0,
     zone = 1,
-    fence = 2,
 };
 
 } // namespace
@@ -35,11 +34,6 @@
             {
                 return nlohmann::json::array(
                     {command_kind::zone, item.zone_, item.out_});
-            },
-            [](const draw_fence& item)
-            {
-                return nlohmann::json::array(
-                    {command_kind::fence, item.host_});
             }},
         order);
     return core::to_bytes(out);
@@ -75,9 +69,6 @@
         out.number_ = version_;
         break;
     }
-    case command_kind::fence:
-        out.number_ = ++fence_;
-        break;
     }
     revision_ += out.changed_ ? 1 : 0;
     return out;
@@ -86,7 +77,7 @@
 std::string catalog_machine::encode() const
 {
     return core::to_bytes(nlohmann::json::array(
-        {revision_, version_, fence_, core::binary(text_), zones_out_}));
+        {revision_, version_, core::binary(text_), zones_out_}));
 }
 
 std::optional<catalog_machine> catalog_machine::decode(std::string_view bytes)
@@ -102,9 +93,8 @@
         catalog_machine out;
         out.revision_ = document->at(0).get<std::uint64_t>();
         out.version_ = document->at(1).get<std::uint64_t>();
-        out.fence_ = document->at(2).get<std::uint64_t>();
-        out.text_ = core::text_of(document->at(3));
-        out.zones_out_ = document->at(4).get<std::set<core::zone_id>>();
+        out.text_ = core::text_of(document->at(2));
+        out.zones_out_ = document->at(3).get<std::set<core::zone_id>>();
         return out;
     }
     catch (const nlohmann::json::exception&)
--- a/control/catalog_machine.hpp
+++ b/control/catalog_machine.hpp
@@ -26,19 +26,13 @@
     bool out_ = false;
 };
 
-/// Draws the next fencing number for orders to endpoints.
-struct draw_fence
-{
-    core::host_id host_;
-};
-
-using catalog_command = std::variant<submit_catalog, set_zone_out, draw_fence>;
+using catalog_command = std::variant<submit_catalog, set_zone_out>;
 
 /// What became of a command.
 struct catalog_reply
 {
     bool changed_ = false;
-    std::uint64_t number_ = 0; ///< Version in force, or the fencing number.
+    std::uint64_t number_ = 0; ///< Version in force.
 };
 
 std::string encode(const catalog_command& order);
@@ -82,7 +76,6 @@
 private:
     std::uint64_t revision_ = 0;
     std::uint64_t version_ = 0;
-    std::uint64_t fence_ = 0;
     std::string text_;
     std::set<core::zone_id> zones_out_;
 };
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -197,8 +197,8 @@
         }
     }
     message.body() = call.body_;
-    const bool bodyless = call.body_.empty() && call.method_ != "POST" &&
-                          call.method_ != "PUT";
+    const bool bodyless =
+        call.body_.empty() && call.method_ != "POST" && call.method_ != "PUT";
     if (!bodyless)
     {
         message.prepare_payload();
@@ -207,7 +207,8 @@
 }
 
 asio::awaitable<void> write_message(
-    connection_ptr to, std::shared_ptr<http::request<http::string_body>> message)
+    connection_ptr to,
+    std::shared_ptr<http::request<http::string_body>> message)
 {
     error_code failed;
     co_await http::async_write(
@@ -402,8 +403,8 @@
         }
         const connection_ptr used = std::exchange(used_, nullptr);
         const bool fit = parser_->keep_alive() && !parser_->need_eof() &&
-                         !foreign_ && !used->writing_ &&
-                         !used->write_failed_ && used->buffer_.size() == 0;
+                         !foreign_ && !used->writing_ && !used->write_failed_ &&
+                         used->buffer_.size() == 0;
         if (fit)
         {
             pool_->keep(address_, used, parser_->get());
@@ -468,12 +469,11 @@
         co_return core::failure(connected);
     }
     const connection_ptr used = core::value(connected);
-    auto message = std::make_shared<http::request<http::string_body>>(
-        message_of(call));
+    auto message =
+        std::make_shared<http::request<http::string_body>>(message_of(call));
     used->stream_.expires_after(call.timeout_.chrono());
     used->writing_ = true;
-    auto stream =
-        std::make_unique<beast_stream>(shared, call.address_, used);
+    auto stream = std::make_unique<beast_stream>(shared, call.address_, used);
     spawn(shared->context_, write_message(used, std::move(message)));
     const error_code failed =
         co_await stream->read_header(call.echo_header_, call.echo_value_);
@@ -484,11 +484,22 @@
     co_return std::unique_ptr<http_stream>(std::move(stream));
 }
 
+asio::awaitable<bool> http_client::takes_connections(
+    std::string address, core::duration patience)
+{
+    beast::tcp_stream stream(pool_->context_);
+    stream.expires_after(patience.chrono());
+    error_code failed;
+    co_await stream.async_connect(
+        parse_endpoint(address),
+        asio::redirect_error(asio::use_awaitable, failed));
+    co_return !failed;
+}
+
 asio::awaitable<bool> http_client::until_closed(std::string address)
 {
     beast::tcp_stream stream(pool_->context_);
-    http_call call;
-    stream.expires_after(call.connect_timeout_.chrono());
+    stream.expires_after(http_call().connect_timeout_.chrono());
     error_code failed;
     co_await stream.async_connect(
         parse_endpoint(address),
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -31,7 +31,8 @@
     std::string body_;
     core::duration timeout_{5'000}; ///< For the whole answer, or its header.
     core::duration connect_timeout_{1'000};
-    core::duration newest_idle_{60'000}; ///< Older kept connections stay unused.
+    core::duration newest_idle_{
+        60'000}; ///< Older kept connections stay unused.
 
     /// A header that answers repeat, and its value. An answer with another
     /// value belongs to an earlier request and is skipped.
@@ -61,8 +62,8 @@
     /// \param timeout how long to wait for the first of them.
     /// \return what came; nothing at the body's proper end; an error of kind
     /// broken or timeout otherwise.
-    virtual asio::awaitable<core::result<std::optional<std::string>>> next_piece(
-        core::duration timeout) = 0;
+    virtual asio::awaitable<core::result<std::optional<std::string>>>
+    next_piece(core::duration timeout) = 0;
 
     /// Reads the rest of the body.
     /// \param timeout for all of it.
@@ -101,6 +102,10 @@
     /// \return false when no connection could be made.
     asio::awaitable<bool> until_closed(std::string address);
 
+    /// \return whether an address takes a connection; nothing is sent on it.
+    asio::awaitable<bool> takes_connections(
+        std::string address, core::duration patience);
+
     const http_client_counts& counts() const;
 
     struct pool;
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -317,10 +317,7 @@
         stream.expires_never();
         const bool keep_alive = parser.get().keep_alive();
         beast_exchange exchange(
-            stream,
-            *shared,
-            take_request(parser.get(), remote),
-            keep_alive);
+            stream, *shared, take_request(parser.get(), remote), keep_alive);
         const core::counted active(shared->active_);
         co_await shared->handler_(exchange);
         more = exchange.keep_alive();
--- a/node/catalog_feed.cpp
+++ b/node/catalog_feed.cpp
@@ -27,7 +27,7 @@
 constexpr core::duration leaderless_valid{1'500};
 
 /// Between two settlements of accounts' use.
-constexpr core::duration settle_every{150};
+constexpr core::duration settle_every{100};
 constexpr core::duration settle_deadline{500};
 
 /// A list that nobody has told of for so long is read here.
@@ -145,11 +145,7 @@
         const core::duration deadline =
             group.leader_.empty() ? search_deadline : watch_deadline;
         const core::result<watch_reply> reply = co_await ask<watch_reply>(
-            with_.peers_,
-            asked,
-            method::catalog_watch,
-            request,
-            deadline);
+            with_.peers_, asked, method::catalog_watch, request, deadline);
         if (!core::is_ok(reply))
         {
             lose_leader(asked, core::failure(reply));
--- a/node/catalog_keeper.cpp
+++ b/node/catalog_keeper.cpp
@@ -97,8 +97,7 @@
             {{"version", state.version()}, {"findings", findings.text()}});
         return;
     }
-    section.view_ =
-        std::make_shared<control::catalog_view>(std::move(*read));
+    section.view_ = std::make_shared<control::catalog_view>(std::move(*read));
     section.revision_ = state.revision();
     section.zones_out_ = state.zones_out();
     log_event(
@@ -134,13 +133,12 @@
     control::member_group group;
     for (const std::string& seed : settings.seeds_)
     {
-        const core::result<identify_reply> told =
-            co_await ask<identify_reply>(
-                with_.peers_,
-                seed,
-                method::identify,
-                identify_request(),
-                peer_deadline);
+        const core::result<identify_reply> told = co_await ask<identify_reply>(
+            with_.peers_,
+            seed,
+            method::identify,
+            identify_request(),
+            peer_deadline);
         if (!core::is_ok(told))
         {
             co_return false;
@@ -216,9 +214,9 @@
             }
         }
         else if (
-            blank ||
-            core::steady_now() - group_.member()->last_contact(
-                                     core::steady_now()) > lonely_after)
+            blank || core::steady_now() -
+                             group_.member()->last_contact(core::steady_now()) >
+                         lonely_after)
         {
             co_await ask_to_join();
         }
@@ -268,7 +266,9 @@
             if (core::is_ok(promoted))
             {
                 log_event(
-                    log_level::info, "member_promoted", {{"member", item.host_}});
+                    log_level::info,
+                    "member_promoted",
+                    {{"member", item.host_}});
             }
             co_return;
         }
@@ -380,8 +380,7 @@
 
 std::int64_t catalog_keeper::live_hosts() const
 {
-    return std::max<std::int64_t>(
-        static_cast<std::int64_t>(hosts_.size()), 1);
+    return std::max<std::int64_t>(static_cast<std::int64_t>(hosts_.size()), 1);
 }
 
 awaitable<core::result<submit_reply>> catalog_keeper::submit_here(
@@ -471,7 +470,8 @@
 
 awaitable<order_outcome> catalog_keeper::set_zone(core::zone_id zone, bool out)
 {
-    const auto& zones = with_.board_.section<settings_section>().settings_.zones_;
+    const auto& zones =
+        with_.board_.section<settings_section>().settings_.zones_;
     if (std::find(zones.begin(), zones.end(), zone) == zones.end())
     {
         co_return order_outcome{
@@ -518,7 +518,8 @@
     {
         co_return core::failure(answer);
     }
-    const auto reply = core::from_bytes<read_reply_message>(core::value(answer));
+    const auto reply =
+        core::from_bytes<read_reply_message>(core::value(answer));
     if (!reply || !reply->text_.is_binary())
     {
         co_return error{errc::invalid, "the leader's reply cannot be read"};
@@ -529,10 +530,9 @@
 bool catalog_keeper::has_news(const watch_request& request) const
 {
     const endpoint_section& list = with_.board_.section<endpoint_section>();
-    const bool list_news =
-        group_.leads() && list.read_at_.ms_ > 0 &&
-        (request.list_epoch_ != list.epoch_ ||
-         request.list_revision_ != list.revision_);
+    const bool list_news = group_.leads() && list.read_at_.ms_ > 0 &&
+                           (request.list_epoch_ != list.epoch_ ||
+                            request.list_revision_ != list.revision_);
     return group_.state().revision() > request.revision_ || list_news ||
            crash_revision_ != request.crash_revision_ || !group_.leads();
 }
@@ -586,8 +586,7 @@
     {
         desk_.reconcile(request.host_, request.places_);
     }
-    const core::duration most{
-        std::min(request.wait_ms_, longest_watch.ms_)};
+    const core::duration most{std::min(request.wait_ms_, longest_watch.ms_)};
     const core::time_point until = core::steady_now() + most;
     auto timer = std::make_shared<asio::steady_timer>(with_.io_);
     watchers_.push_back(timer);
@@ -671,8 +670,7 @@
             }
             const control::member* known =
                 group_.member()->log().group().find(request.host_);
-            const bool in =
-                known != nullptr && known->store_ == request.store_;
+            const bool in = known != nullptr && known->store_ == request.store_;
             if (!in && admitting_.insert(request.host_).second)
             {
                 co_await admit(request);
--- a/node/catalog_keeper.hpp
+++ b/node/catalog_keeper.hpp
@@ -21,8 +21,8 @@
 struct order_outcome
 {
     bool accepted_ = false;
-    bool invalid_ = false;  ///< It can never be accepted.
-    std::string problem_;   ///< Why not, for the operator.
+    bool invalid_ = false; ///< It can never be accepted.
+    std::string problem_;  ///< Why not, for the operator.
 };
 
 /// The newest catalog, read at the leader.
--- a/node/edge_call.hpp
+++ b/node/edge_call.hpp
@@ -8,6 +8,7 @@
 #include "node/context.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/wire_dialect.hpp"
+#include "policy/quarantine.hpp"
 #include "policy/resend_allowance.hpp"
 
 namespace poplarroute::node
@@ -25,6 +26,7 @@
     core::account_id account_; ///< Empty: the route is open.
     int priority_ = 0;
     std::int64_t price_ = 0; ///< What it counts for its account.
+    std::string digest_;     ///< Equal for the same request sent again.
 };
 
 /// How a call ended, for its log line and the metrics.
@@ -57,6 +59,14 @@
         return resends_[service].take(core::steady_now());
     }
 
+    /// Looks whether an endpoint that broke a connection is gone, and if so
+    /// tells the group that it was lost while it ran a request.
+    /// \param weight how much the loss speaks against the request.
+    void suspect(
+        const edge_call& call,
+        const core::endpoint_id& endpoint,
+        policy::evidence weight);
+
     /// \return an endpoint of the list, or nothing when it is gone.
     const known_endpoint* find(const core::endpoint_id& name) const
     {
--- a/node/edge_controller.cpp
+++ b/node/edge_controller.cpp
@@ -22,9 +22,52 @@
 /// A host without a catalog has one within about a second.
 constexpr core::duration retry_without_catalog{400};
 
-/// Least and most that a refused account is told to wait.
+/// The least that a refused account is told to wait.
 constexpr core::duration least_rate_retry{100};
 
+/// A request that ends its endpoints is refused for minutes.
+constexpr core::duration retry_quarantined{10'000};
+
+/// An endpoint that crashed refuses connections by then, and one that is up
+/// takes them.
+constexpr core::duration crash_settles{40};
+constexpr core::duration crash_patience{300};
+constexpr core::duration crash_deadline{1'000};
+
+/// What makes a request the same when it is sent again.
+std::string digest_of(const edge_call& call)
+{
+    std::string all = call.request_.method_;
+    all += '\n';
+    all += call.request_.target_;
+    all += '\n';
+    all += call.account_;
+    all += '\n';
+    all += call.request_.body_;
+    return std::to_string(core::stable_hash(all));
+}
+
+awaitable<void> report_loss(
+    context& with, std::string address, crash_message told)
+{
+    co_await drivers::sleep_for(crash_settles);
+    const bool up =
+        co_await with.http_.takes_connections(address, crash_patience);
+    const core::host_id leader = with.board_.section<group_section>().leader_;
+    if (up || leader.empty())
+    {
+        co_return;
+    }
+    log_event(
+        log_level::warning,
+        "endpoint_crashed",
+        {{"endpoint", told.crash_},
+         {"digest", told.digest_},
+         {"weight", told.weight_}});
+    co_await ask<empty_reply>(
+        with.peers_, leader, method::crash_report, told, crash_deadline);
+}
+
 } // namespace
 
 awaitable<void> answer_own(
@@ -39,6 +82,23 @@
     co_await exchange.send(status, std::move(headers), std::move(body));
 }
 
+void edge_tools::suspect(
+    const edge_call& call,
+    const core::endpoint_id& endpoint,
+    policy::evidence weight)
+{
+    const known_endpoint* known = find(endpoint);
+    if (known != nullptr)
+    {
+        drivers::spawn(
+            with_.io_,
+            report_loss(
+                with_,
+                known->listed_.address_,
+                {call.digest_, endpoint, static_cast<int>(weight)}));
+    }
+}
+
 edge_controller::edge_controller(context& with, const wire_dialect& dialect)
     : with_(with),
       tools_{with, dialect, {}, {}},
@@ -87,10 +147,10 @@
     call.priority_ = account->priority_.value_or(call.route_.priority_);
     if (account->counts_tokens_)
     {
-        call.price_ = call.request_.counts_tokens_
-                          ? call.request_.prompt_tokens_ +
-                                call.request_.most_output_
-                          : account->plain_tokens_;
+        call.price_ =
+            call.request_.counts_tokens_
+                ? call.request_.prompt_tokens_ + call.request_.most_output_
+                : account->plain_tokens_;
     }
     else
     {
@@ -136,11 +196,11 @@
     const core::duration wait = std::max(
         meter.wait_for(call.account_, call.price_, now), least_rate_retry);
     const group_section& group = with_.board_.section<group_section>();
-    std::string inputs =
-        "price " + std::to_string(call.price_) + ", level " +
-        std::to_string(meter.level(call.account_, now)) + ", leader heard " +
-        std::to_string((now - group.heard_at_).ms_) + " ms ago, hosts " +
-        std::to_string(group.hosts_);
+    std::string inputs = "price " + std::to_string(call.price_) + ", level " +
+                         std::to_string(meter.level(call.account_, now)) +
+                         ", leader heard " +
+                         std::to_string((now - group.heard_at_).ms_) +
+                         " ms ago, hosts " + std::to_string(group.hosts_);
     return refusal{status_too_many, "over_rate", wait, std::move(inputs)};
 }
 
@@ -172,6 +232,16 @@
         return refused;
     }
     choose_target(call);
+    call.digest_ = digest_of(call);
+    if (with_.board_.section<group_section>().crashers_.count(call.digest_) !=
+        0)
+    {
+        return refusal{
+            status_unavailable,
+            "quarantined",
+            retry_quarantined,
+            "digest " + call.digest_};
+    }
     return charge(call);
 }
 
@@ -214,8 +284,7 @@
         note_end(call, end);
         co_return;
     }
-    const auto ended =
-        co_await (carry(exchange, call, end) || exchange.gone());
+    const auto ended = co_await (carry(exchange, call, end) || exchange.gone());
     if (ended.index() == 1)
     {
         end.outcome_ = "caller_left";
--- a/node/fleet_sections.cpp
+++ b/node/fleet_sections.cpp
@@ -13,7 +13,7 @@
 
 /// Part of the slack on rates that is used: hosts learn of each other's use
 /// with a lag, and that lag needs the rest.
-constexpr double slack_part = 0.35;
+constexpr double slack_part = 0.1;
 
 std::int64_t cold_starts(
     const control::catalog_service& service,
--- a/node/list_reader.cpp
+++ b/node/list_reader.cpp
@@ -74,12 +74,11 @@
             return true;
         }
         const listed_endpoint& held = found->second.listed_;
-        const bool same = held.service_ == item.service_ &&
-                          held.address_ == item.address_ &&
-                          held.zone_ == item.zone_ &&
-                          held.leaving_ == item.leaving_ &&
-                          held.reads_prompts_ == item.reads_prompts_ &&
-                          (held.cold_for_.ms_ > 0) == (item.cold_for_.ms_ > 0);
+        const bool same =
+            held.service_ == item.service_ && held.address_ == item.address_ &&
+            held.zone_ == item.zone_ && held.leaving_ == item.leaving_ &&
+            held.reads_prompts_ == item.reads_prompts_ &&
+            (held.cold_for_.ms_ > 0) == (item.cold_for_.ms_ > 0);
         if (!same)
         {
             return true;
--- a/node/plain_edge.cpp
+++ b/node/plain_edge.cpp
@@ -26,12 +26,11 @@
     : tools_(tools),
       call_(call),
       end_(end),
-      balancer_(
-          tools.balancers_
-              .try_emplace(
-                  call.service_,
-                  static_cast<std::uint64_t>(core::steady_now().ms_))
-              .first->second),
+      balancer_(tools.balancers_
+                    .try_emplace(
+                        call.service_,
+                        static_cast<std::uint64_t>(core::steady_now().ms_))
+                    .first->second),
       course_(
           {call.route_.kind_ == control::call_kind::idempotent,
            static_cast<int>(call.route_.most_endpoints_)})
@@ -98,8 +97,7 @@
     co_return judge(reply);
 }
 
-send_verdict plain_edge::judge(
-    const core::result<drivers::http_reply>& reply)
+send_verdict plain_edge::judge(const core::result<drivers::http_reply>& reply)
 {
     using policy::call_outcome;
     if (!core::is_ok(reply))
@@ -112,12 +110,16 @@
             close_try(call_outcome::unreachable);
             return send_verdict::nothing_sent;
         }
+        if (why.code_ == core::errc::broken)
+        {
+            tools_.suspect(call_, endpoint_, policy::evidence::starter);
+        }
         close_try(call_outcome::broken);
         return send_verdict::may_have_run;
     }
     const drivers::http_reply& got = core::value(reply);
-    const answer_facts facts = tools_.dialect_.facts_of(
-        call_.request_, got.status_, got.headers_);
+    const answer_facts facts =
+        tools_.dialect_.facts_of(call_.request_, got.status_, got.headers_);
     if (facts.running_)
     {
         balancer_.told_load(
--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -160,8 +160,7 @@
 
 template <class Machine>
 awaitable<core::result<typename log_member<Machine>::command_reply>>
-log_member<Machine>::submit(
-    std::string bytes)
+log_member<Machine>::submit(std::string bytes)
 {
     if (!leads())
     {
@@ -172,8 +171,7 @@
         co_return error{errc::overloaded, "too many commands wait"};
     }
     auto reply =
-        std::make_shared<awaited<core::result<command_reply>>>(
-            with_.io_);
+        std::make_shared<awaited<core::result<command_reply>>>(with_.io_);
     proposals_.push_back({std::move(bytes), reply});
     wake();
     const auto got = co_await reply->wait(commit_deadline);
@@ -374,12 +372,15 @@
     suspended_ = false;
     inbox_.clear();
     log_event(
-        log_level::info, "disk_regained", {{"index", raft_->log().last_index()}});
+        log_level::info,
+        "disk_regained",
+        {{"index", raft_->log().last_index()}});
     notify();
 }
 
 template <class Machine>
-void log_member<Machine>::send(const std::vector<control::raft_message>& messages)
+void log_member<Machine>::send(
+    const std::vector<control::raft_message>& messages)
 {
     for (const control::raft_message& message : messages)
     {
@@ -513,7 +514,8 @@
 }
 
 template <class Machine>
-core::result<core::done> log_member<Machine>::bootstrap(const control::member_group& group)
+core::result<core::done> log_member<Machine>::bootstrap(
+    const control::member_group& group)
 {
     const control::member* self = group.find(with_.identity().host_);
     if (self == nullptr || self->store_ != contents_.store_)
--- a/node/stream_desk.cpp
+++ b/node/stream_desk.cpp
@@ -73,7 +73,8 @@
     if (broker == nullptr)
     {
         place_reply none;
-        none.reason_ = policy::name_of(policy::stream_refusal_reason::no_engine);
+        none.reason_ =
+            policy::name_of(policy::stream_refusal_reason::no_engine);
         co_return none;
     }
     const std::string id = want.id_;
--- a/node/stream_edge.cpp
+++ b/node/stream_edge.cpp
@@ -98,8 +98,8 @@
     const core::host_id leader = with_.board_.section<group_section>().leader_;
     if (!leader.empty())
     {
-        const auto told = co_await (
-            ask_leader(leader, want) || until_leader_changes(leader));
+        const auto told =
+            co_await (ask_leader(leader, want) || until_leader_changes(leader));
         if (told.index() == 0 && std::get<0>(told))
         {
             co_return *std::get<0>(told);
@@ -222,8 +222,7 @@
     out.service_ = call_.service_;
     out.id_ = place_id_;
     out.host_ = tools_.with_.identity().host_;
-    out.zone_ =
-        tools_.with_.board_.section<settings_section>().settings_.zone_;
+    out.zone_ = tools_.with_.board_.section<settings_section>().settings_.zone_;
     out.prompt_tokens_ = std::max<std::int64_t>(request.prompt_tokens_, 1);
     out.most_output_ = request.most_output_;
     out.output_hint_ = request.output_hint_;
@@ -314,8 +313,8 @@
     const drivers::http_reply& got = core::value(reply);
     if (got.status_ != status_ok)
     {
-        const answer_facts facts = tools_.dialect_.facts_of(
-            call_.request_, got.status_, got.headers_);
+        const answer_facts facts =
+            tools_.dialect_.facts_of(call_.request_, got.status_, got.headers_);
         end_.detail_ = "reader answered " + std::to_string(got.status_);
         avoid_.insert(place_.reader_);
         if (!facts.not_run_)
@@ -383,6 +382,10 @@
             --end_.sends_;
             co_return step::again;
         }
+        if (core::failure(opened).code_ == errc::broken)
+        {
+            tools_.suspect(call_, place_.decoder_, policy::evidence::starter);
+        }
         co_return may_resume() ? step::again : step::failed;
     }
     stream_ = std::move(core::value(opened));
@@ -395,8 +398,7 @@
         call_.request_, stream_->status(), stream_->headers());
     if (facts.not_run_ || facts.misdirected_)
     {
-        end_.detail_ =
-            "decode answered " + std::to_string(stream_->status());
+        end_.detail_ = "decode answered " + std::to_string(stream_->status());
         stream_.reset();
         avoid_.insert(place_.decoder_);
         if (facts.misdirected_)
@@ -476,6 +478,11 @@
         if (!core::is_ok(piece))
         {
             end_.detail_ = "stream: " + core::failure(piece).message_;
+            if (core::failure(piece).code_ == errc::broken)
+            {
+                tools_.suspect(
+                    call_, place_.decoder_, policy::evidence::bystander);
+            }
             co_return step::again;
         }
         if (!core::value(piece))
--- a/node/stream_edge.hpp
+++ b/node/stream_edge.hpp
@@ -76,8 +76,7 @@
     void leave_place(bool complete);
     void forget_handle();
     void blame(const core::endpoint_id& engine);
-    awaitable<void> answer_failure(
-        drivers::http_exchange& exchange, step last);
+    awaitable<void> answer_failure(drivers::http_exchange& exchange, step last);
 
     edge_tools& tools_;
     placement_link& places_;
--- a/node/wire_dialect.hpp
+++ b/node/wire_dialect.hpp
@@ -21,7 +21,7 @@
     std::string method_;
     std::string target_; ///< Path and query, as they go on.
     std::string path_;
-    std::string key_; ///< Empty: none was shown.
+    std::string key_;                        ///< Empty: none was shown.
     std::optional<core::duration> deadline_; ///< From its arrival.
     bool counts_tokens_ = false;             ///< The next two are stated.
     std::int64_t prompt_tokens_ = 0;
@@ -55,9 +55,9 @@
 /// What an answer of an endpoint says besides its status and body.
 struct answer_facts
 {
-    bool not_run_ = false;    ///< The endpoint says that it did not run it.
+    bool not_run_ = false;     ///< The endpoint says that it did not run it.
     bool misdirected_ = false; ///< Another endpoint has the address now.
-    bool signed_ = false;     ///< It bears an endpoint's signature.
+    bool signed_ = false;      ///< It bears an endpoint's signature.
     bool echoes_attempt_ = false;
     std::optional<std::int64_t> running_; ///< Load, where it is told.
     std::int64_t waiting_ = 0;
--- a/policy/account_meter.cpp
+++ b/policy/account_meter.cpp
@@ -100,6 +100,7 @@
         entry& of = found->second;
         if (fresh)
         {
+            of.limit_ = limit;
             of.level_ = static_cast<double>(limit.burst_);
             of.filled_at_ = now;
             of.told_at_ = now;
@@ -114,9 +115,9 @@
 {
     const bool alone = now - of.told_at_ > word_valid;
     const auto hosts = static_cast<double>(hosts_);
-    const double part = !alone        ? 1
+    const double part = !alone       ? 1
                         : no_ledger_ ? 1 / hosts
-                                      : cut_off_part / hosts;
+                                     : cut_off_part / hosts;
     const double burst = static_cast<double>(of.limit_.burst_) * part;
     const auto passed = static_cast<double>((now - of.filled_at_).ms_);
     if (alone && !of.alone_)
@@ -131,9 +132,8 @@
     of.alone_ = alone;
     of.level_ = std::min(
         burst,
-        of.level_ +
-            passed * static_cast<double>(of.limit_.rate_) * part /
-                ms_per_second);
+        of.level_ + passed * static_cast<double>(of.limit_.rate_) * part /
+                        ms_per_second);
     of.filled_at_ = now;
 }
 
--- a/policy/plain_balancer.cpp
+++ b/policy/plain_balancer.cpp
@@ -104,8 +104,8 @@
             {
                 return left->out_until_ < right->out_until_;
             });
-        const std::size_t lacking = (good.size() + doubtful.size() + 1) / 2 -
-                                    good.size();
+        const std::size_t lacking =
+            (good.size() + doubtful.size() + 1) / 2 - good.size();
         doubtful.resize(std::min(doubtful.size(), lacking));
         good.insert(good.end(), doubtful.begin(), doubtful.end());
     }
@@ -187,10 +187,10 @@
         item.progress_at_ = now;
         item.failures_ = 0;
         const auto took = static_cast<double>((now - began).ms_);
-        item.latency_ms_ = item.latency_ms_ == 0
-                               ? took
-                               : item.latency_ms_ +
-                                     news * (took - item.latency_ms_);
+        item.latency_ms_ =
+            item.latency_ms_ == 0
+                ? took
+                : item.latency_ms_ + news * (took - item.latency_ms_);
     }
     if (outcome == call_outcome::answered)
     {
--- a/policy/resend_allowance.hpp
+++ b/policy/resend_allowance.hpp
@@ -11,8 +11,8 @@
 /// The fleet's bound on sending requests a second time.
 struct resend_bound
 {
-    double ratio_ = 0.2;           ///< Of the requests in the window.
-    std::int64_t slack_ = 0;       ///< Besides, over all hosts together.
+    double ratio_ = 0.2;            ///< Of the requests in the window.
+    std::int64_t slack_ = 0;        ///< Besides, over all hosts together.
     core::duration window_{10'000}; ///< Any span of this length counts.
 };
 
--- a/policy/stream_broker.cpp
+++ b/policy/stream_broker.cpp
@@ -304,8 +304,7 @@
             all += item.facts_.memory_tokens_;
         }
     }
-    return all == 0 ? 0
-                    : static_cast<double>(used) / static_cast<double>(all);
+    return all == 0 ? 0 : static_cast<double>(used) / static_cast<double>(all);
 }
 
 bool stream_broker::in_use(const engine& item, core::time_point now) const
@@ -337,8 +336,7 @@
         {
             continue;
         }
-        const double backlog =
-            static_cast<double>(item.reading_tokens_) / rate;
+        const double backlog = static_cast<double>(item.reading_tokens_) / rate;
         if (backlog > reader_backlog_ms)
         {
             continue;
@@ -388,9 +386,9 @@
         {
             continue;
         }
-        const double score = after +
-                             (item.facts_.zone_ != reader_zone ? far_penalty : 0) +
-                             (item.facts_.zone_ != want.zone_ ? far_penalty : 0);
+        const double score =
+            after + (item.facts_.zone_ != reader_zone ? far_penalty : 0) +
+            (item.facts_.zone_ != want.zone_ ? far_penalty : 0);
         if (best == nullptr || score < best_score)
         {
             best = &item;
@@ -457,8 +455,8 @@
             continue;
         }
         decoder = true;
-        large_enough = large_enough || engine.facts_.memory_tokens_ >
-                                           item.want_.prompt_tokens_;
+        large_enough = large_enough ||
+                       engine.facts_.memory_tokens_ > item.want_.prompt_tokens_;
     }
     if (!decoder)
     {
@@ -480,9 +478,8 @@
     // A stream's place frees after its answer's time; places end evenly.
     const double token_ms = token_ms_ > 0 ? token_ms_ : first_token_ms;
     const double span = std::max(output_mean_, 1'000.0) * token_ms;
-    const double per_ms = static_cast<double>(std::max<std::size_t>(
-                              runs_.size(), 1)) /
-                          span;
+    const double per_ms =
+        static_cast<double>(std::max<std::size_t>(runs_.size(), 1)) / span;
     return {static_cast<std::int64_t>(
         static_cast<double>(waiting_.size() + 1) / per_ms)};
 }
--- a/policy/stream_broker.hpp
+++ b/policy/stream_broker.hpp
@@ -36,11 +36,11 @@
     core::zone_id zone_; ///< Of that host.
     std::int64_t prompt_tokens_ = 0;
     std::int64_t most_output_ = 0;
-    std::int64_t output_hint_ = 0; ///< The caller's estimate; 0: none.
-    int priority_ = 0;             ///< 0 is first.
+    std::int64_t output_hint_ = 0;   ///< The caller's estimate; 0: none.
+    int priority_ = 0;               ///< 0 is first.
     core::time_point on_time_until_; ///< Its first event is due by then.
     core::time_point give_up_at_;
-    bool prompt_is_read_ = false;     ///< Only the decode side is wanted.
+    bool prompt_is_read_ = false;      ///< Only the decode side is wanted.
     bool decode_reads_prompt_ = false; ///< The decode engine reads it itself.
     std::set<core::endpoint_id> avoid_;
 };
@@ -216,9 +216,9 @@
     std::map<std::string, run> runs_;
     std::vector<waiting_stream> waiting_;
     std::map<core::host_id, core::time_point> hosts_;
-    double output_mean_ = 0;   ///< Tokens of an answer, of those seen.
-    double read_rate_ = 0;     ///< Prompt tokens a ms.
-    double token_ms_ = 0;      ///< Between two tokens of a stream.
+    double output_mean_ = 0; ///< Tokens of an answer, of those seen.
+    double read_rate_ = 0;   ///< Prompt tokens a ms.
+    double token_ms_ = 0;    ///< Between two tokens of a stream.
 };
 
 } // namespace poplarroute::policy
--- /dev/null
+++ b/tests/control/catalog_test.cpp
@@ -0,0 +1,83 @@
+#include "control/catalog.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "control/catalog_machine.hpp"
+
+namespace poplarroute::control
+{
+namespace
+{
+
+TEST(catalog_machine, the_highest_version_is_in_force)
+{
+    catalog_machine machine;
+    EXPECT_TRUE(machine.apply(encode(submit_catalog{5, "five"})).changed_);
+    EXPECT_FALSE(machine.apply(encode(submit_catalog{4, "four"})).changed_);
+    EXPECT_FALSE(machine.apply(encode(submit_catalog{5, "other"})).changed_);
+    EXPECT_EQ(machine.text(), "five");
+    EXPECT_EQ(machine.version(), 5U);
+    EXPECT_EQ(machine.revision(), 1U);
+}
+
+TEST(catalog_machine, zones_go_out_and_come_back)
+{
+    catalog_machine machine;
+    EXPECT_TRUE(machine.apply(encode(set_zone_out{"a", true})).changed_);
+    EXPECT_FALSE(machine.apply(encode(set_zone_out{"a", true})).changed_);
+    EXPECT_EQ(machine.zones_out().count("a"), 1U);
+    EXPECT_TRUE(machine.apply(encode(set_zone_out{"a", false})).changed_);
+    EXPECT_TRUE(machine.zones_out().empty());
+}
+
+RC_GTEST_PROP(
+    catalog_machine,
+    never_goes_back_and_survives_a_snapshot,
+    (std::vector<unsigned char> versions))
+{
+    catalog_machine machine;
+    std::uint64_t newest = 0;
+    for (const unsigned version : versions)
+    {
+        machine.apply(encode(submit_catalog{version, std::to_string(version)}));
+        newest = std::max<std::uint64_t>(newest, version);
+        RC_ASSERT(machine.version() == newest);
+        const auto again = catalog_machine::decode(machine.encode());
+        RC_ASSERT(again.has_value());
+        RC_ASSERT(again->text() == machine.text());
+        RC_ASSERT(again->revision() == machine.revision());
+    }
+}
+
+RC_GTEST_PROP(catalog_machine, survives_any_snapshot, (std::string bytes))
+{
+    catalog_machine::decode(bytes);
+}
+
+catalog_view view_of(std::vector<std::string> prefixes)
+{
+    catalog whole;
+    for (std::string& prefix : prefixes)
+    {
+        catalog_route route;
+        route.virtual_host_ = "h";
+        route.prefix_ = std::move(prefix);
+        whole.routes_.push_back(std::move(route));
+    }
+    return catalog_view(std::move(whole));
+}
+
+TEST(catalog_view, finds_the_longest_prefix)
+{
+    const catalog_view view = view_of({"/", "/a/", "/a/b/"});
+    EXPECT_EQ(view.find_route("h", "/a/b/c")->prefix_, "/a/b/");
+    EXPECT_EQ(view.find_route("h", "/a/b")->prefix_, "/a/");
+    EXPECT_EQ(view.find_route("h", "/ab/c")->prefix_, "/");
+    EXPECT_EQ(view.find_route("other", "/a/"), nullptr);
+    EXPECT_EQ(view_of({"/a/"}).find_route("h", "/b"), nullptr);
+    EXPECT_EQ(view_of({"/a/"}).find_route("h", ""), nullptr);
+}
+
+} // namespace
+} // namespace poplarroute::control
--- /dev/null
+++ b/tests/drivers/http_client_test.cpp
@@ -0,0 +1,178 @@
+#include "drivers/http_client.hpp"
+
+#include <array>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include "drivers/http_server.hpp"
+
+namespace poplarroute::drivers
+{
+namespace
+{
+
+constexpr const char* address = "127.0.0.1:19483";
+
+/// A raw endpoint that answers each connection with bytes of its own.
+class raw_endpoint
+{
+public:
+    raw_endpoint(asio::io_context& io, std::vector<std::string> answers)
+        : acceptor_(io, parse_endpoint(address)), answers_(std::move(answers))
+    {
+        spawn(io, serve());
+    }
+
+    int accepted_ = 0;
+
+private:
+    asio::awaitable<void> serve()
+    {
+        for (;;)
+        {
+            tcp::socket socket =
+                co_await acceptor_.async_accept(asio::use_awaitable);
+            ++accepted_;
+            for (const std::string& answer : answers_)
+            {
+                std::array<char, 4096> room{};
+                error_code failed;
+                const auto size = co_await socket.async_read_some(
+                    asio::buffer(room),
+                    asio::redirect_error(asio::use_awaitable, failed));
+                if (failed || size == 0)
+                {
+                    break;
+                }
+                co_await asio::async_write(
+                    socket, asio::buffer(answer), asio::use_awaitable);
+            }
+        }
+    }
+
+    tcp::acceptor acceptor_;
+    std::vector<std::string> answers_;
+};
+
+std::string answer(const std::string& id, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+http_call call_of(const std::string& id)
+{
+    http_call out;
+    out.address_ = address;
+    out.method_ = "POST";
+    out.echo_header_ = "X-Id";
+    out.echo_value_ = id;
+    out.timeout_ = core::duration{1'000};
+    return out;
+}
+
+template <class Work>
+void run(asio::io_context& io, Work work)
+{
+    spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            co_await work();
+            io.stop();
+        }());
+    io.run();
+}
+
+TEST(http_client, skips_the_answer_of_another_request)
+{
+    asio::io_context io;
+    raw_endpoint endpoint(io, {answer("old", "no") + answer("new", "yes")});
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call call = call_of("new");
+            const auto reply = co_await client.request(std::move(call));
+            EXPECT_TRUE(core::is_ok(reply));
+            EXPECT_EQ(core::value(reply).body_, "yes");
+            EXPECT_EQ(client.counts().foreign_answers_, 1U);
+        });
+}
+
+TEST(http_client, keeps_no_connection_with_bytes_left_over)
+{
+    asio::io_context io;
+    raw_endpoint endpoint(io, {answer("a", "one") + "left over"});
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            for (int time = 0; time < 2; ++time)
+            {
+                http_call call = call_of("a");
+                const auto reply = co_await client.request(std::move(call));
+                EXPECT_TRUE(core::is_ok(reply));
+                EXPECT_EQ(core::value(reply).body_, "one");
+            }
+            EXPECT_EQ(client.counts().opened_, 2U);
+        });
+}
+
+TEST(http_client, reuses_a_clean_connection)
+{
+    asio::io_context io;
+    raw_endpoint endpoint(io, {answer("a", "one"), answer("a", "two")});
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            for (int time = 0; time < 2; ++time)
+            {
+                http_call call = call_of("a");
+                const auto reply = co_await client.request(std::move(call));
+                EXPECT_TRUE(core::is_ok(reply));
+            }
+            EXPECT_EQ(client.counts().opened_, 1U);
+            EXPECT_EQ(client.counts().reused_, 1U);
+        });
+}
+
+TEST(http_client, does_not_take_a_cut_answer_for_whole)
+{
+    asio::io_context io;
+    raw_endpoint endpoint(
+        io, {"HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nshort"});
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call call = call_of("a");
+            const auto reply = co_await client.request(std::move(call));
+            EXPECT_FALSE(core::is_ok(reply));
+        });
+}
+
+TEST(http_client, says_unreachable_only_when_nothing_was_sent)
+{
+    asio::io_context io;
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call call = call_of("a");
+            const auto reply = co_await client.request(std::move(call));
+            EXPECT_FALSE(core::is_ok(reply));
+            EXPECT_EQ(core::failure(reply).code_, core::errc::unreachable);
+            const std::string nowhere = address;
+            const bool up =
+                co_await client.takes_connections(nowhere, core::duration{200});
+            EXPECT_FALSE(up);
+        });
+}
+
+} // namespace
+} // namespace poplarroute::drivers
--- /dev/null
+++ b/tests/node/event_reader_test.cpp
@@ -0,0 +1,79 @@
+#include "node/event_reader.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace poplarroute::node
+{
+namespace
+{
+
+TEST(event_reader, gives_whole_events_only)
+{
+    event_reader reader;
+    reader.add("id: 1\ndata: a\n\nid: 2\nda");
+    const auto first = reader.next();
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->id_, 1);
+    EXPECT_EQ(first->bytes_, "id: 1\ndata: a\n\n");
+    EXPECT_FALSE(reader.next());
+    EXPECT_TRUE(reader.unfinished());
+    reader.add("ta: b\r\n\r\n");
+    EXPECT_EQ(reader.next()->id_, 2);
+    EXPECT_FALSE(reader.unfinished());
+}
+
+TEST(event_reader, reads_events_without_an_id)
+{
+    event_reader reader;
+    reader.add("weight-versions: 3\ndata: a\n\n");
+    const auto event = reader.next();
+    ASSERT_TRUE(event);
+    EXPECT_FALSE(event->id_);
+}
+
+RC_GTEST_PROP(
+    event_reader,
+    passes_the_same_bytes_however_they_are_cut,
+    (std::vector<unsigned char> cuts))
+{
+    std::string whole;
+    for (int id = 1; id <= 20; ++id)
+    {
+        whole += "id: " + std::to_string(id) + "\ndata: x\n\n";
+    }
+    event_reader reader;
+    std::string out;
+    std::int64_t last = 0;
+    std::size_t at = 0;
+    std::size_t next = 0;
+    while (at < whole.size())
+    {
+        const std::size_t size =
+            next < cuts.size() ? 1 + cuts[next++] % 40 : whole.size();
+        reader.add(std::string_view(whole).substr(at, size));
+        at = std::min(at + size, whole.size());
+        while (auto event = reader.next())
+        {
+            RC_ASSERT(event->id_ == last + 1);
+            last = *event->id_;
+            out += event->bytes_;
+        }
+    }
+    RC_ASSERT(out == whole);
+}
+
+RC_GTEST_PROP(event_reader, survives_any_bytes, (std::string bytes))
+{
+    event_reader reader;
+    reader.add(bytes);
+    std::size_t passed = 0;
+    while (auto event = reader.next())
+    {
+        passed += event->bytes_.size();
+    }
+    RC_ASSERT(passed <= bytes.size());
+}
+
+} // namespace
+} // namespace poplarroute::node
--- /dev/null
+++ b/tests/platform/dialect_test.cpp
@@ -0,0 +1,261 @@
+#include "platform/dialect.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "platform/catalog_json.hpp"
+
+namespace poplarroute::platform
+{
+namespace
+{
+
+drivers::http_request request_with(drivers::header_list headers)
+{
+    drivers::http_request out;
+    out.method_ = "POST";
+    out.target_ = "/lohu930/2f?x=1";
+    out.headers_ = std::move(headers);
+    out.body_ = "body";
+    return out;
+}
+
+node::send_plan plan_to(std::string endpoint)
+{
+    node::send_plan out;
+    out.address_ = "127.0.0.1:1";
+    out.endpoint_ = std::move(endpoint);
+    out.account_ = "acme";
+    out.deadline_ = core::duration{500};
+    return out;
+}
+
+std::size_t count(const drivers::header_list& headers, std::string_view name)
+{
+    std::size_t out = 0;
+    for (const auto& [key, value] : headers)
+    {
+        out += drivers::find_header({{key, "x"}}, name) == "x" ? 1 : 0;
+    }
+    return out;
+}
+
+TEST(dialect, decodes_a_request_once_into_named_fields)
+{
+    const dialect wire;
+    const node::edge_request read = wire.decode_request(request_with(
+        {{"Host", "ficu95.example:80"},
+         {"Attempt-Id", "9c41"},
+         {"Deadline-Ms", "14000"},
+         {"Authorization", "Bearer secret"},
+         {"Token-Counts", "1460,80"},
+         {"Length-Hint", "70"},
+         {"Last-Event-Id", "12"}}));
+    EXPECT_EQ(read.virtual_host_, "ficu95.example");
+    EXPECT_EQ(read.path_, "/lohu930/2f");
+    EXPECT_EQ(read.attempt_, "9c41");
+    EXPECT_EQ(read.deadline_->ms_, 14'000);
+    EXPECT_EQ(read.key_, "secret");
+    EXPECT_EQ(read.prompt_tokens_, 1'460);
+    EXPECT_EQ(read.most_output_, 80);
+    EXPECT_EQ(read.output_hint_, 70);
+    EXPECT_EQ(read.resume_after_, 12);
+}
+
+TEST(dialect, drops_headers_that_only_the_system_may_set)
+{
+    const dialect wire;
+    const drivers::header_list forged{
+        {"Tenant", "other"},
+        {"stage", "prefill"},
+        {"Kv-Hold", "h"},
+        {"Kv-Source", "s"},
+        {"Pin-Ms", "5"},
+        {"Kv-Backup", "b"},
+        {"KV-FETCH", "f"},
+        {"Expect-Instance", "i"},
+        {"Urgency-Class", "0"},
+        {"Authorization", "Bearer k"},
+        {"Connection", "keep-alive"},
+        {"Model", "m"}};
+    const node::edge_request read = wire.decode_request(request_with(forged));
+    const drivers::http_call out = wire.encode_call(read, plan_to("i-1"));
+    EXPECT_EQ(count(out.headers_, "Model"), 1U);
+    EXPECT_EQ(count(out.headers_, "Tenant"), 1U);
+    EXPECT_EQ(drivers::find_header(out.headers_, "Tenant"), "acme");
+    EXPECT_EQ(drivers::find_header(out.headers_, "Expect-Instance"), "i-1");
+    for (const char* name :
+         {"Stage",
+          "Kv-Hold",
+          "Kv-Source",
+          "Pin-Ms",
+          "Kv-Backup",
+          "Kv-Fetch",
+          "Urgency-Class",
+          "Authorization",
+          "Connection"})
+    {
+        EXPECT_EQ(count(out.headers_, name), 0U) << name;
+    }
+}
+
+TEST(dialect, passes_method_target_and_body_on_unchanged)
+{
+    const dialect wire;
+    const auto read = wire.decode_request(request_with({{"Attempt-Id", "a"}}));
+    const drivers::http_call out = wire.encode_call(read, plan_to("i-1"));
+    EXPECT_EQ(out.method_, "POST");
+    EXPECT_EQ(out.target_, "/lohu930/2f?x=1");
+    EXPECT_EQ(out.body_, "body");
+    EXPECT_EQ(drivers::find_header(out.headers_, "Deadline-Ms"), "500");
+}
+
+TEST(dialect, says_what_an_answer_means)
+{
+    const dialect wire;
+    const auto read = wire.decode_request(request_with({{"Attempt-Id", "a"}}));
+    const node::answer_facts shed =
+        wire.facts_of(read, 503, {{"Not-Run", "1"}, {"Attempt-Id", "a"}});
+    EXPECT_TRUE(shed.not_run_);
+    const node::answer_facts other = wire.facts_of(read, 421, {});
+    EXPECT_TRUE(other.misdirected_);
+    const node::answer_facts good = wire.facts_of(
+        read,
+        200,
+        {{"Server-Stamp", "s"}, {"Attempt-Id", "a"}, {"Server-Load", "3,1,8"}});
+    EXPECT_TRUE(good.signed_);
+    EXPECT_TRUE(good.echoes_attempt_);
+    EXPECT_FALSE(good.not_run_);
+    EXPECT_EQ(good.running_, 3);
+    EXPECT_EQ(good.waiting_, 1);
+    const node::answer_facts crossed =
+        wire.facts_of(read, 200, {{"Attempt-Id", "b"}});
+    EXPECT_FALSE(crossed.echoes_attempt_);
+}
+
+TEST(dialect, writes_fractions_of_seconds)
+{
+    const dialect wire;
+    const auto read = wire.decode_request(request_with({{"Attempt-Id", "a"}}));
+    const auto headers = wire.own_headers(read, core::duration{1'050});
+    EXPECT_EQ(drivers::find_header(headers, "Retry-After"), "1.050");
+}
+
+TEST(dialect, skips_entries_of_the_list_that_cannot_be_read)
+{
+    const dialect wire;
+    const auto page = wire.decode_list(R"({"instances":[
+      {"id":"i-1","service":"s","address":"10.0.0.1:80","zone":"z",
+       "version":"v1","slots":4,"state":"ready","coldLeftMs":0},
+      {"id":"i-2","service":"s","address":"10.0.0.2:80","zone":"z",
+       "slots":"four","state":"ready","coldLeftMs":0},
+      {"id":"i-3","service":"s","address":"nowhere","zone":"z",
+       "slots":4,"state":"ready","coldLeftMs":0},
+      {"id":"i-4","service":"s","address":"10.0.0.4:80","zone":"z",
+       "slots":4,"state":"resting","coldLeftMs":0},
+      17, null,
+      {"id":"i-5","service":"s","address":"10.0.0.5:80","zone":"z","slots":4,
+       "state":"draining","coldLeftMs":12.5,"stage":"prefill"}],
+      "next":"p-50"})");
+    ASSERT_TRUE(page);
+    ASSERT_EQ(page->endpoints_.size(), 2U);
+    EXPECT_EQ(page->unreadable_, 5U);
+    EXPECT_EQ(page->next_, "p-50");
+    EXPECT_FALSE(page->endpoints_[0].leaving_);
+    EXPECT_TRUE(page->endpoints_[1].leaving_);
+    EXPECT_TRUE(page->endpoints_[1].reads_prompts_);
+    EXPECT_EQ(page->endpoints_[1].cold_for_.ms_, 12);
+}
+
+RC_GTEST_PROP(dialect, survives_any_bytes, (std::string bytes))
+{
+    const dialect wire;
+    wire.decode_list(bytes);
+    wire.decode_handle(bytes);
+    core::finding_list findings;
+    wire.decode_catalog(bytes, findings);
+    wire.decode_request(request_with(
+        {{"Token-Counts", bytes},
+         {"Deadline-Ms", bytes},
+         {"Authorization", bytes},
+         {"Host", bytes}}));
+}
+
+constexpr const char* good_catalog = R"({"version":7,
+  "routes":[
+    {"name":"r1","host":"a.example","pathPrefix":"/x/","kind":"stream",
+     "timeoutMs":14000,"targetLatencyMs":900,"priority":1,"service":"llm",
+     "maxAttempts":2,"public":false,"sticky":true,"resumable":true,
+     "gapAimMs":300},
+    {"name":"r2","host":"a.example","pathPrefix":"/x/y/","kind":"safe",
+     "timeoutMs":600,"trafficSplit":[{"service":"desk","weight":90},
+     {"service":"llm","weight":10}]}],
+  "services":[
+    {"name":"llm","engine":{"slots":16,"kvCapTokens":75527,"stride":69}},
+    {"name":"desk","coldPerS":39.0}],
+  "limits":{"maxBodyBytes":10,"idleTimeoutMs":15000},
+  "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1,"unit":"tokens",
+    "plainTokens":200,"ratePerS":111854,"burst":111854}]})";
+
+TEST(catalog_json, reads_a_whole_configuration)
+{
+    core::finding_list findings;
+    const auto read = decode_catalog_json(good_catalog, findings);
+    ASSERT_TRUE(read) << findings.text();
+    EXPECT_EQ(read->version_, 7U);
+    const control::catalog_view view(*read);
+    const auto* stream = view.find_route("a.example", "/x/z");
+    ASSERT_NE(stream, nullptr);
+    EXPECT_EQ(stream->kind_, control::call_kind::stream);
+    EXPECT_TRUE(stream->resumable_);
+    const auto* split = view.find_route("a.example", "/x/y/z");
+    ASSERT_NE(split, nullptr);
+    EXPECT_EQ(split->targets_.size(), 2U);
+    EXPECT_EQ(view.account_of("k2")->name_, "t");
+    EXPECT_TRUE(view.account_of("k2")->counts_tokens_);
+    EXPECT_EQ(view.find_service("llm")->engine_->memory_tokens_, 75'527);
+    EXPECT_FALSE(view.find_service("desk")->engine_);
+    EXPECT_EQ(read->limits_.body_bytes_, 10);
+}
+
+struct bad_case
+{
+    const char* what_;
+    std::string from_;
+    std::string to_;
+};
+
+class catalog_json_refuses : public testing::TestWithParam<bad_case>
+{
+};
+
+TEST_P(catalog_json_refuses, what_is_invalid)
+{
+    std::string text = good_catalog;
+    const std::size_t at = text.find(GetParam().from_);
+    ASSERT_NE(at, std::string::npos);
+    text.replace(at, GetParam().from_.size(), GetParam().to_);
+    core::finding_list findings;
+    EXPECT_FALSE(decode_catalog_json(text, findings)) << GetParam().what_;
+    EXPECT_FALSE(findings.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    all,
+    catalog_json_refuses,
+    testing::Values(
+        bad_case{"cut short", "\"burst\":111854}]}", "\"bur"},
+        bad_case{
+            "unknown service", "\"service\":\"llm\"", "\"service\":\"none\""},
+        bad_case{"same place", "/x/y/", "/x/"},
+        bad_case{"no weight", "90},", "-10},"},
+        bad_case{"no time limit", "14000", "0"},
+        bad_case{
+            "a field of another type", "\"host\":\"a.example\"", "\"host\":5"},
+        bad_case{
+            "a shared key",
+            "\"tenants\":[",
+            "\"tenants\":[{\"name\":\"u\",\"apiKeys\":[\"k1\"]},"}));
+
+} // namespace
+} // namespace poplarroute::platform
--- /dev/null
+++ b/tests/platform/settings_test.cpp
@@ -0,0 +1,63 @@
+#include "platform/settings.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace poplarroute::platform
+{
+namespace
+{
+
+constexpr const char* entry_lines = R"(nodeName=front-a-1
+ip=10.1.0.16
+zone=zone-a
+zones.zone-a=region
+zones.zone-b=region
+listen.front=10.1.0.16:8360
+listen.ready=10.1.0.16:8365
+portRange=7500,7515
+seeds=10.1.0.18:8367,10.2.0.35:8367
+firstStart=true
+bounds.graceS=8
+bounds.budgetSlack=52
+cloudApi.address=10.200.0.114:8361
+somethingNew=1
+)";
+
+TEST(platform_settings, reads_an_entry_host)
+{
+    core::finding_list findings;
+    const auto read = parse_settings("file", entry_lines, findings);
+    EXPECT_TRUE(findings.empty()) << findings.text();
+    EXPECT_EQ(read.host_, "front-a-1");
+    EXPECT_EQ(read.peer_listen_, "10.1.0.16:7500");
+    EXPECT_EQ(read.seeds_.size(), 2U);
+    EXPECT_EQ(read.seeds_[1], "10.2.0.35:7500");
+    EXPECT_TRUE(read.first_start_);
+    EXPECT_EQ(read.bounds_.stop_grace_.ms_, 8'000);
+    EXPECT_EQ(read.bounds_.resend_slack_, 52);
+    EXPECT_EQ(read.zones_.size(), 2U);
+    EXPECT_TRUE(read.data_folder_.empty());
+}
+
+TEST(platform_settings, reports_every_line_that_is_wrong)
+{
+    core::finding_list findings;
+    parse_settings(
+        "file", "zone=a\nbounds.graceS=soon\nno equals sign\n", findings);
+    const std::string text = findings.text();
+    EXPECT_NE(text.find("nodeName"), std::string::npos);
+    EXPECT_NE(text.find("portRange"), std::string::npos);
+    EXPECT_NE(text.find("file:2"), std::string::npos) << text;
+    EXPECT_NE(text.find("file:3"), std::string::npos) << text;
+}
+
+RC_GTEST_PROP(platform_settings, survives_any_bytes, (std::string bytes))
+{
+    core::finding_list findings;
+    parse_settings("file", bytes, findings);
+    parse_settings("file", entry_lines + bytes, findings);
+}
+
+} // namespace
+} // namespace poplarroute::platform
--- a/tests/policy/account_meter_test.cpp
+++ b/tests/policy/account_meter_test.cpp
@@ -1,5 +1,7 @@
 #include "policy/account_meter.hpp"
 
+#include <random>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -107,8 +109,7 @@
 }
 
 // Load: one account sends several times its rate through all hosts.
-RC_GTEST_PROP(
-    account_meter, hosts_together_keep_to_the_limit, (unsigned seed))
+RC_GTEST_PROP(account_meter, hosts_together_keep_to_the_limit, (unsigned seed))
 {
     std::mt19937 random(seed);
     constexpr int hosts = 6;
--- a/tests/policy/call_course_test.cpp
+++ b/tests/policy/call_course_test.cpp
@@ -57,8 +57,8 @@
         {
             break;
         }
-        const auto verdict = static_cast<send_verdict>(
-            1 + static_cast<unsigned>(pick) % 3);
+        const auto verdict =
+            static_cast<send_verdict>(1 + static_cast<unsigned>(pick) % 3);
         maybe_runs += verdict == send_verdict::may_have_run ? 1 : 0;
         course.note(verdict);
         RC_ASSERT(
@@ -82,8 +82,8 @@
         {
             break;
         }
-        const auto verdict = static_cast<send_verdict>(
-            1 + static_cast<unsigned>(pick) % 3);
+        const auto verdict =
+            static_cast<send_verdict>(1 + static_cast<unsigned>(pick) % 3);
         maybe_runs += verdict == send_verdict::may_have_run ? 1 : 0;
         course.note(verdict);
     }
--- a/tests/policy/stream_broker_test.cpp
+++ b/tests/policy/stream_broker_test.cpp
@@ -1,5 +1,7 @@
 #include "policy/stream_broker.hpp"
 
+#include <random>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
