--- a/tests/harness/demo.py
+++ b/tests/demo.py
@@ -2,9 +2,12 @@
 
 import http.client
 import json
+import pathlib
 import sys
 import time
 
+sys.path.insert(
+    0, str(pathlib.Path(__file__).resolve().parent / "harness"))
 from fleet import Fleet, association, http_json, wait_until
 
 DOSSIER = "Fire rating of curtain linings, clause by clause. " * 400
--- /dev/null
+++ b/tests/fakes/platform_fakes.py
@@ -0,0 +1,277 @@
+"""Stand-ins for the users' platform on loopback: endpoints, list, callers.
+
+They speak the platform's published formats and keep records of what they saw,
+from which tests judge. Nothing here is shipped.
+"""
+
+import asyncio
+import json
+import random
+
+CRLF = b"\r\n"
+
+
+async def read_message(reader):
+    """Reads one HTTP/1.1 message: start line, headers (lower case), body.
+
+    An answer without a length ends with its connection. Returns None at the
+    end of the stream; raises when it ends within a message.
+    """
+    head = await reader.readuntil(CRLF + CRLF)
+    lines = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        if ":" in line:
+            name, value = line.split(":", 1)
+            headers[name.strip().lower()] = value.strip()
+    body = b""
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        while True:
+            size = int((await reader.readuntil(CRLF)).strip() or b"0", 16)
+            body += (await reader.readexactly(size + 2))[:-2]
+            if size == 0:
+                break
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return lines[0], headers, body
+
+
+def message(start, headers, body=b""):
+    lines = [start] + [f"{name}: {value}" for name, value in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + CRLF + CRLF + body
+
+
+class Endpoint:
+    """An endpoint of a plain service or an engine of either stage."""
+
+    def __init__(self, name, service, stage=None, slots=8, seed=0):
+        self.name = name
+        self.service = service
+        self.stage = stage
+        self.slots = slots
+        self.random = random.Random(seed)
+        self.running = 0
+        self.runs = []          # (attempt, tenant) of each run begun.
+        self.handles = set()
+        self.open = set()
+        self.error_share = 0.0
+        self.server = None
+        self.port = 0
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        self.open.add(writer)
+        try:
+            while True:
+                start, headers, _ = await read_message(reader)
+                keep = await self.answer(start, headers, writer)
+                await writer.drain()
+                if not keep:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    async def answer(self, start, headers, writer):
+        method, target, _ = start.split(" ", 2)
+        if method == "DELETE" and target.startswith("/kv-handle/"):
+            self.handles.discard(target.rsplit("/", 1)[1])
+            writer.write(message("HTTP/1.1 200 OK", {}))
+            return True
+        attempt = headers.get("attempt-id", "")
+        base = {"Attempt-Id": attempt}
+        if headers.get("expect-instance", self.name) != self.name:
+            writer.write(message("HTTP/1.1 421 Misdirected Request", base))
+            return True
+        if self.running >= self.slots:
+            writer.write(message("HTTP/1.1 503 Service Unavailable",
+                                 {**base, "Not-Run": "1"}))
+            return True
+        self.running += 1
+        try:
+            return await self.run(headers, base, attempt, writer)
+        finally:
+            self.running -= 1
+
+    async def run(self, headers, base, attempt, writer):
+        if headers.get("stage") == "prefill":
+            await asyncio.sleep(0.005)
+            handle = f"{self.random.getrandbits(48):012x}"
+            self.handles.add(handle)
+            body = json.dumps({"kvHandle": handle, "tokens": 100,
+                               "version": 1}).encode()
+            writer.write(message("HTTP/1.1 200 OK", base, body))
+            return True
+        self.runs.append((attempt, headers.get("tenant", "")))
+        signed = {**base, "Server-Stamp": f"{self.name}.{attempt}"}
+        if self.stage is None:
+            await asyncio.sleep(self.random.uniform(0.002, 0.03))
+            if self.random.random() < self.error_share:
+                writer.write(message("HTTP/1.1 500 Error", signed, b"failed"))
+                return True
+            writer.write(message("HTTP/1.1 200 OK", signed,
+                                 f"done {attempt}".encode()))
+            return True
+        lines = [f"{name}: {value}" for name, value in signed.items()]
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream",
+                "Transfer-Encoding: chunked"] + lines
+        writer.write("\r\n".join(head).encode() + CRLF + CRLF)
+        first = int(headers.get("last-event-id", "0")) + 1
+        for number in range(first, STREAM_EVENTS + 1):
+            event = f"id: {number}\ndata: {attempt}\n\n".encode()
+            writer.write(f"{len(event):x}".encode() + CRLF + event + CRLF)
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0" + CRLF + CRLF)
+        return True
+
+    def reset_connections(self):
+        for writer in list(self.open):
+            writer.transport.abort()
+
+
+STREAM_EVENTS = 20
+
+
+class Link:
+    """A loopback proxy before an endpoint, whose bytes can be interfered with.
+
+    mode: "pass", "delay", "silent" (nothing either way), "one_way" (no
+    answers), "refuse".
+    """
+
+    def __init__(self, endpoint):
+        self.endpoint = endpoint
+        self.mode = "pass"
+        self.pairs = set()
+        self.port = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            to_reader, to_writer = await asyncio.open_connection(
+                "127.0.0.1", self.endpoint.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, to_writer)
+        self.pairs.add(pair)
+        await asyncio.gather(
+            self.pump(reader, to_writer, ("silent",)),
+            self.pump(to_reader, writer, ("silent", "one_way")))
+        self.pairs.discard(pair)
+
+    async def pump(self, reader, writer, dropped_in):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if not data:
+                    break
+                if self.mode == "delay":
+                    await asyncio.sleep(0.05)
+                if self.mode in dropped_in:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass
+        writer.close()
+
+    def reset(self):
+        for pair in list(self.pairs):
+            for writer in pair:
+                writer.transport.abort()
+
+
+class List:
+    """The platform's list of endpoints, in pages of three."""
+
+    def __init__(self, links):
+        self.links = links
+        self.leaving = set()
+        self.port = 0
+        self.calls = 0
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def entry(self, link):
+        endpoint = link.endpoint
+        out = {"id": endpoint.name, "service": endpoint.service,
+               "address": f"127.0.0.1:{link.port}", "zone": "zone-a",
+               "version": "v1", "slots": endpoint.slots, "coldLeftMs": 0,
+               "state": "draining" if endpoint.name in self.leaving
+               else "ready"}
+        if endpoint.stage:
+            out["stage"] = endpoint.stage
+        return out
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                start, _, _ = await read_message(reader)
+                self.calls += 1
+                target = start.split(" ")[1]
+                page = int(target.split("pageToken=")[1]) \
+                    if "pageToken=" in target else 0
+                part = self.links[page:page + 3]
+                more = page + 3 < len(self.links)
+                body = json.dumps({
+                    "instances": [self.entry(link) for link in part] +
+                                 [{"id": 5, "state": "unknown"}],
+                    "next": str(page + 3) if more else None}).encode()
+                writer.write(message("HTTP/1.1 200 OK", {}, body))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class Caller:
+    """A connection of a caller that is kept for as long as it works."""
+
+    def __init__(self, address):
+        self.ip, port = address.split(":")
+        self.port = int(port)
+        self.reader = None
+        self.writer = None
+
+    async def call(self, method, target, headers, body=b"", timeout=3.0):
+        """Returns (status, headers, body, complete); status 0: no answer."""
+        try:
+            return await asyncio.wait_for(
+                self.exchange(method, target, headers, body), timeout)
+        except asyncio.TimeoutError:
+            self.close()
+            return 0, {}, b"", False
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            self.close()
+            return 0, {}, b"", False
+
+    async def exchange(self, method, target, headers, body):
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(
+                self.ip, self.port)
+        self.writer.write(message(f"{method} {target} HTTP/1.1", headers, body))
+        await self.writer.drain()
+        start, got, content = await read_message(self.reader)
+        if got.get("connection", "").lower() == "close":
+            self.close()
+        return int(start.split(" ")[1]), got, content, True
+
+    def close(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.writer = None
--- a/tests/harness/capacity.py
+++ b/tests/load/capacity.py
@@ -12,6 +12,8 @@
 import sys
 import time
 
+sys.path.insert(
+    0, str(pathlib.Path(__file__).resolve().parent.parent / "harness"))
 from fleet import Fleet, Shape, wait_until
 from measure import run_load
 
--- a/tests/harness/measure.py
+++ b/tests/load/measure.py
@@ -13,6 +13,8 @@
 import threading
 import time
 
+sys.path.insert(
+    0, str(pathlib.Path(__file__).resolve().parent.parent / "harness"))
 import fleet as fleets
 from fleet import BUILD, Fleet, http_json, wait_until
 
--- /dev/null
+++ b/tests/node/limits_test.cpp
@@ -0,0 +1,129 @@
+#include <deque>
+#include <random>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "node/fleet_sections.hpp"
+#include "policy/account_meter.hpp"
+
+namespace poplarroute::node
+{
+namespace
+{
+
+using core::duration;
+using core::time_point;
+
+/// The users' bound on one account: in any window, its rate and burst, a
+/// tenth more, and a slack.
+constexpr std::int64_t rate = 53'000;
+constexpr std::int64_t burst = 53'000;
+constexpr std::int64_t slack = 120'000;
+constexpr double excess = 0.1;
+constexpr duration window{8'000};
+
+std::map<core::account_id, policy::rate_limit> effective_limits()
+{
+    control::catalog catalog;
+    control::catalog_account account;
+    account.name_ = "a";
+    account.counts_tokens_ = true;
+    account.rate_ = rate;
+    account.burst_ = burst;
+    catalog.accounts_.push_back(account);
+    fleet_bounds bounds;
+    bounds.rate_excess_ = excess;
+    bounds.rate_slack_ = slack;
+    return limits_of(catalog, bounds);
+}
+
+/// What was admitted within the window.
+class window_sum
+{
+public:
+    void add(std::int64_t tokens, time_point now)
+    {
+        admitted_.emplace_back(now, tokens);
+        sum_ += tokens;
+        while (now - admitted_.front().first > window)
+        {
+            sum_ -= admitted_.front().second;
+            admitted_.pop_front();
+        }
+        most_ = std::max(most_, sum_);
+    }
+
+    std::int64_t most() const
+    {
+        return most_;
+    }
+
+private:
+    std::deque<std::pair<time_point, std::int64_t>> admitted_;
+    std::int64_t sum_ = 0;
+    std::int64_t most_ = 0;
+};
+
+// Load: one account sends eight times its rate through six hosts, which
+// settle in turn; the ledger is lost twice, as with a change of leader.
+RC_GTEST_PROP(
+    limits, all_hosts_together_keep_to_the_users_bound, (unsigned seed))
+{
+    std::mt19937 random(seed);
+    constexpr int hosts = 6;
+    constexpr int steps = 2'000;
+    constexpr duration step{10};
+    constexpr int settle_steps = 10;
+    const auto limits = effective_limits();
+    policy::meter_ledger ledger;
+    std::vector<policy::account_meter> all(hosts);
+    time_point now{100'000};
+    ledger.set_limits(limits, now);
+    for (policy::account_meter& host : all)
+    {
+        host.set_limits(limits, hosts, now);
+    }
+    window_sum admitted;
+    const int lost_at = 500 + static_cast<int>(random() % 500);
+    for (int at = 0; at < steps; ++at)
+    {
+        now = now + step;
+        if (at == lost_at || at == lost_at + 300)
+        {
+            ledger = policy::meter_ledger();
+            ledger.set_limits(limits, now);
+        }
+        for (int which = 0; which < hosts; ++which)
+        {
+            policy::account_meter& host = all[static_cast<std::size_t>(which)];
+            const std::int64_t price =
+                6'000 + static_cast<std::int64_t>(random() % 14'000);
+            // 13,000 tokens each 10 ms in 18 cases are eight times the rate.
+            if (random() % 18 == 0 && host.admit("a", price, now))
+            {
+                admitted.add(price, now);
+            }
+            if (at % settle_steps != which)
+            {
+                continue;
+            }
+            for (const policy::unsettled_use& use : host.take_unsettled(now))
+            {
+                const std::string name = "host-" + std::to_string(which);
+                host.settled(
+                    use.account_,
+                    ledger.settle(
+                        use.account_, name, use.used_, use.part_, now),
+                    now);
+            }
+        }
+    }
+    const double allowed =
+        static_cast<double>(rate * window.ms_ / 1'000 + burst) * (1 + excess) +
+        static_cast<double>(slack);
+    RC_ASSERT(static_cast<double>(admitted.most()) <= allowed);
+}
+
+} // namespace
+} // namespace poplarroute::node
