Part the group's tending and the placement link from their users

No behaviour changes: node/group_tender forms the group and keeps its members, node/placement_link asks for streams' places, plan_to stands once.

--- a/node/catalog_keeper.cpp
+++ b/node/catalog_keeper.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/redirect_error.hpp>
 
 #include "drivers/log.hpp"
-#include "node/replica_messages.hpp"
 
 namespace poplarroute::node
 {
@@ -30,17 +29,6 @@
 
 constexpr core::duration tend_every{250};
 
-/// A member without a leader for so long asks to be let in: it may have been
-/// replaced while it was away.
-constexpr core::duration lonely_after{4'000};
-
-/// A member that was silent for so long gives way to one that joined after.
-constexpr core::duration lost_after{6'000};
-constexpr core::duration present_within{1'500};
-
-/// A group keeps at least this many members however many are silent.
-constexpr std::size_t least_members = 3;
-
 /// An entry host that has not asked for so long is taken for gone.
 constexpr core::duration host_silence{3'500};
 
@@ -54,7 +42,11 @@
 
 catalog_keeper::catalog_keeper(
     context& with, catalog_replica& group, const wire_dialect& dialect)
-    : with_(with), group_(group), dialect_(dialect), desk_(with)
+    : with_(with),
+      group_(group),
+      dialect_(dialect),
+      desk_(with),
+      tender_(with, group)
 {
 }
 
@@ -75,7 +67,7 @@
         });
     take_catalog();
     desk_.start();
-    drivers::spawn(with_.io_, form_group());
+    tender_.start();
     drivers::spawn(with_.io_, tend());
 }
 
@@ -126,198 +118,6 @@
     }
 }
 
-awaitable<bool> catalog_keeper::bootstrap_from_seeds()
-{
-    const fleet_settings& settings =
-        with_.board_.section<settings_section>().settings_;
-    control::member_group group;
-    for (const std::string& seed : settings.seeds_)
-    {
-        const core::result<identify_reply> told = co_await ask<identify_reply>(
-            with_.peers_,
-            seed,
-            method::identify,
-            identify_request(),
-            peer_deadline);
-        if (!core::is_ok(told))
-        {
-            co_return false;
-        }
-        group.members_.push_back({seed, core::value(told).store_, true});
-    }
-    std::sort(
-        group.members_.begin(),
-        group.members_.end(),
-        [](const control::member& left, const control::member& right)
-        {
-            return left.host_ < right.host_;
-        });
-    const core::result<core::done> formed = group_.bootstrap(group);
-    log_event(
-        core::is_ok(formed) ? log_level::info : log_level::warning,
-        "group_formed",
-        {{"members", group.members_.size()},
-         {"problem",
-          core::is_ok(formed) ? "" : core::failure(formed).message_}});
-    co_return core::is_ok(formed);
-}
-
-awaitable<void> catalog_keeper::ask_to_join()
-{
-    std::vector<core::host_id> asked =
-        with_.board_.section<settings_section>().settings_.seeds_;
-    const core::host_id self = with_.identity().host_;
-    for (std::size_t at = 0; at < asked.size() && at < 8; ++at)
-    {
-        if (asked[at] == self)
-        {
-            continue;
-        }
-        const join_request request{self, group_.store()};
-        const core::result<submit_reply> told = co_await ask<submit_reply>(
-            with_.peers_,
-            asked[at],
-            method::catalog_join,
-            request,
-            peer_deadline);
-        if (core::is_ok(told))
-        {
-            co_return;
-        }
-        const error& why = core::failure(told);
-        if (why.code_ == errc::not_leader && !why.message_.empty() &&
-            std::find(asked.begin(), asked.end(), why.message_) == asked.end())
-        {
-            asked.push_back(why.message_);
-        }
-    }
-}
-
-awaitable<void> catalog_keeper::form_group()
-{
-    const fleet_settings& settings =
-        with_.board_.section<settings_section>().settings_;
-    const core::host_id self = with_.identity().host_;
-    for (;;)
-    {
-        const bool blank = group_.member()->log().group().members_.empty();
-        const auto& seeds = settings.seeds_;
-        const bool founder =
-            settings.first_start_ &&
-            std::find(seeds.begin(), seeds.end(), self) != seeds.end();
-        if (blank && founder)
-        {
-            const bool formed = co_await bootstrap_from_seeds();
-            if (!formed)
-            {
-                co_await ask_to_join();
-            }
-        }
-        else if (
-            blank || core::steady_now() -
-                             group_.member()->last_contact(core::steady_now()) >
-                         lonely_after)
-        {
-            co_await ask_to_join();
-        }
-        co_await drivers::sleep_for(blank ? form_every : form_every * 6);
-    }
-}
-
-awaitable<void> catalog_keeper::admit(join_request request)
-{
-    const auto& members = group_.member()->log().group();
-    const control::member* known = members.find(request.host_);
-    if (known != nullptr && known->store_ != request.store_)
-    {
-        // The host came back without its disk: another member.
-        const auto removed =
-            co_await group_.change_group("remove", request.host_, "");
-        if (!core::is_ok(removed))
-        {
-            co_return;
-        }
-        known = nullptr;
-    }
-    if (known == nullptr)
-    {
-        const auto added =
-            co_await group_.change_group("add", request.host_, request.store_);
-        if (!core::is_ok(added))
-        {
-            co_return;
-        }
-    }
-    joined_at_[request.host_] = core::steady_now();
-    log_event(log_level::info, "member_joined", {{"member", request.host_}});
-}
-
-awaitable<void> catalog_keeper::tend_members()
-{
-    const control::raft& raft = *group_.member();
-    const control::member_group group = raft.log().group();
-    const core::time_point now = core::steady_now();
-    for (const control::member& item : group.members_)
-    {
-        if (!item.voter_ && raft.caught_up(item.host_))
-        {
-            const auto promoted =
-                co_await group_.change_group("promote", item.host_, "");
-            if (core::is_ok(promoted))
-            {
-                log_event(
-                    log_level::info,
-                    "member_promoted",
-                    {{"member", item.host_}});
-            }
-            co_return;
-        }
-    }
-    std::size_t present = 0;
-    core::host_id lost;
-    core::time_point lost_since = now;
-    for (const control::member& item : group.members_)
-    {
-        const auto heard = raft.heard_from(item.host_);
-        const bool self = item.host_ == with_.identity().host_;
-        if (self || (heard && now - *heard <= present_within))
-        {
-            silent_since_.erase(item.host_);
-            ++present;
-            continue;
-        }
-        const core::time_point since =
-            silent_since_.try_emplace(item.host_, now).first->second;
-        if (since < lost_since)
-        {
-            lost = item.host_;
-            lost_since = since;
-        }
-    }
-    const bool replaced = std::any_of(
-        joined_at_.begin(),
-        joined_at_.end(),
-        [&](const auto& joined)
-        {
-            return joined.first != lost &&
-                   joined.second + lost_after > lost_since;
-        });
-    const bool others_present = present + 1 == group.members_.size();
-    if (!lost.empty() && replaced && others_present &&
-        present >= least_members && now - lost_since > lost_after)
-    {
-        const auto removed = co_await group_.change_group("remove", lost, "");
-        if (core::is_ok(removed))
-        {
-            log_event(
-                log_level::info,
-                "member_removed",
-                {{"member", lost}, {"silent_ms", (now - lost_since).ms_}});
-            joined_at_.clear();
-        }
-    }
-}
-
 void catalog_keeper::note_leadership()
 {
     if (group_.leads() != led_)
@@ -342,7 +142,7 @@
                             .settings_.bounds_),
                     core::steady_now());
             }
-            silent_since_.clear();
+            tender_.begin_leading();
         }
         wake_watchers();
     }
@@ -365,7 +165,7 @@
         note_leadership();
         if (group_.leads())
         {
-            co_await tend_members();
+            co_await tender_.tend_members();
         }
         const core::time_point now = core::steady_now();
         std::erase_if(
@@ -658,26 +458,6 @@
             out.text_ = core::binary(group_.state().text());
             co_return core::to_bytes(out);
         });
-    with_.calls_.add_typed<join_request, submit_reply>(
-        method::catalog_join,
-        caller_kind::host,
-        [this](drivers::peer_identity, join_request request)
-            -> awaitable<core::result<submit_reply>>
-        {
-            if (!group_.leads())
-            {
-                co_return error{errc::not_leader, group_.leader()};
-            }
-            const control::member* known =
-                group_.member()->log().group().find(request.host_);
-            const bool in = known != nullptr && known->store_ == request.store_;
-            if (!in && admitting_.insert(request.host_).second)
-            {
-                co_await admit(request);
-                admitting_.erase(request.host_);
-            }
-            co_return submit_reply();
-        });
 }
 
 void catalog_keeper::register_stream_calls()
--- a/node/catalog_keeper.hpp
+++ b/node/catalog_keeper.hpp
@@ -9,6 +9,7 @@
 #include "node/catalog_messages.hpp"
 #include "node/context.hpp"
 #include "node/fleet_sections.hpp"
+#include "node/group_tender.hpp"
 #include "node/replica.hpp"
 #include "node/stream_desk.hpp"
 #include "policy/account_meter.hpp"
@@ -32,8 +33,8 @@
     std::string text_;
 };
 
-/// A member of the group that keeps the catalog: it forms the group, takes
-/// operators' orders and tells entry hosts what is in force. The leader also
+/// A member of the group that keeps the catalog: it takes operators' orders
+/// and tells entry hosts what is in force. The leader also
 /// places streams and adds up what accounts use.
 class catalog_keeper
 {
@@ -65,12 +66,7 @@
 
     void register_calls();
     void register_stream_calls();
-    awaitable<void> form_group();
-    awaitable<bool> bootstrap_from_seeds();
-    awaitable<void> ask_to_join();
     awaitable<void> tend();
-    awaitable<void> admit(join_request request);
-    awaitable<void> tend_members();
     awaitable<core::result<submit_reply>> submit(std::string command);
     awaitable<core::result<submit_reply>> submit_here(std::string command);
     awaitable<watch_reply> answer_watch(watch_request request);
@@ -86,14 +82,12 @@
     catalog_replica& group_;
     const wire_dialect& dialect_;
     stream_desk desk_;
+    group_tender tender_;
     policy::meter_ledger ledger_;
     policy::quarantine crashers_;
     std::uint64_t crash_revision_ = 0;
     std::set<std::string> refused_digests_;
     std::map<core::host_id, seen_host> hosts_;
-    std::set<core::host_id> admitting_;
-    std::map<core::host_id, core::time_point> joined_at_;
-    std::map<core::host_id, core::time_point> silent_since_;
     std::vector<std::shared_ptr<drivers::asio::steady_timer>> watchers_;
     bool led_ = false;
     core::host_id last_leader_;
--- a/node/edge_call.hpp
+++ b/node/edge_call.hpp
@@ -91,6 +91,17 @@
     return left.ms_ > 0 ? left : core::duration{0};
 }
 
+/// \return how a call goes to an endpoint with the time that it has left.
+inline send_plan plan_to(const known_endpoint& to, const edge_call& call)
+{
+    send_plan out;
+    out.address_ = to.listed_.address_;
+    out.endpoint_ = to.listed_.name_;
+    out.account_ = call.account_;
+    out.deadline_ = time_left(call);
+    return out;
+}
+
 /// Sends an answer of this host's own.
 /// \param retry_after when the caller should come back, for refusals.
 awaitable<void> answer_own(
--- /dev/null
+++ b/node/group_tender.cpp
@@ -0,0 +1,276 @@
+#include "node/group_tender.hpp"
+
+#include <algorithm>
+
+#include "drivers/log.hpp"
+#include "node/replica_messages.hpp"
+
+namespace poplarroute::node
+{
+
+using core::errc;
+using core::error;
+using drivers::log_event;
+using drivers::log_level;
+
+namespace
+{
+
+/// Between two tries to form or join a group.
+constexpr core::duration form_every{150};
+
+/// Between two looks at a group that is formed.
+constexpr core::duration look_every{900};
+
+/// Members that are asked one after another to let this one in.
+constexpr std::size_t most_asked = 8;
+constexpr core::duration peer_deadline{600};
+
+/// A member without a leader for so long asks to be let in: it may have been
+/// replaced while it was away.
+constexpr core::duration lonely_after{4'000};
+
+/// A member that was silent for so long gives way to one that joined after.
+constexpr core::duration lost_after{6'000};
+
+constexpr core::duration present_within{1'500};
+
+/// A group keeps at least this many members however many are silent.
+constexpr std::size_t least_members = 3;
+
+} // namespace
+
+group_tender::group_tender(context& with, catalog_replica& group)
+    : with_(with), group_(group)
+{
+}
+
+void group_tender::start()
+{
+    with_.calls_.add_typed<join_request, submit_reply>(
+        method::catalog_join,
+        caller_kind::host,
+        [this](drivers::peer_identity, join_request request)
+            -> awaitable<core::result<submit_reply>>
+        {
+            if (!group_.leads())
+            {
+                co_return error{errc::not_leader, group_.leader()};
+            }
+            const control::member* known =
+                group_.member()->log().group().find(request.host_);
+            const bool in = known != nullptr && known->store_ == request.store_;
+            if (!in && admitting_.insert(request.host_).second)
+            {
+                co_await admit(request);
+                admitting_.erase(request.host_);
+            }
+            co_return submit_reply();
+        });
+    drivers::spawn(with_.io_, form_group());
+}
+
+void group_tender::begin_leading()
+{
+    silent_since_.clear();
+}
+
+bool group_tender::was_replaced(
+    const core::host_id& lost, core::time_point lost_since) const
+{
+    return std::any_of(
+        joined_at_.begin(),
+        joined_at_.end(),
+        [&](const auto& joined)
+        {
+            return joined.first != lost &&
+                   joined.second + lost_after > lost_since;
+        });
+}
+
+awaitable<bool> group_tender::bootstrap_from_seeds()
+{
+    const fleet_settings& settings =
+        with_.board_.section<settings_section>().settings_;
+    control::member_group group;
+    for (const std::string& seed : settings.seeds_)
+    {
+        const core::result<identify_reply> told = co_await ask<identify_reply>(
+            with_.peers_,
+            seed,
+            method::identify,
+            identify_request(),
+            peer_deadline);
+        if (!core::is_ok(told))
+        {
+            co_return false;
+        }
+        group.members_.push_back({seed, core::value(told).store_, true});
+    }
+    std::sort(
+        group.members_.begin(),
+        group.members_.end(),
+        [](const control::member& left, const control::member& right)
+        {
+            return left.host_ < right.host_;
+        });
+    const core::result<core::done> formed = group_.bootstrap(group);
+    log_event(
+        core::is_ok(formed) ? log_level::info : log_level::warning,
+        "group_formed",
+        {{"members", group.members_.size()},
+         {"problem",
+          core::is_ok(formed) ? "" : core::failure(formed).message_}});
+    co_return core::is_ok(formed);
+}
+
+awaitable<void> group_tender::ask_to_join()
+{
+    std::vector<core::host_id> asked =
+        with_.board_.section<settings_section>().settings_.seeds_;
+    const core::host_id self = with_.identity().host_;
+    for (std::size_t at = 0; at < asked.size() && at < most_asked; ++at)
+    {
+        if (asked[at] == self)
+        {
+            continue;
+        }
+        const join_request request{self, group_.store()};
+        const core::result<submit_reply> told = co_await ask<submit_reply>(
+            with_.peers_,
+            asked[at],
+            method::catalog_join,
+            request,
+            peer_deadline);
+        if (core::is_ok(told))
+        {
+            co_return;
+        }
+        const error& why = core::failure(told);
+        if (why.code_ == errc::not_leader && !why.message_.empty() &&
+            std::find(asked.begin(), asked.end(), why.message_) == asked.end())
+        {
+            asked.push_back(why.message_);
+        }
+    }
+}
+
+awaitable<void> group_tender::form_group()
+{
+    const fleet_settings& settings =
+        with_.board_.section<settings_section>().settings_;
+    const core::host_id self = with_.identity().host_;
+    for (;;)
+    {
+        const bool blank = group_.member()->log().group().members_.empty();
+        const auto& seeds = settings.seeds_;
+        const bool founder =
+            settings.first_start_ &&
+            std::find(seeds.begin(), seeds.end(), self) != seeds.end();
+        if (blank && founder)
+        {
+            const bool formed = co_await bootstrap_from_seeds();
+            if (!formed)
+            {
+                co_await ask_to_join();
+            }
+        }
+        else if (
+            blank || core::steady_now() -
+                             group_.member()->last_contact(core::steady_now()) >
+                         lonely_after)
+        {
+            co_await ask_to_join();
+        }
+        co_await drivers::sleep_for(blank ? form_every : look_every);
+    }
+}
+
+awaitable<void> group_tender::admit(join_request request)
+{
+    const auto& members = group_.member()->log().group();
+    const control::member* known = members.find(request.host_);
+    if (known != nullptr && known->store_ != request.store_)
+    {
+        // The host came back without its disk: another member.
+        const auto removed =
+            co_await group_.change_group("remove", request.host_, "");
+        if (!core::is_ok(removed))
+        {
+            co_return;
+        }
+        known = nullptr;
+    }
+    if (known == nullptr)
+    {
+        const auto added =
+            co_await group_.change_group("add", request.host_, request.store_);
+        if (!core::is_ok(added))
+        {
+            co_return;
+        }
+    }
+    joined_at_[request.host_] = core::steady_now();
+    log_event(log_level::info, "member_joined", {{"member", request.host_}});
+}
+
+awaitable<void> group_tender::tend_members()
+{
+    const control::raft& raft = *group_.member();
+    const control::member_group group = raft.log().group();
+    const core::time_point now = core::steady_now();
+    for (const control::member& item : group.members_)
+    {
+        if (!item.voter_ && raft.caught_up(item.host_))
+        {
+            const auto promoted =
+                co_await group_.change_group("promote", item.host_, "");
+            if (core::is_ok(promoted))
+            {
+                log_event(
+                    log_level::info,
+                    "member_promoted",
+                    {{"member", item.host_}});
+            }
+            co_return;
+        }
+    }
+    std::size_t present = 0;
+    core::host_id lost;
+    core::time_point lost_since = now;
+    for (const control::member& item : group.members_)
+    {
+        const auto heard = raft.heard_from(item.host_);
+        const bool self = item.host_ == with_.identity().host_;
+        if (self || (heard && now - *heard <= present_within))
+        {
+            silent_since_.erase(item.host_);
+            ++present;
+            continue;
+        }
+        const core::time_point since =
+            silent_since_.try_emplace(item.host_, now).first->second;
+        if (since < lost_since)
+        {
+            lost = item.host_;
+            lost_since = since;
+        }
+    }
+    const bool replaced = was_replaced(lost, lost_since);
+    const bool others_present = present + 1 == group.members_.size();
+    if (!lost.empty() && replaced && others_present &&
+        present >= least_members && now - lost_since > lost_after)
+    {
+        const auto removed = co_await group_.change_group("remove", lost, "");
+        if (core::is_ok(removed))
+        {
+            log_event(
+                log_level::info,
+                "member_removed",
+                {{"member", lost}, {"silent_ms", (now - lost_since).ms_}});
+            joined_at_.clear();
+        }
+    }
+}
+
+} // namespace poplarroute::node
--- /dev/null
+++ b/node/group_tender.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "node/catalog_messages.hpp"
+#include "node/context.hpp"
+#include "node/fleet_sections.hpp"
+#include "node/replica.hpp"
+
+namespace poplarroute::node
+{
+
+/// Forms the group that keeps the catalog, and keeps its members: blank hosts
+/// join, those that came back without their disk join as new members, and
+/// those that are gone for good give way to their successors.
+class group_tender
+{
+public:
+    group_tender(context& with, catalog_replica& group);
+
+    /// Registers calls and starts to form or join the group.
+    void start();
+
+    /// Forgets how long members have been silent: another led meanwhile.
+    void begin_leading();
+
+    /// Makes at most one change to the members, at the leader.
+    awaitable<void> tend_members();
+
+private:
+    awaitable<void> form_group();
+    awaitable<bool> bootstrap_from_seeds();
+    awaitable<void> ask_to_join();
+    awaitable<void> admit(join_request request);
+    bool was_replaced(
+        const core::host_id& lost, core::time_point lost_since) const;
+
+    context& with_;
+    catalog_replica& group_;
+    std::set<core::host_id> admitting_;
+    std::map<core::host_id, core::time_point> joined_at_;
+    std::map<core::host_id, core::time_point> silent_since_;
+};
+
+} // namespace poplarroute::node
--- a/node/plain_edge.cpp
+++ b/node/plain_edge.cpp
@@ -83,11 +83,7 @@
         close_try(policy::call_outcome::unreachable);
         co_return send_verdict::nothing_sent;
     }
-    send_plan plan;
-    plan.address_ = to->listed_.address_;
-    plan.endpoint_ = endpoint_;
-    plan.account_ = call_.account_;
-    plan.deadline_ = time_left(call_);
+    const send_plan plan = plan_to(*to, call_);
     drivers::http_call out = tools_.dialect_.encode_call(call_.request_, plan);
     out.timeout_ = course_.patience(plan.deadline_);
     out.connect_timeout_ = std::min(connect_patience, out.timeout_);
--- a/node/stream_edge.cpp
+++ b/node/stream_edge.cpp
@@ -3,10 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/experimental/awaitable_operators.hpp>
-
-#include "drivers/log.hpp"
-
 namespace poplarroute::node
 {
 
@@ -44,9 +40,6 @@
 constexpr core::duration usual_start{220};
 
 constexpr int most_places = 4;
-constexpr core::duration place_slack{400};
-constexpr core::duration leader_check{60};
-constexpr core::duration note_deadline{1'000};
 constexpr core::duration least_retry{300};
 
 constexpr int status_ok = 200;
@@ -54,98 +47,6 @@
 
 } // namespace
 
-placement_link::placement_link(context& with, stream_desk& own)
-    : with_(with), own_(own)
-{
-}
-
-/// \return nothing when the leader did not answer.
-awaitable<std::optional<place_reply>> placement_link::ask_leader(
-    core::host_id leader, want_message want)
-{
-    const core::time_point asked_at = core::steady_now();
-    const core::duration deadline =
-        core::duration{want.give_up_ms_} + place_slack;
-    const core::result<place_reply> told = co_await ask<place_reply>(
-        with_.peers_, leader, method::streams_place, want, deadline);
-    if (core::is_ok(told))
-    {
-        co_return core::value(told);
-    }
-    drivers::log_event(
-        drivers::log_level::warning,
-        "place_unanswered",
-        {{"id", want.id_},
-         {"leader", leader},
-         {"problem", core::failure(told).message_},
-         {"after_ms", (core::steady_now() - asked_at).ms_}});
-    co_return std::nullopt;
-}
-
-awaitable<void> placement_link::until_leader_changes(core::host_id leader)
-{
-    const group_section& group = with_.board_.section<group_section>();
-    while (group.leader_ == leader)
-    {
-        co_await drivers::sleep_for(leader_check);
-    }
-}
-
-awaitable<place_reply> placement_link::place(want_message want)
-{
-    using namespace drivers::asio::experimental::awaitable_operators;
-    const core::time_point asked_at = core::steady_now();
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
-    if (!leader.empty())
-    {
-        const auto told =
-            co_await (ask_leader(leader, want) || until_leader_changes(leader));
-        if (told.index() == 0 && std::get<0>(told))
-        {
-            co_return *std::get<0>(told);
-        }
-    }
-    const core::duration gone = core::steady_now() - asked_at;
-    want.on_time_ms_ -= gone.ms_;
-    want.give_up_ms_ -= gone.ms_;
-    co_return co_await own_.place(std::move(want));
-}
-
-awaitable<void> placement_link::tell_end(
-    core::host_id leader, end_message ending)
-{
-    // What gets lost is made good by the list of places in the next watch.
-    co_await ask<empty_reply>(
-        with_.peers_, leader, method::streams_end, ending, note_deadline);
-}
-
-awaitable<void> placement_link::tell_note(
-    core::host_id leader, note_message what)
-{
-    co_await ask<empty_reply>(
-        with_.peers_, leader, method::streams_note, what, note_deadline);
-}
-
-void placement_link::end(end_message ending)
-{
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
-    own_.end(ending);
-    if (!leader.empty())
-    {
-        drivers::spawn(with_.io_, tell_end(leader, std::move(ending)));
-    }
-}
-
-void placement_link::note(note_message what)
-{
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
-    own_.note(what);
-    if (!leader.empty())
-    {
-        drivers::spawn(with_.io_, tell_note(leader, std::move(what)));
-    }
-}
-
 stream_edge::stream_edge(
     edge_tools& tools, placement_link& places, edge_call& call, edge_end& end)
     : tools_(tools), places_(places), call_(call), end_(end)
@@ -283,11 +184,7 @@
         end_.detail_ = "the reader has gone";
         co_return step::again;
     }
-    send_plan plan;
-    plan.address_ = to->listed_.address_;
-    plan.endpoint_ = place_.reader_;
-    plan.account_ = call_.account_;
-    plan.deadline_ = time_left(call_);
+    send_plan plan = plan_to(*to, call_);
     plan.stage_ = send_stage::read_prompt;
     drivers::http_call out = tools_.dialect_.encode_call(call_.request_, plan);
     out.timeout_ = std::min(read_patience, plan.deadline_);
@@ -351,11 +248,7 @@
         end_.detail_ = "the decode engine has gone";
         co_return step::again;
     }
-    send_plan plan;
-    plan.address_ = to->listed_.address_;
-    plan.endpoint_ = place_.decoder_;
-    plan.account_ = call_.account_;
-    plan.deadline_ = time_left(call_);
+    send_plan plan = plan_to(*to, call_);
     plan.resume_after_ = last_event_;
     if (handle_)
     {
--- a/node/stream_edge.hpp
+++ b/node/stream_edge.hpp
@@ -1,40 +1,12 @@
 #pragma once
 
-#include "node/catalog_feed.hpp"
-#include "node/catalog_messages.hpp"
 #include "node/edge_call.hpp"
 #include "node/event_reader.hpp"
-#include "node/stream_desk.hpp"
+#include "node/placement_link.hpp"
 
 namespace poplarroute::node
 {
 
-/// Asks for streams' places: the group's leader, or this host's own desk when
-/// no leader is reached.
-class placement_link
-{
-public:
-    placement_link(context& with, stream_desk& own);
-
-    awaitable<place_reply> place(want_message want);
-
-    /// Says that a place is free, and how its stream went.
-    void end(end_message ending);
-
-    /// Says what happened at an engine.
-    void note(note_message what);
-
-private:
-    awaitable<std::optional<place_reply>> ask_leader(
-        core::host_id leader, want_message want);
-    awaitable<void> until_leader_changes(core::host_id leader);
-    awaitable<void> tell_end(core::host_id leader, end_message ending);
-    awaitable<void> tell_note(core::host_id leader, note_message what);
-
-    context& with_;
-    stream_desk& own_;
-};
-
 /// Carries one stream: waits for its place, has the prompt read, relays the
 /// decode engine's events whole and in order, and goes on at another engine
 /// where the route allows it.
