Keep limits through changes of leader; refuse streams before their callers leave

Change: 350 ms without word, own part of the rate between words, use kept beside the part; a stream waits for 60% of its callers' patience at most.

--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -49,6 +49,13 @@
     std::_Exit(storage_exit_status);
 }
 
+awaitable<void> send_one(
+    drivers::peer_client& peers, std::string to, std::string body)
+{
+    co_await peers.call(
+        std::move(to), method::raft, std::move(body), send_deadline);
+}
+
 } // namespace
 
 template <class Machine>
@@ -389,15 +396,8 @@
         {
             continue;
         }
-        auto call = [](drivers::peer_client& peers,
-                       std::string to,
-                       std::string body) -> awaitable<void>
-        {
-            co_await peers.call(
-                std::move(to), method::raft, std::move(body), send_deadline);
-        };
         drivers::spawn(
-            with_.io_, call(with_.peers_, *address, encode(message)));
+            with_.io_, send_one(with_.peers_, *address, encode(message)));
     }
 }
 
--- a/node/stream_edge.cpp
+++ b/node/stream_edge.cpp
@@ -31,10 +31,10 @@
 constexpr std::int64_t objective_silence = 4;
 constexpr std::int64_t pause_silence = 8;
 
-/// A stream may wait for its place so long, by which time serving it still
-/// earns what a late answer is worth; beyond, coming back serves callers
-/// better.
-constexpr core::duration longest_wait{4'500};
+/// Part of the time until callers leave a silent stream that it may wait for
+/// its place; the rest is for its prompt and the way. What cannot be placed by
+/// then is refused while its caller can still come back.
+constexpr std::int64_t wait_percent = 60;
 
 /// From the place to the first event, when nothing queues.
 constexpr core::duration usual_start{220};
@@ -45,6 +45,15 @@
 constexpr int status_ok = 200;
 constexpr int first_error_status = 300;
 
+/// \return how long callers wait for the next event, the first included.
+core::duration callers_patience(const control::catalog_route& route)
+{
+    return std::max(
+        {least_silence,
+         route.latency_objective_ * objective_silence,
+         route.longest_pause_ * pause_silence});
+}
+
 } // namespace
 
 stream_edge::stream_edge(
@@ -130,6 +139,8 @@
     out.priority_ = call_.priority_;
     out.on_time_ms_ =
         (call_.route_.latency_objective_ - waited - usual_start).ms_;
+    const core::duration longest_wait{
+        callers_patience(call_.route_).ms_ * wait_percent / 100};
     out.give_up_ms_ =
         std::min(longest_wait - waited, time_left(call_) - least_left).ms_;
     out.prompt_is_read_ = handle_.has_value();
@@ -353,10 +364,7 @@
 awaitable<stream_edge::step> stream_edge::relay(
     drivers::http_exchange& exchange)
 {
-    const core::duration silence = std::max(
-        {least_silence,
-         call_.route_.latency_objective_ * objective_silence,
-         call_.route_.longest_pause_ * pause_silence});
+    const core::duration silence = callers_patience(call_.route_);
     events_ = event_reader();
     for (;;)
     {
--- a/policy/account_meter.cpp
+++ b/policy/account_meter.cpp
@@ -11,8 +11,9 @@
 constexpr double ms_per_second = 1'000;
 
 /// Without word for so long, a host keeps to its own part of each limit. Word
-/// comes each fifth of a second.
-constexpr core::duration word_valid{1'000};
+/// comes each tenth of a second; what all hosts admit meanwhile is beyond the
+/// limit.
+constexpr core::duration word_valid{350};
 
 /// Part of its part that a host uses which may be cut off from a ledger.
 constexpr double cut_off_part = 0.5;
@@ -111,6 +112,13 @@
     }
 }
 
+/// A host's part of the level last told, less all that it has used since.
+double account_meter::part_of(const entry& of, double hosts)
+{
+    const auto used = static_cast<double>(of.unsettled_);
+    return (of.level_ + used) / hosts - used;
+}
+
 void account_meter::refill(entry& of, core::time_point now) const
 {
     const bool alone = now - of.told_at_ > word_valid;
@@ -122,7 +130,7 @@
     const auto passed = static_cast<double>((now - of.filled_at_).ms_);
     if (alone && !of.alone_)
     {
-        of.level_ = std::min(of.level_ / hosts, burst);
+        of.level_ = std::min(part_of(of, hosts), burst);
     }
     if (alone)
     {
@@ -193,11 +201,10 @@
             continue;
         }
         refill(of, now);
-        const std::int64_t parts = of.alone_ ? 1 : hosts_;
+        const double part =
+            of.alone_ ? of.level_ : part_of(of, static_cast<double>(hosts_));
         out.push_back(
-            {account,
-             of.unsettled_,
-             static_cast<std::int64_t>(of.level_) / parts});
+            {account, of.unsettled_, static_cast<std::int64_t>(part)});
         of.unsettled_ = 0;
     }
     return out;
--- a/policy/account_meter.hpp
+++ b/policy/account_meter.hpp
@@ -125,6 +125,7 @@
         bool alone_ = false;
     };
 
+    static double part_of(const entry& of, double hosts);
     void refill(entry& of, core::time_point now) const;
 
     std::map<core::account_id, entry> entries_;
--- a/tests/node/limits_test.cpp
+++ b/tests/node/limits_test.cpp
@@ -66,7 +66,9 @@
 };
 
 // Load: one account sends eight times its rate through six hosts, which
-// settle in turn; the ledger is lost twice, as with a change of leader.
+// settle in turn; the ledger is lost twice, and for most of a second there is
+// none, as with a change of leader. Found on the bench: hosts went on by the
+// last level for a second, each as if it were alone.
 RC_GTEST_PROP(
     limits, all_hosts_together_keep_to_the_users_bound, (unsigned seed))
 {
@@ -75,6 +77,7 @@
     constexpr int steps = 2'000;
     constexpr duration step{10};
     constexpr int settle_steps = 10;
+    constexpr int outage_steps = 90;
     const auto limits = effective_limits();
     policy::meter_ledger ledger;
     std::vector<policy::account_meter> all(hosts);
@@ -104,7 +107,10 @@
             {
                 admitted.add(price, now);
             }
-            if (at % settle_steps != which)
+            const bool outage =
+                (at >= lost_at && at < lost_at + outage_steps) ||
+                (at >= lost_at + 300 && at < lost_at + 300 + outage_steps);
+            if (outage || at % settle_steps != which)
             {
                 continue;
             }
