--- a/tests/policy/plain_balancer_test.cpp
+++ b/tests/policy/plain_balancer_test.cpp
@@ -16,6 +16,7 @@
 std::vector<plain_endpoint> endpoints(int count)
 {
     std::vector<plain_endpoint> out;
+    out.reserve(static_cast<std::size_t>(count));
     for (int at = 0; at < count; ++at)
     {
         out.push_back({"e" + std::to_string(at), "z", 6, true, 0});
