Share a low level between hosts by chance, so that returning callers do not all pass

Callers that had been refused were all told the same time to return; when the level rose above 0 every host saw it and admitted one within the same 100 ms: levels went to -275,000 and -924,000. Change: below half of the burst, or when a settlement is overdue, a host admits with the chance that keeps the expected admissions of all hosts to three times the level; the time to return is spread by half.

--- a/node/catalog_feed.cpp
+++ b/node/catalog_feed.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/digest.hpp"
 #include "drivers/log.hpp"
 
 namespace poplarroute::node
@@ -42,6 +43,8 @@
 
 void catalog_feed::start()
 {
+    with_.board_.section<meter_section>().meter_ =
+        policy::account_meter(core::stable_hash(with_.identity().host_));
     drivers::spawn(with_.io_, follow());
     drivers::spawn(with_.io_, settle_loop());
 }
--- a/policy/account_meter.cpp
+++ b/policy/account_meter.cpp
@@ -19,6 +19,19 @@
 /// ledger that is still in use by others.
 constexpr double cut_off_part = 0.5;
 
+/// Fraction of the burst below which hosts share the level by chance.
+constexpr double low_part = 0.5;
+
+/// A settlement later than this is overdue; they come every 100 ms.
+constexpr core::duration settlement_due{150};
+
+/// Expected admissions of a full round of hosts between two settlements, as a
+/// multiple of the level, since not every host has a request then.
+constexpr double overbooking = 3;
+
+/// Spread of the time after which refused callers return.
+constexpr double retry_spread = 0.5;
+
 /// Time during which a new ledger adds up the shares that hosts report.
 constexpr core::duration settling{1'500};
 
@@ -146,6 +159,23 @@
     of.filled_at_ = now;
 }
 
+/// Draws whether a request is admitted while the level is low or its settlement
+/// overdue: all hosts see the same level until the next settlement, and callers
+/// that were refused return at the same time.
+bool account_meter::drawn(const entry& of, double tokens, core::time_point now)
+{
+    const bool low =
+        of.level_ < low_part * static_cast<double>(of.limit_.burst_);
+    const bool overdue = now - of.told_at_ > settlement_due;
+    if (of.alone_ || (!low && !overdue))
+    {
+        return true;
+    }
+    const double chance =
+        of.level_ * overbooking / (static_cast<double>(hosts_) * tokens);
+    return std::uniform_real_distribution<double>(0, 1)(random_) < chance;
+}
+
 bool account_meter::admit(
     const core::account_id& account, std::int64_t tokens, core::time_point now)
 {
@@ -156,7 +186,8 @@
     }
     entry& of = found->second;
     refill(of, now);
-    if (of.level_ < static_cast<double>(tokens))
+    const auto price = static_cast<double>(tokens);
+    if (of.level_ < price || !drawn(of, price, now))
     {
         return false;
     }
@@ -187,8 +218,11 @@
     refill(of, now);
     const double lacking = static_cast<double>(tokens) - of.level_;
     const auto parts = static_cast<double>(of.alone_ ? hosts_ : 1);
+    const double spread =
+        1 +
+        retry_spread * std::uniform_real_distribution<double>(0, 1)(random_);
     return {static_cast<std::int64_t>(
-        std::max(lacking, 0.0) * ms_per_second * parts /
+        std::max(lacking, 0.0) * ms_per_second * parts * spread /
         static_cast<double>(of.limit_.rate_))};
 }
 
--- a/policy/account_meter.hpp
+++ b/policy/account_meter.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -69,6 +70,11 @@
 class account_meter
 {
 public:
+    account_meter() = default;
+
+    /// \param seed differs between hosts, so that their draws do too.
+    explicit account_meter(std::uint64_t seed) : random_(seed) {}
+
     /// \param hosts how many hosts share the limits when none is heard.
     void set_limits(
         const std::map<core::account_id, rate_limit>& limits,
@@ -124,12 +130,14 @@
         bool alone_ = false;
     };
 
+    bool drawn(const entry& of, double tokens, core::time_point now);
     static double part_of(const entry& of, double hosts);
     void refill(entry& of, core::time_point now) const;
 
     std::map<core::account_id, entry> entries_;
     std::int64_t hosts_ = 1;
     bool no_ledger_ = false;
+    std::mt19937_64 random_;
 };
 
 } // namespace poplarroute::policy
