Drop a leftover constant and a struct around one time; correct two pages

No behaviour changes. Cause: the group's tending moved out of catalog_keeper and left a timeout unused there and a constant with a name of the other's use; a struct held a single time point.

--- a/drivers/disk_log.hpp
+++ b/drivers/disk_log.hpp
@@ -28,7 +28,8 @@
 /// synced before write() returns. A record torn by a crash at the very end is
 /// cut off; anything else that does not match its CRC is refused, since an
 /// acknowledged entry may be gone. After a failed write or sync the log must
-/// not be used any more: the caller stops.
+/// not be used any more: the caller opens it anew, which reads what the disk
+/// holds.
 class disk_log
 {
 public:
--- a/node/catalog_keeper.cpp
+++ b/node/catalog_keeper.cpp
@@ -19,9 +19,8 @@
 namespace
 {
 
-/// Between two tries to form or join a group.
-constexpr core::duration form_every{150};
-constexpr core::duration peer_deadline{600};
+/// Between two looks for a leader that takes an order.
+constexpr core::duration leader_search_every{150};
 
 /// An operator's call moves on after a second, so an order is not followed
 /// for longer here.
@@ -172,7 +171,7 @@
             hosts_,
             [now](const auto& item)
             {
-                return now - item.second.at_ > host_silence;
+                return now - item.second > host_silence;
             });
         drivers::flush_log();
     }
@@ -231,7 +230,7 @@
                 }
             }
         }
-        co_await drivers::sleep_for(form_every);
+        co_await drivers::sleep_for(leader_search_every);
     }
     co_return last;
 }
@@ -381,7 +380,7 @@
 
 awaitable<watch_reply> catalog_keeper::answer_watch(watch_request request)
 {
-    hosts_[request.host_] = {core::steady_now()};
+    hosts_[request.host_] = core::steady_now();
     if (group_.leads())
     {
         desk_.reconcile(request.host_, request.places_);
@@ -398,7 +397,7 @@
             asio::redirect_error(asio::use_awaitable, woken));
     }
     std::erase(watchers_, timer);
-    hosts_[request.host_] = {core::steady_now()};
+    hosts_[request.host_] = core::steady_now();
     co_return describe(request);
 }
 
--- a/node/catalog_keeper.hpp
+++ b/node/catalog_keeper.hpp
@@ -59,11 +59,6 @@
     }
 
 private:
-    struct seen_host
-    {
-        core::time_point at_;
-    };
-
     void register_calls();
     void register_stream_calls();
     awaitable<void> tend();
@@ -87,7 +82,7 @@
     policy::quarantine crashers_;
     std::uint64_t crash_revision_ = 0;
     std::set<std::string> refused_digests_;
-    std::map<core::host_id, seen_host> hosts_;
+    std::map<core::host_id, core::time_point> hosts_; ///< Last watch.
     std::vector<std::shared_ptr<drivers::asio::steady_timer>> watchers_;
     bool led_ = false;
     core::host_id last_leader_;
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -84,7 +84,7 @@
     const control::catalog& catalog, const fleet_bounds& bounds);
 
 /// Replaces the list.
-/// \param age of the list as it arrives.
+/// \param read_at when it was read, on this host's clock.
 void take_list(
     endpoint_section& section,
     std::span<const listed_endpoint> list,
