Leave an engine out for the hosts that lost it, not for all

Cause: one host's failed call took an engine away from every host for half a second, and the next success of another host brought it back for the host that still could not reach it. Tests fail on the former broker, which had one ejection for all.

--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -142,7 +142,8 @@
 struct note_message
 {
     core::service_id service_;
-    std::string read_; ///< Id of a stream whose prompt has been read; or "".
+    core::host_id host_; ///< Whose calls these were.
+    std::string read_;   ///< Id of a stream whose prompt has been read; or "".
     core::endpoint_id failed_;
     core::endpoint_id lapsed_; ///< A reader whose prompt could not be had.
     std::vector<core::endpoint_id> worked_;
@@ -255,7 +256,7 @@
     output_tokens_,
     decode_ms_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    note_message, service_, read_, failed_, lapsed_, worked_)
+    note_message, service_, host_, read_, failed_, lapsed_, worked_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     use_message, account_, used_, level_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(settle_request, host_, uses_)
--- a/node/placement_link.cpp
+++ b/node/placement_link.cpp
@@ -106,6 +106,7 @@
 void placement_link::note(note_message what)
 {
     const core::host_id leader = with_.board_.section<group_section>().leader_;
+    what.host_ = with_.identity().host_;
     own_.note(what);
     if (!leader.empty())
     {
--- a/node/stream_desk.cpp
+++ b/node/stream_desk.cpp
@@ -120,21 +120,22 @@
     {
         return;
     }
+    const core::time_point now = core::steady_now();
     if (!what.read_.empty())
     {
         broker->prompt_read(what.read_);
     }
     if (!what.failed_.empty())
     {
-        broker->failed(what.failed_, core::steady_now());
+        broker->failed(what.failed_, what.host_, now);
     }
     if (!what.lapsed_.empty())
     {
-        broker->lapsed(what.lapsed_, core::steady_now());
+        broker->lapsed(what.lapsed_, now);
     }
     for (const core::endpoint_id& name : what.worked_)
     {
-        broker->worked(name);
+        broker->worked(name, what.host_, now);
     }
     decide_all();
 }
--- a/policy/stream_broker.cpp
+++ b/policy/stream_broker.cpp
@@ -33,10 +33,6 @@
 /// it busy; further prompts would only queue there.
 constexpr double reader_backlog_ms = 90;
 
-/// Ejection time of a failed engine, doubled up to a maximum.
-constexpr core::duration first_out{500};
-constexpr core::duration longest_out{8'000};
-
 /// Consecutive expired prompts after which a reader is ejected.
 constexpr int most_lapses = 2;
 
@@ -159,18 +155,16 @@
     }
 }
 
-void stream_broker::failed(const core::endpoint_id& name, core::time_point now)
+void stream_broker::failed(
+    const core::endpoint_id& name,
+    const core::host_id& host,
+    core::time_point now)
 {
     const auto found = engines_.find(name);
-    if (found == engines_.end() || now < found->second.out_until_)
+    if (found != engines_.end())
     {
-        return;
+        found->second.ejections_.failed(host, now);
     }
-    engine& item = found->second;
-    item.out_for_ = item.out_for_.ms_ == 0
-                        ? first_out
-                        : std::min(item.out_for_ * 2, longest_out);
-    item.out_until_ = now + item.out_for_;
 }
 
 void stream_broker::lapsed(const core::endpoint_id& name, core::time_point now)
@@ -179,17 +173,19 @@
     if (found != engines_.end() && ++found->second.lapses_ >= most_lapses)
     {
         found->second.lapses_ = 0;
-        failed(name, now);
+        found->second.ejections_.eject_for_all(now);
     }
 }
 
-void stream_broker::worked(const core::endpoint_id& name)
+void stream_broker::worked(
+    const core::endpoint_id& name,
+    const core::host_id& host,
+    core::time_point now)
 {
     const auto found = engines_.find(name);
     if (found != engines_.end())
     {
-        found->second.out_for_ = {};
-        found->second.out_until_ = {};
+        found->second.ejections_.worked(host, now);
         found->second.lapses_ = 0;
     }
 }
@@ -309,9 +305,10 @@
     return all == 0 ? 0 : static_cast<double>(used) / static_cast<double>(all);
 }
 
-bool stream_broker::in_use(const engine& item, core::time_point now) const
+bool stream_broker::in_use(
+    const engine& item, const core::host_id& host, core::time_point now) const
 {
-    return item.facts_.usable_ && item.out_until_ <= now;
+    return item.facts_.usable_ && !item.ejections_.is_out_for(host, now);
 }
 
 bool stream_broker::may_start(engine& item, core::time_point now) const
@@ -333,7 +330,7 @@
     double best_score = 0;
     for (auto& [name, item] : engines_)
     {
-        if (!item.facts_.reads_prompts_ || !in_use(item, now) ||
+        if (!item.facts_.reads_prompts_ || !in_use(item, want.host_, now) ||
             want.avoid_.count(name) != 0 || !may_start(item, now))
         {
             continue;
@@ -367,7 +364,7 @@
     double best_score = 0;
     for (auto& [name, item] : engines_)
     {
-        if (item.facts_.reads_prompts_ || !in_use(item, now) ||
+        if (item.facts_.reads_prompts_ || !in_use(item, want.host_, now) ||
             want.avoid_.count(name) != 0 || !may_start(item, now))
         {
             continue;
--- a/policy/stream_broker.hpp
+++ b/policy/stream_broker.hpp
@@ -12,6 +12,7 @@
 
 #include "core/clock.hpp"
 #include "core/ids.hpp"
+#include "policy/ejection_record.hpp"
 
 namespace poplarroute::policy
 {
@@ -122,15 +123,21 @@
     /// The prompt of a stream has been read.
     void prompt_read(const std::string& id);
 
-    /// An engine failed a call or could not be reached.
-    void failed(const core::endpoint_id& engine, core::time_point now);
+    /// An engine failed a host's call or could not be reached by it.
+    void failed(
+        const core::endpoint_id& engine,
+        const core::host_id& host,
+        core::time_point now);
 
     /// A prompt's KV cache had expired at its reader before it was fetched.
     /// Several such events in a row eject the reader.
     void lapsed(const core::endpoint_id& reader, core::time_point now);
 
-    /// An engine answered a call, or its prompt was taken over.
-    void worked(const core::endpoint_id& engine);
+    /// An engine answered a host's call, or its prompt was taken over.
+    void worked(
+        const core::endpoint_id& engine,
+        const core::host_id& host,
+        core::time_point now);
 
     /// Replaces the placements known of a host by those it reports, except for
     /// very recent ones.
@@ -162,8 +169,7 @@
     struct engine
     {
         engine_facts facts_;
-        core::time_point out_until_;
-        core::duration out_for_;
+        ejection_record ejections_;
         std::int64_t reading_tokens_ = 0;
         int lapses_ = 0; ///< In a row.
         std::deque<core::time_point> starts_;
@@ -194,7 +200,10 @@
 
     load load_of(const core::endpoint_id& name, core::time_point now) const;
     std::int64_t expected_output(const stream_want& want) const;
-    bool in_use(const engine& item, core::time_point now) const;
+    bool in_use(
+        const engine& item,
+        const core::host_id& host,
+        core::time_point now) const;
     bool may_start(engine& item, core::time_point now) const;
     engine* pick_reader(const stream_want& want, core::time_point now);
     engine* pick_decoder(
--- a/tests/policy/stream_broker_test.cpp
+++ b/tests/policy/stream_broker_test.cpp
@@ -122,6 +122,23 @@
     EXPECT_EQ(broker.running(), 0U);
 }
 
+TEST(stream_broker, keeps_an_engine_for_hosts_that_still_reach_it)
+{
+    stream_broker broker;
+    auto fleet = small_fleet();
+    fleet.pop_back(); // One decode engine.
+    broker.set_engines(fleet);
+    const time_point now{1'000};
+    broker.failed("decode-1", "host-2", now);
+    broker.ask(want_of("a", now), now);
+    EXPECT_NE(only_place(broker.decide(now)), nullptr);
+
+    stream_want cut_off = want_of("b", now);
+    cut_off.host_ = "host-2";
+    broker.ask(cut_off, now);
+    EXPECT_TRUE(broker.decide(now).empty());
+}
+
 // Load: twenty streams a second for a second, on engines that bear ten.
 RC_GTEST_PROP(
     stream_broker, never_fills_an_engine_beyond_its_memory, (unsigned seed))
