Let hosts without a leader spread their streams, and keep a prompt that is read

Cause: without a leader each host places its own streams and sees no others. Change: such a host lets each own stream stand for the others' (half of the number of hosts, as they are uneven), draws among good engines, counts the streams that a leader placed before, and shares what a cold engine bears. After a rejection it offers the prompt to another engine. A test plays ten hosts.

--- a/node/catalog_feed.cpp
+++ b/node/catalog_feed.cpp
@@ -82,14 +82,8 @@
     out.list_revision_ = list.revision_;
     out.crash_revision_ = crash_revision_;
     out.wait_ms_ = wait ? watch_wait.ms_ : 0;
-    const core::time_point now = core::steady_now();
-    for (const auto& [id, item] :
-         with_.board_.section<stream_section>().running_)
-    {
-        place_message told = item.place_;
-        told.age_ms_ = (now - item.placed_at_).ms_;
-        out.places_.push_back(std::move(told));
-    }
+    out.places_ = running_places(
+        with_.board_.section<stream_section>(), core::steady_now());
     return out;
 }
 
--- a/node/catalog_feed.hpp
+++ b/node/catalog_feed.hpp
@@ -6,24 +6,12 @@
 #include "node/catalog_messages.hpp"
 #include "node/context.hpp"
 #include "node/fleet_sections.hpp"
+#include "node/stream_places.hpp"
 #include "policy/account_meter.hpp"
 
 namespace poplarroute::node
 {
 
-/// A stream that this host runs, as the leader is told of it.
-struct running_stream
-{
-    place_message place_;
-    core::time_point placed_at_;
-};
-
-/// Streams under way here, by id. Written by the edge.
-struct stream_section
-{
-    std::map<std::string, running_stream> running_;
-};
-
 /// Accounts' levels as this host holds them.
 struct meter_section
 {
--- a/node/catalog_keeper.cpp
+++ b/node/catalog_keeper.cpp
@@ -44,7 +44,7 @@
     : with_(with),
       group_(group),
       dialect_(dialect),
-      desk_(with),
+      desk_(with, stream_desk::reach::fleet),
       tender_(with, group)
 {
 }
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -125,6 +125,7 @@
     std::int64_t retry_ms_ = 0;
     std::int64_t waited_ms_ = 0;
     std::int64_t waiting_ = 0;
+    bool alone_ = false; ///< This host decided without a leader; not sent.
 };
 
 struct end_message
--- a/node/edge_controller.cpp
+++ b/node/edge_controller.cpp
@@ -102,7 +102,7 @@
 edge_controller::edge_controller(context& with, const wire_dialect& dialect)
     : with_(with),
       tools_{with, dialect, {}, {}},
-      own_desk_(with),
+      own_desk_(with, stream_desk::reach::own_host),
       places_(with, own_desk_)
 {
 }
--- a/node/fleet_sections.cpp
+++ b/node/fleet_sections.cpp
@@ -41,6 +41,7 @@
 std::map<core::service_id, std::vector<policy::engine_facts>> engines_of(
     const catalog_section& catalog,
     const endpoint_section& endpoints,
+    std::int64_t hosts,
     core::time_point now)
 {
     std::map<core::service_id, std::vector<policy::engine_facts>> out;
@@ -63,7 +64,7 @@
         facts.usable_ = usable(catalog, item.listed_);
         facts.slots_ = service->engine_->slots_;
         facts.memory_tokens_ = service->engine_->memory_tokens_;
-        facts.starts_per_second_ = cold_starts(*service, item, 1, now);
+        facts.starts_per_second_ = cold_starts(*service, item, hosts, now);
         out[service->name_].push_back(std::move(facts));
     }
     return out;
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -64,10 +64,12 @@
 };
 
 /// \return the engines of each engine service, as policies know them.
+/// \param hosts that share what a cold engine bears.
 /// \param now for what is cold.
 std::map<core::service_id, std::vector<policy::engine_facts>> engines_of(
     const catalog_section& catalog,
     const endpoint_section& endpoints,
+    std::int64_t hosts,
     core::time_point now);
 
 /// \return the endpoints of a plain service, as policies know them.
--- a/node/placement_link.cpp
+++ b/node/placement_link.cpp
@@ -75,7 +75,9 @@
     const core::duration gone = core::steady_now() - asked_at;
     want.on_time_ms_ -= gone.ms_;
     want.give_up_ms_ -= gone.ms_;
-    co_return co_await own_.place(std::move(want));
+    place_reply own = co_await own_.place(std::move(want));
+    own.alone_ = true;
+    co_return own;
 }
 
 awaitable<void> placement_link::tell_end(
--- a/node/stream_desk.cpp
+++ b/node/stream_desk.cpp
@@ -18,7 +18,10 @@
 
 } // namespace
 
-stream_desk::stream_desk(context& with) : with_(with) {}
+stream_desk::stream_desk(context& with, reach reach)
+    : with_(with), reach_(reach)
+{
+}
 
 void stream_desk::start()
 {
@@ -40,10 +43,15 @@
     const auto engines = engines_of(
         with_.board_.section<catalog_section>(),
         with_.board_.section<endpoint_section>(),
+        sharers(),
         core::steady_now());
     for (const auto& [service, facts] : engines)
     {
-        brokers_[service].set_engines(facts);
+        const auto seed = static_cast<std::uint64_t>(core::steady_now().ms_);
+        policy::stream_broker& broker =
+            brokers_.try_emplace(service, seed).first->second;
+        broker.set_engines(facts);
+        broker.set_sharers(sharers());
     }
     for (auto& [service, broker] : brokers_)
     {
@@ -60,6 +68,22 @@
     refresh();
 }
 
+std::int64_t stream_desk::sharers() const
+{
+    return reach_ == reach::fleet
+               ? 1
+               : with_.board_.section<group_section>().hosts_;
+}
+
+void stream_desk::see_own_places()
+{
+    // Most of them were placed by a leader.
+    reconcile(
+        with_.identity().host_,
+        running_places(
+            with_.board_.section<stream_section>(), core::steady_now()));
+}
+
 policy::stream_broker* stream_desk::find(const core::service_id& service)
 {
     const auto found = brokers_.find(service);
@@ -77,6 +101,10 @@
             policy::name_of(policy::stream_refusal_reason::no_engine);
         co_return none;
     }
+    if (reach_ == reach::own_host)
+    {
+        see_own_places();
+    }
     const std::string id = want.id_;
     const core::service_id service = want.service_;
     const answer reply = std::make_shared<awaited<place_reply>>(with_.io_);
--- a/node/stream_desk.hpp
+++ b/node/stream_desk.hpp
@@ -7,6 +7,7 @@
 #include "node/catalog_messages.hpp"
 #include "node/context.hpp"
 #include "node/fleet_sections.hpp"
+#include "node/stream_places.hpp"
 #include "policy/stream_broker.hpp"
 
 namespace poplarroute::node
@@ -19,7 +20,14 @@
 class stream_desk
 {
 public:
-    explicit stream_desk(context& with);
+    /// Whose streams a desk places.
+    enum class reach
+    {
+        fleet,    ///< Of all hosts: it sees all streams.
+        own_host, ///< Of this host alone, while others place theirs.
+    };
+
+    stream_desk(context& with, reach reach);
 
     void start();
 
@@ -42,9 +50,12 @@
 
     awaitable<void> run();
     void decide_all();
+    std::int64_t sharers() const;
+    void see_own_places();
     policy::stream_broker* find(const core::service_id& service);
 
     context& with_;
+    const reach reach_;
     std::map<core::service_id, policy::stream_broker> brokers_;
     std::map<std::string, answer> waiting_;
 };
--- a/node/stream_edge.cpp
+++ b/node/stream_edge.cpp
@@ -308,6 +308,12 @@
         {
             return step::again;
         }
+        if (handle_ && place_.alone_)
+        {
+            // The engine is more likely full of other hosts' streams than the
+            // handle has lapsed: another engine may still fetch the prompt.
+            return step::again;
+        }
         note_message what;
         what.service_ = call_.service_;
         what.lapsed_ = handle_ ? end_.reader_ : core::endpoint_id();
--- a/policy/stream_broker.cpp
+++ b/policy/stream_broker.cpp
@@ -48,6 +48,14 @@
 /// an engine's load.
 constexpr double far_penalty = 0.03;
 
+/// Hosts place streams unevenly: each may use this many times its even part
+/// of the engines while it sees none of the others' streams.
+constexpr double overbooking = 2;
+
+/// Difference in load, as a part of an engine's whole, that chance outweighs
+/// while a host does not see the others' streams.
+constexpr double blind_spread = 0.3;
+
 constexpr core::duration one_second{1'000};
 constexpr core::duration least_retry{300};
 
@@ -74,6 +82,25 @@
     return "unknown";
 }
 
+stream_broker::stream_broker(std::uint64_t seed)
+    : random_(static_cast<std::minstd_rand::result_type>(seed))
+{
+}
+
+void stream_broker::set_sharers(std::int64_t hosts)
+{
+    stands_for_ = std::max(static_cast<double>(hosts) / overbooking, 1.0);
+}
+
+double stream_broker::draw()
+{
+    if (stands_for_ <= 1)
+    {
+        return 0;
+    }
+    return std::uniform_real_distribution<double>(0, blind_spread)(random_);
+}
+
 void stream_broker::set_engines(std::span<const engine_facts> engines)
 {
     std::map<core::endpoint_id, engine> next;
@@ -342,7 +369,7 @@
         }
         const bool far = item.facts_.zone_ != want.zone_;
         const double score =
-            backlog / reader_backlog_ms + (far ? far_penalty : 0);
+            backlog / reader_backlog_ms + (far ? far_penalty : 0) + draw();
         if (best == nullptr || score < best_score)
         {
             best = &item;
@@ -370,7 +397,8 @@
             continue;
         }
         const load used = load_of(name, now);
-        const auto memory = static_cast<double>(item.facts_.memory_tokens_);
+        const double memory =
+            static_cast<double>(item.facts_.memory_tokens_) / stands_for_;
         const auto own_mean = static_cast<double>(want.prompt_tokens_) +
                               mean_progress * static_cast<double>(output);
         const double after =
@@ -380,14 +408,15 @@
             memory;
         const bool alone = used.runs_ == 0;
         const bool fits = after <= most_fill && now_after <= most_fill &&
-                          used.runs_ < item.facts_.slots_;
+                          static_cast<double>(used.runs_) * stands_for_ <
+                              static_cast<double>(item.facts_.slots_);
         if (!fits && !alone)
         {
             continue;
         }
         const double score =
             after + (item.facts_.zone_ != reader_zone ? far_penalty : 0) +
-            (item.facts_.zone_ != want.zone_ ? far_penalty : 0);
+            (item.facts_.zone_ != want.zone_ ? far_penalty : 0) + draw();
         if (best == nullptr || score < best_score)
         {
             best = &item;
--- a/policy/stream_broker.hpp
+++ b/policy/stream_broker.hpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -111,6 +112,17 @@
 class stream_broker
 {
 public:
+    /// \param seed for ties between engines when it does not see all streams.
+    explicit stream_broker(std::uint64_t seed = 1);
+
+    /// Says that other hosts place streams on the same engines, unseen.
+    ///
+    /// Load: no leader for some seconds, while each host places its own
+    /// streams. Each own stream then stands for a part of the others', and
+    /// hosts draw among good engines lest all choose the same one.
+    /// \param hosts that share the engines, this one included; 1: none else.
+    void set_sharers(std::int64_t hosts);
+
     /// Takes over the engines as they are now known.
     void set_engines(std::span<const engine_facts> engines);
 
@@ -220,11 +232,14 @@
     void release(const std::string& id);
     void free_reader(run& of);
     core::duration time_to_room() const;
+    double draw();
 
     std::map<core::endpoint_id, engine> engines_;
     std::map<std::string, run> runs_;
     std::vector<waiting_stream> waiting_;
     std::map<core::host_id, core::time_point> hosts_;
+    std::minstd_rand random_;
+    double stands_for_ = 1;  ///< Streams that one of this host's stands for.
     double output_mean_ = 0; ///< Tokens of an answer, of those seen.
     double read_rate_ = 0;   ///< Prompt tokens a ms.
     double token_ms_ = 0;    ///< Between two tokens of a stream.
--- a/tests/policy/stream_broker_test.cpp
+++ b/tests/policy/stream_broker_test.cpp
@@ -139,6 +139,54 @@
     EXPECT_TRUE(broker.decide(now).empty());
 }
 
+// Load: ten hosts without a leader place six streams each at one time, on six
+// engines that bear eleven each. The fullest may get no more than its memory.
+TEST(stream_broker, hosts_that_place_unseen_by_each_other_spread_out)
+{
+    std::vector<engine_facts> fleet;
+    for (int index = 0; index < 9; ++index)
+    {
+        engine_facts facts;
+        facts.name_ = "engine-" + std::to_string(index);
+        facts.zone_ = "zone-a";
+        facts.reads_prompts_ = index >= 6;
+        facts.slots_ = 16;
+        facts.memory_tokens_ = engine_memory;
+        fleet.push_back(facts);
+    }
+    constexpr int hosts = 10;
+    std::map<core::endpoint_id, int> placed;
+    int all = 0;
+    for (int host = 0; host < hosts; ++host)
+    {
+        stream_broker broker(static_cast<std::uint64_t>(host) + 1);
+        broker.set_engines(fleet);
+        broker.set_sharers(hosts);
+        time_point now{1'000};
+        for (int step = 0; step < 6; ++step)
+        {
+            now = now + duration{200};
+            const std::string id = "s" + std::to_string(step);
+            broker.ask(want_of(id, now), now);
+            for (const stream_decision& item : broker.decide(now))
+            {
+                if (const auto* place = std::get_if<stream_place>(&item))
+                {
+                    ++placed[place->decoder_];
+                    ++all;
+                    broker.prompt_read(id);
+                }
+            }
+        }
+    }
+    EXPECT_EQ(all, hosts * 6);
+    for (const auto& [engine, count] : placed)
+    {
+        EXPECT_LE(count, 16) << engine;
+    }
+    EXPECT_EQ(placed.size(), 6U);
+}
+
 // Load: twenty streams a second for a second, on engines that bear ten.
 RC_GTEST_PROP(
     stream_broker, never_fills_an_engine_beyond_its_memory, (unsigned seed))
