Grant lone hosts whole requests until a burst has passed; log the limits that refuse

Change: four fifths of a lone host's part are granted in whole requests, valid while the burst refills; refusals say rate and burst, and whether the host was alone.

--- a/node/catalog_keeper.cpp
+++ b/node/catalog_keeper.cpp
@@ -469,8 +469,7 @@
     if (price > 0 && !ledger_.charge(account, price, now))
     {
         co_return refuse_over_rate(
-            price,
-            ledger_.level(account, now),
+            ledger_.inputs(account, price, now),
             ledger_.wait_for(account, price, now));
     }
     place_reply reply = co_await desk_.place(std::move(want));
--- a/node/catalog_messages.cpp
+++ b/node/catalog_messages.cpp
@@ -1,6 +1,6 @@
 #include "node/catalog_messages.hpp"
 
-#include <string>
+#include <utility>
 
 namespace poplarroute::node
 {
@@ -85,13 +85,11 @@
         item);
 }
 
-place_reply refuse_over_rate(
-    std::int64_t price, std::int64_t level, core::duration wait)
+place_reply refuse_over_rate(std::string inputs, core::duration wait)
 {
     place_reply out;
     out.over_rate_ = true;
-    out.reason_ =
-        "price " + std::to_string(price) + ", level " + std::to_string(level);
+    out.reason_ = std::move(inputs);
     out.retry_ms_ = wait.ms_;
     return out;
 }
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -281,7 +281,7 @@
 place_reply to_message(const policy::stream_decision& item);
 
 /// \return the refusal of a stream whose account's level does not suffice.
-place_reply refuse_over_rate(
-    std::int64_t price, std::int64_t level, core::duration wait);
+/// \param inputs what decided it.
+place_reply refuse_over_rate(std::string inputs, core::duration wait);
 
 } // namespace poplarroute::node
--- a/node/edge_controller.cpp
+++ b/node/edge_controller.cpp
@@ -200,13 +200,11 @@
     }
     const core::duration wait = std::max(
         meter.wait_for(call.account_, call.price_, now), least_rate_retry);
-    const group_section& group = with_.board_.section<group_section>();
-    std::string inputs = "price " + std::to_string(call.price_) + ", level " +
-                         std::to_string(meter.level(call.account_, now)) +
-                         ", leader heard " +
-                         std::to_string((now - group.heard_at_).ms_) +
-                         " ms ago, hosts " + std::to_string(group.hosts_);
-    return refusal{status_too_many, "over_rate", wait, std::move(inputs)};
+    return refusal{
+        status_too_many,
+        "over_rate",
+        wait,
+        meter.inputs(call.account_, call.price_, now)};
 }
 
 std::optional<edge_controller::refusal> edge_controller::prepare(
--- a/node/placement_link.cpp
+++ b/node/placement_link.cpp
@@ -67,8 +67,7 @@
     if (price > 0 && !meter.admit(account, price, now))
     {
         co_return refuse_over_rate(
-            price,
-            meter.level(account, now),
+            meter.inputs(account, price, now),
             meter.wait_for(account, price, now));
     }
     place_reply reply = co_await own_.place(std::move(want));
--- a/policy/account_meter.cpp
+++ b/policy/account_meter.cpp
@@ -34,11 +34,19 @@
 
 /// Fraction of a lone host's share that it grants in whole requests, when the
 /// share is less than one of them.
-constexpr double ticket_part = 0.5;
+constexpr double ticket_part = 0.8;
 
 /// Time during which a new ledger adds up the shares that hosts report.
 constexpr core::duration settling{1'500};
 
+std::string describe(std::int64_t tokens, double level, const rate_limit& limit)
+{
+    return "price " + std::to_string(tokens) + ", level " +
+           std::to_string(static_cast<std::int64_t>(level)) + ", rate " +
+           std::to_string(limit.rate_) + ", burst " +
+           std::to_string(limit.burst_);
+}
+
 /// \return how long until the lacking tokens are there, spread by chance.
 template <typename Random>
 core::duration spread_wait(double lacking, double rate, Random& random)
@@ -126,16 +134,16 @@
         random_);
 }
 
-std::int64_t meter_ledger::level(
-    const core::account_id& account, core::time_point now)
+std::string meter_ledger::inputs(
+    const core::account_id& account, std::int64_t tokens, core::time_point now)
 {
     const auto found = entries_.find(account);
     if (found == entries_.end())
     {
-        return 0;
+        return {};
     }
     refill(found->second, now);
-    return static_cast<std::int64_t>(found->second.level_);
+    return describe(tokens, found->second.level_, found->second.limit_);
 }
 
 std::int64_t meter_ledger::settle(
@@ -205,13 +213,19 @@
     return std::uniform_real_distribution<double>(0, 1)(random_) < part;
 }
 
-void account_meter::refill_alone(entry& of, double burst, double gain)
+void account_meter::refill_alone(
+    entry& of, double burst, double gain, core::time_point now)
 {
     const auto largest = static_cast<double>(of.largest_);
     const bool by_chance = largest > burst;
     if (by_chance && chance(gain * ticket_part / largest))
     {
-        of.ticket_ = true;
+        // Valid while the whole burst refills: hosts that wait with tickets
+        // then add no more than a burst.
+        of.ticket_until_ =
+            now + core::duration{static_cast<std::int64_t>(
+                      static_cast<double>(of.limit_.burst_) * ms_per_second /
+                      static_cast<double>(of.limit_.rate_))};
     }
     of.level_ =
         std::min(burst, of.level_ + gain * (by_chance ? 1 - ticket_part : 1.0));
@@ -226,12 +240,14 @@
                                      : cut_off_part / hosts;
     const double burst = static_cast<double>(of.limit_.burst_) * part;
     const auto passed = static_cast<double>((now - of.filled_at_).ms_);
-    const double gain =
+    double gain =
         passed * static_cast<double>(of.limit_.rate_) * part / ms_per_second;
     if (alone && !of.alone_)
     {
-        of.level_ = std::min(part_of(of, hosts), burst);
-        of.ticket_ = false;
+        const double own = std::min(part_of(of, hosts), burst);
+        of.level_ = std::min(own, 0.0);
+        gain += std::max(own, 0.0);
+        of.ticket_until_ = {};
     }
     of.alone_ = alone;
     of.filled_at_ = now;
@@ -242,7 +258,7 @@
     }
     // Usage within this host's own share needs no settlement.
     of.unsettled_ = 0;
-    refill_alone(of, burst, gain);
+    refill_alone(of, burst, gain, now);
 }
 
 /// Draws whether a request is admitted while the level is low or its settlement
@@ -275,9 +291,9 @@
     of.largest_ = std::max(of.largest_, tokens);
     const auto price = static_cast<double>(tokens);
     const bool large = tokens * 2 > of.largest_;
-    if (of.alone_ && of.ticket_ && large && of.level_ < price)
+    if (of.alone_ && now < of.ticket_until_ && large && of.level_ < price)
     {
-        of.ticket_ = false;
+        of.ticket_until_ = {};
         return true;
     }
     if (of.level_ < price || !drawn(of, price, now))
@@ -373,4 +389,19 @@
     return static_cast<std::int64_t>(found->second.level_);
 }
 
+std::string account_meter::inputs(
+    const core::account_id& account, std::int64_t tokens, core::time_point now)
+{
+    const auto found = entries_.find(account);
+    if (found == entries_.end())
+    {
+        return {};
+    }
+    entry& of = found->second;
+    refill(of, now);
+    return describe(tokens, of.level_, of.limit_) + ", last settled " +
+           std::to_string((now - of.told_at_).ms_) + " ms ago, hosts " +
+           std::to_string(hosts_) + (of.alone_ ? ", alone" : "");
+}
+
 } // namespace poplarroute::policy
--- a/policy/account_meter.hpp
+++ b/policy/account_meter.hpp
@@ -44,8 +44,11 @@
         std::int64_t tokens,
         core::time_point now);
 
-    /// \return the level, in tokens; 0 for accounts without a limit.
-    std::int64_t level(const core::account_id& account, core::time_point now);
+    /// \return why a request is refused now, for logs.
+    std::string inputs(
+        const core::account_id& account,
+        std::int64_t tokens,
+        core::time_point now);
 
     /// Debits what a host has admitted.
     /// \param told_part the host's own estimate of its share of the level; a
@@ -87,7 +90,7 @@
 /// Load: an account that sends several times its rate through all hosts. Each
 /// host admits against the last settled level minus its own usage since then.
 /// A host without recent settlements uses an equal share of the limit. Where
-/// that share is less than one large request, half of it is granted in whole
+/// that share is less than one large request, most of it is granted in whole
 /// requests, by chance.
 class account_meter
 {
@@ -141,6 +144,12 @@
     /// \return the level as this host holds it.
     std::int64_t level(const core::account_id& account, core::time_point now);
 
+    /// \return why a request is refused now, for logs.
+    std::string inputs(
+        const core::account_id& account,
+        std::int64_t tokens,
+        core::time_point now);
+
 private:
     struct entry
     {
@@ -150,12 +159,13 @@
         core::time_point filled_at_;
         core::time_point told_at_;
         bool alone_ = false;
-        std::int64_t largest_ = 0; ///< Price of the largest request seen.
-        bool ticket_ = false;      ///< A lone host may admit one such request.
+        std::int64_t largest_ = 0;      ///< Price of the largest request seen.
+        core::time_point ticket_until_; ///< Alone, one such may pass till then.
     };
 
     bool chance(double part);
-    void refill_alone(entry& of, double burst, double gain);
+    void refill_alone(
+        entry& of, double burst, double gain, core::time_point now);
     bool drawn(const entry& of, double tokens, core::time_point now);
     static double part_of(const entry& of, double hosts);
     void refill(entry& of, core::time_point now);
