Keep streams in their callers' zones, and their prompts' moves within a zone

Also each look at an engine's load walked all streams of the fleet. Change: the decode engine is chosen first, the caller's zone preferred by 0.15 of its memory, then a reader in that zone; engines know their own streams.

--- a/policy/stream_broker.cpp
+++ b/policy/stream_broker.cpp
@@ -44,9 +44,13 @@
 /// placements are released.
 constexpr core::duration host_silence{4'000};
 
-/// Preference for engines near each other and near the caller, as a part of
-/// an engine's load.
-constexpr double far_penalty = 0.03;
+/// Preference for a decode engine in the caller's zone, as a part of the
+/// engine's memory: a cut between zones breaks streams that cross it.
+constexpr double far_from_caller = 0.15;
+
+/// Preference for a reader in the decode engine's zone, as a part of the
+/// reader's largest backlog: a move between zones takes twice as long.
+constexpr double far_from_decoder = 0.5;
 
 /// Hosts place streams unevenly: each may use this many times its even part
 /// of the engines while it sees none of the others' streams.
@@ -140,14 +144,31 @@
     }
 }
 
+void stream_broker::add_run(const std::string& id, run placed)
+{
+    release(id);
+    const auto decoder = engines_.find(placed.decoder_);
+    if (decoder != engines_.end())
+    {
+        decoder->second.runs_.insert(id);
+    }
+    runs_.emplace(id, std::move(placed));
+}
+
 void stream_broker::release(const std::string& id)
 {
     const auto found = runs_.find(id);
-    if (found != runs_.end())
+    if (found == runs_.end())
     {
-        free_reader(found->second);
-        runs_.erase(found);
+        return;
     }
+    free_reader(found->second);
+    const auto decoder = engines_.find(found->second.decoder_);
+    if (decoder != engines_.end())
+    {
+        decoder->second.runs_.erase(id);
+    }
+    runs_.erase(found);
 }
 
 void stream_broker::finished(const stream_end& end, core::time_point now)
@@ -237,7 +258,7 @@
         item.prompt_tokens_ = place.prompt_tokens_;
         item.expected_output_ = place.output_hint_;
         item.placed_at_ = now - place.age_;
-        runs_.emplace(place.id_, std::move(item));
+        add_run(place.id_, std::move(item));
     }
     std::vector<std::string> gone;
     for (const auto& [id, item] : runs_)
@@ -295,16 +316,13 @@
 }
 
 stream_broker::load stream_broker::load_of(
-    const core::endpoint_id& name, core::time_point now) const
+    const engine& on, core::time_point now) const
 {
     const double token_ms = token_ms_ > 0 ? token_ms_ : first_token_ms;
     load out;
-    for (const auto& [id, item] : runs_)
+    for (const std::string& id : on.runs_)
     {
-        if (item.decoder_ != name)
-        {
-            continue;
-        }
+        const run& item = runs_.at(id);
         const auto age = static_cast<double>((now - item.placed_at_).ms_);
         const auto made = std::min<std::int64_t>(
             static_cast<std::int64_t>(age / token_ms), item.expected_output_);
@@ -325,7 +343,7 @@
     {
         if (!item.facts_.reads_prompts_)
         {
-            used += load_of(name, now).mean_tokens_;
+            used += load_of(item, now).mean_tokens_;
             all += item.facts_.memory_tokens_;
         }
     }
@@ -350,7 +368,9 @@
 }
 
 stream_broker::engine* stream_broker::pick_reader(
-    const stream_want& want, core::time_point now)
+    const stream_want& want,
+    const core::zone_id& decoder_zone,
+    core::time_point now)
 {
     const double rate = read_rate_ > 0 ? read_rate_ : first_read_rate;
     engine* best = nullptr;
@@ -367,9 +387,9 @@
         {
             continue;
         }
-        const bool far = item.facts_.zone_ != want.zone_;
+        const bool far = item.facts_.zone_ != decoder_zone;
         const double score =
-            backlog / reader_backlog_ms + (far ? far_penalty : 0) + draw();
+            backlog / reader_backlog_ms + (far ? far_from_decoder : 0) + draw();
         if (best == nullptr || score < best_score)
         {
             best = &item;
@@ -380,10 +400,7 @@
 }
 
 stream_broker::engine* stream_broker::pick_decoder(
-    const stream_want& want,
-    const core::zone_id& reader_zone,
-    bool late,
-    core::time_point now)
+    const stream_want& want, bool late, core::time_point now)
 {
     const std::int64_t output = expected_output(want);
     const double most_fill = late ? fill_late : fill_on_time;
@@ -396,7 +413,7 @@
         {
             continue;
         }
-        const load used = load_of(name, now);
+        const load used = load_of(item, now);
         const double memory =
             static_cast<double>(item.facts_.memory_tokens_) / stands_for_;
         const auto own_mean = static_cast<double>(want.prompt_tokens_) +
@@ -414,9 +431,8 @@
         {
             continue;
         }
-        const double score =
-            after + (item.facts_.zone_ != reader_zone ? far_penalty : 0) +
-            (item.facts_.zone_ != want.zone_ ? far_penalty : 0) + draw();
+        const bool far = item.facts_.zone_ != want.zone_;
+        const double score = after + (far ? far_from_caller : 0) + draw();
         if (best == nullptr || score < best_score)
         {
             best = &item;
@@ -433,24 +449,22 @@
 {
     const stream_want& want = item.want_;
     const bool late = now > want.on_time_until_;
+    engine* decoder = pick_decoder(want, late, now);
+    if (decoder == nullptr)
+    {
+        return false;
+    }
     const bool needs_reader =
         !want.prompt_is_read_ && !want.decode_reads_prompt_;
     engine* reader = nullptr;
     if (needs_reader)
     {
-        reader = pick_reader(want, now);
+        reader = pick_reader(want, decoder->facts_.zone_, now);
         if (reader == nullptr)
         {
             return false;
         }
     }
-    const core::zone_id zone =
-        reader == nullptr ? want.zone_ : reader->facts_.zone_;
-    engine* decoder = pick_decoder(want, zone, late, now);
-    if (decoder == nullptr)
-    {
-        return false;
-    }
     run placed;
     placed.host_ = want.host_;
     placed.decoder_ = decoder->facts_.name_;
@@ -466,8 +480,7 @@
     }
     out.emplace_back(stream_place{
         want.id_, placed.reader_, placed.decoder_, now - item.asked_at_});
-    release(want.id_);
-    runs_[want.id_] = std::move(placed);
+    add_run(want.id_, std::move(placed));
     return true;
 }
 
--- a/policy/stream_broker.hpp
+++ b/policy/stream_broker.hpp
@@ -185,6 +185,7 @@
         std::int64_t reading_tokens_ = 0;
         int lapses_ = 0; ///< In a row.
         std::deque<core::time_point> starts_;
+        std::set<std::string> runs_; ///< Streams placed to decode here.
     };
 
     struct run
@@ -210,18 +211,19 @@
         std::int64_t runs_ = 0;
     };
 
-    load load_of(const core::endpoint_id& name, core::time_point now) const;
+    load load_of(const engine& item, core::time_point now) const;
+    void add_run(const std::string& id, run placed);
     std::int64_t expected_output(const stream_want& want) const;
     bool in_use(
         const engine& item,
         const core::host_id& host,
         core::time_point now) const;
     bool may_start(engine& item, core::time_point now) const;
-    engine* pick_reader(const stream_want& want, core::time_point now);
     engine* pick_decoder(
+        const stream_want& want, bool late, core::time_point now);
+    engine* pick_reader(
         const stream_want& want,
-        const core::zone_id& reader_zone,
-        bool late,
+        const core::zone_id& decoder_zone,
         core::time_point now);
     bool try_place(
         waiting_stream& item,
--- a/tests/policy/stream_broker_test.cpp
+++ b/tests/policy/stream_broker_test.cpp
@@ -122,6 +122,35 @@
     EXPECT_EQ(broker.running(), 0U);
 }
 
+// A cut between zones breaks the streams that cross it, and moves between
+// zones take twice as long.
+TEST(stream_broker, keeps_a_stream_in_its_callers_zone_while_there_is_room)
+{
+    std::vector<engine_facts> fleet = small_fleet();
+    for (engine_facts& facts : small_fleet())
+    {
+        facts.name_ += "-b";
+        facts.zone_ = "zone-b";
+        fleet.push_back(facts);
+    }
+    stream_broker broker;
+    broker.set_engines(fleet);
+    time_point now{1'000};
+    for (int index = 0; index < 4; ++index)
+    {
+        now = now + duration{150};
+        stream_want want = want_of("s" + std::to_string(index), now);
+        want.zone_ = "zone-b";
+        broker.ask(want, now);
+        const auto decisions = broker.decide(now);
+        const stream_place* place = only_place(decisions);
+        ASSERT_NE(place, nullptr);
+        EXPECT_TRUE(place->decoder_.ends_with("-b")) << place->decoder_;
+        EXPECT_TRUE(place->reader_.ends_with("-b")) << place->reader_;
+        broker.prompt_read(want.id_);
+    }
+}
+
 TEST(stream_broker, keeps_an_engine_for_hosts_that_still_reach_it)
 {
     stream_broker broker;
