Leave a replaced engine out at once; let the leader grant streams' second sends

Also found by reading: a resumable stream that had run and then got no second place was answered 503, which says that it has not run. Change: the first such rejection leaves the engine out for five seconds, for all. The leader grants second sends of streams from half of the fleet's bound; hosts keep a fifth for when there is no leader. A stream that may have run ends with 502. The last point has a soak check of refusals, not a test of its own.

--- a/node/catalog_keeper.cpp
+++ b/node/catalog_keeper.cpp
@@ -34,6 +34,10 @@
 /// The longest that a watch is left unanswered.
 constexpr core::duration longest_watch{2'000};
 
+/// Fraction of the bound on second sends that the leader grants to streams. A
+/// new leader does not know what the former has granted.
+constexpr double stream_resends = 0.5;
+
 /// How long a request that ends engines is refused.
 constexpr core::duration crasher_span{60'000};
 
@@ -98,17 +102,30 @@
          {"revision", state.revision()},
          {"routes", section.view_->whole().routes_.size()},
          {"zones_out", state.zones_out().size()}});
-    ledger_.set_limits(
-        limits_of(
-            section.view_->whole(),
-            with_.board_.section<settings_section>().settings_.bounds_),
-        core::steady_now());
+    set_bounds();
     for (const auto& call : section.on_change_)
     {
         call();
     }
 }
 
+void catalog_keeper::set_bounds()
+{
+    const catalog_section& section = with_.board_.section<catalog_section>();
+    if (!section.view_)
+    {
+        return;
+    }
+    const fleet_bounds& bounds =
+        with_.board_.section<settings_section>().settings_.bounds_;
+    ledger_.set_limits(
+        limits_of(section.view_->whole(), bounds), core::steady_now());
+    for (const auto& [name, service] : section.view_->whole().services_)
+    {
+        resends_[name].set_bound(resend_bound_of(bounds), 1, stream_resends);
+    }
+}
+
 void catalog_keeper::wake_watchers()
 {
     for (const auto& timer : watchers_)
@@ -130,17 +147,8 @@
         {
             desk_.reset();
             ledger_ = policy::meter_ledger();
-            const catalog_section& section =
-                with_.board_.section<catalog_section>();
-            if (section.view_)
-            {
-                ledger_.set_limits(
-                    limits_of(
-                        section.view_->whole(),
-                        with_.board_.section<settings_section>()
-                            .settings_.bounds_),
-                    core::steady_now());
-            }
+            resends_.clear();
+            set_bounds();
             tender_.begin_leading();
         }
         wake_watchers();
@@ -466,6 +474,17 @@
     const core::account_id account = want.account_;
     const std::int64_t price = want.price_;
     const core::time_point now = core::steady_now();
+    policy::resend_allowance& resends = resends_[want.service_];
+    if (want.resends_ == 0)
+    {
+        resends.request(now);
+    }
+    else if (!resends.take(want.resends_, now))
+    {
+        place_reply none;
+        none.reason_ = "no allowance to send again";
+        co_return none;
+    }
     if (price > 0 && !ledger_.charge(account, price, now))
     {
         co_return refuse_over_rate(
--- a/node/catalog_keeper.hpp
+++ b/node/catalog_keeper.hpp
@@ -67,6 +67,7 @@
     awaitable<watch_reply> answer_watch(watch_request request);
     bool has_news(const watch_request& request) const;
     watch_reply describe(const watch_request& request);
+    void set_bounds();
     awaitable<place_reply> charge_and_place(want_message want);
     settle_reply settle(const settle_request& request);
     void take_catalog();
@@ -80,6 +81,7 @@
     stream_desk desk_;
     group_tender tender_;
     policy::meter_ledger ledger_;
+    std::map<core::service_id, policy::resend_allowance> resends_;
     policy::quarantine crashers_;
     std::uint64_t crash_revision_ = 0;
     std::set<std::string> refused_digests_;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -116,6 +116,8 @@
     std::vector<core::endpoint_id> avoid_;
     core::account_id account_;
     std::int64_t price_ = 0; ///< To charge the account; 0: it has been charged.
+    std::int64_t resends_ =
+        0; ///< Calls that repeat earlier ones of the stream.
 };
 
 struct place_reply
@@ -151,6 +153,7 @@
     core::endpoint_id failed_;
     core::endpoint_id lapsed_; ///< A reader whose prompt could not be had.
     std::vector<core::endpoint_id> worked_;
+    core::endpoint_id replaced_; ///< Another process answers at its address.
 };
 
 struct use_message
@@ -242,7 +245,8 @@
     decode_reads_prompt_,
     avoid_,
     account_,
-    price_)
+    price_,
+    resends_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     place_reply,
     placed_,
@@ -263,7 +267,7 @@
     output_tokens_,
     decode_ms_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    note_message, service_, host_, read_, failed_, lapsed_, worked_)
+    note_message, service_, host_, read_, failed_, lapsed_, worked_, replaced_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     use_message, account_, used_, level_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(settle_request, host_, uses_)
--- a/node/edge_call.hpp
+++ b/node/edge_call.hpp
@@ -57,7 +57,7 @@
     /// \return whether a request may be sent once more.
     bool may_resend(const core::service_id& service)
     {
-        return resends_[service].take(core::steady_now());
+        return resends_[service].take(1, core::steady_now());
     }
 
     /// Checks whether an endpoint that broke a connection has crashed, and if
--- a/node/edge_controller.cpp
+++ b/node/edge_controller.cpp
@@ -22,6 +22,12 @@
 /// A host without a catalog has one within about a second.
 constexpr core::duration retry_without_catalog{400};
 
+/// Fractions of the bound on second sends that hosts use for plain calls, and
+/// for streams while they reach no leader, which has the larger fraction of
+/// those; the rest is for requests that come unevenly to hosts and windows.
+constexpr double plain_resends = 0.6;
+constexpr double lone_stream_resends = 0.2;
+
 /// The least that a refused account is told to wait.
 constexpr core::duration least_rate_retry{100};
 
@@ -125,8 +131,9 @@
     for (const auto& [name, service] : section.view_->whole().services_)
     {
         tools_.resends_[name].set_bound(
-            {bounds.resend_ratio_, bounds.resend_slack_, bounds.resend_window_},
-            with_.board_.section<group_section>().hosts_);
+            resend_bound_of(bounds),
+            with_.board_.section<group_section>().hosts_,
+            service.engine_ ? lone_stream_resends : plain_resends);
     }
 }
 
--- a/node/fleet_sections.cpp
+++ b/node/fleet_sections.cpp
@@ -124,6 +124,11 @@
     return out;
 }
 
+policy::resend_bound resend_bound_of(const fleet_bounds& bounds)
+{
+    return {bounds.resend_ratio_, bounds.resend_slack_, bounds.resend_window_};
+}
+
 void take_list(
     endpoint_section& section,
     std::span<const listed_endpoint> list,
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -14,6 +14,7 @@
 #include "node/fleet_settings.hpp"
 #include "node/wire_dialect.hpp"
 #include "policy/plain_balancer.hpp"
+#include "policy/resend_allowance.hpp"
 #include "policy/stream_broker.hpp"
 #include "policy/token_bucket.hpp"
 
@@ -85,6 +86,9 @@
 std::map<core::account_id, policy::rate_limit> limits_of(
     const control::catalog& catalog, const fleet_bounds& bounds);
 
+/// \return the bound on second sends, as policies know it.
+policy::resend_bound resend_bound_of(const fleet_bounds& bounds);
+
 /// Replaces the list.
 /// \param read_at when it was read, on this host's clock.
 void take_list(
--- a/node/stream_desk.cpp
+++ b/node/stream_desk.cpp
@@ -161,6 +161,10 @@
     {
         broker->lapsed(what.lapsed_, now);
     }
+    if (!what.replaced_.empty())
+    {
+        broker->replaced(what.replaced_, now);
+    }
     for (const core::endpoint_id& name : what.worked_)
     {
         broker->worked(name, what.host_, now);
--- a/node/stream_edge.cpp
+++ b/node/stream_edge.cpp
@@ -123,6 +123,14 @@
     places_.note(std::move(what));
 }
 
+void stream_edge::note_replaced(const core::endpoint_id& engine)
+{
+    note_message what;
+    what.service_ = call_.service_;
+    what.replaced_ = engine;
+    places_.note(std::move(what));
+}
+
 want_message stream_edge::next_want() const
 {
     const edge_request& request = call_.request_;
@@ -145,6 +153,9 @@
     out.prompt_is_read_ = handle_.has_value();
     out.decode_reads_prompt_ = decode_reads_prompt_;
     out.avoid_.assign(avoid_.begin(), avoid_.end());
+    const bool reads_again =
+        prompt_reads_ > 0 && !handle_ && !decode_reads_prompt_;
+    out.resends_ = (reads_again ? 1 : 0) + (end_.sends_ > 0 ? 1 : 0);
     if (!call_.paid_ && !call_.account_.empty())
     {
         out.account_ = call_.account_;
@@ -206,7 +217,8 @@
     out.timeout_ = std::min(read_patience, plan.deadline_);
     out.connect_timeout_ = connect_patience;
     end_.reader_ = place_.reader_;
-    if (prompt_reads_ > 0 && !tools_.may_resend(call_.service_))
+    if (prompt_reads_ > 0 && place_.alone_ &&
+        !tools_.may_resend(call_.service_))
     {
         end_.detail_ = "no allowance to read the prompt again";
         co_return step::refused;
@@ -230,7 +242,11 @@
             tools_.dialect_.facts_of(call_.request_, got.status_, got.headers_);
         end_.detail_ = "reader answered " + std::to_string(got.status_);
         avoid_.insert(place_.reader_);
-        if (!facts.not_run_)
+        if (facts.misdirected_)
+        {
+            note_replaced(place_.reader_);
+        }
+        else if (!facts.not_run_)
         {
             blame(place_.reader_);
         }
@@ -274,7 +290,7 @@
     drivers::http_call out = tools_.dialect_.encode_call(call_.request_, plan);
     out.timeout_ = std::min(open_patience, plan.deadline_);
     out.connect_timeout_ = connect_patience;
-    if (end_.sends_ > 0 && !tools_.may_resend(call_.service_))
+    if (end_.sends_ > 0 && place_.alone_ && !tools_.may_resend(call_.service_))
     {
         end_.detail_ += ", and no allowance to send again";
         co_return step::refused;
@@ -291,6 +307,7 @@
             --end_.sends_;
             co_return step::again;
         }
+        may_have_run_ = true;
         if (core::failure(opened).code_ == errc::broken)
         {
             tools_.suspect(call_, place_.decoder_, policy::evidence::starter);
@@ -312,6 +329,7 @@
         avoid_.insert(place_.decoder_);
         if (facts.misdirected_)
         {
+            note_replaced(place_.decoder_);
             return step::again;
         }
         if (handle_ && place_.alone_)
@@ -343,6 +361,7 @@
     {
         end_.detail_ = "the answer is not this request's";
         stream_.reset();
+        may_have_run_ = true;
         blame(place_.decoder_);
         return may_resume() ? step::again : step::failed;
     }
@@ -522,7 +541,7 @@
         co_return;
     }
     std::optional<core::duration> retry;
-    if (last == step::refused)
+    if (last == step::refused && !may_have_run_)
     {
         end_.status_ = place_.over_rate_ ? status_too_many : status_unavailable;
         end_.outcome_ = place_.over_rate_ ? "over_rate" : "refused_no_room";
--- a/node/stream_edge.hpp
+++ b/node/stream_edge.hpp
@@ -48,6 +48,7 @@
     void leave_place(bool complete);
     void forget_handle();
     void blame(const core::endpoint_id& engine);
+    void note_replaced(const core::endpoint_id& engine);
     awaitable<void> answer_failure(drivers::http_exchange& exchange, step last);
 
     edge_tools& tools_;
@@ -71,6 +72,7 @@
     core::time_point last_event_at_;
     core::duration retry_after_;
     int prompt_reads_ = 0;
+    bool may_have_run_ = false; ///< At an engine that has since failed it.
 };
 
 } // namespace poplarroute::node
--- a/policy/ejection_record.cpp
+++ b/policy/ejection_record.cpp
@@ -52,6 +52,12 @@
     for_all_.extend(now);
 }
 
+void ejection_record::eject_for_all(core::time_point now, core::duration time)
+{
+    for_all_.since_ = now;
+    for_all_.until_ = std::max(for_all_.until_, now + time);
+}
+
 bool ejection_record::is_out_for(
     const core::host_id& host, core::time_point now) const
 {
--- a/policy/ejection_record.hpp
+++ b/policy/ejection_record.hpp
@@ -26,6 +26,9 @@
     /// Leaves the endpoint out for all hosts, whoever is served by it.
     void eject_for_all(core::time_point now);
 
+    /// The same, for a given time.
+    void eject_for_all(core::time_point now, core::duration time);
+
     /// \return whether the host should send nothing to the endpoint.
     bool is_out_for(const core::host_id& host, core::time_point now) const;
 
--- a/policy/resend_allowance.cpp
+++ b/policy/resend_allowance.cpp
@@ -5,19 +5,12 @@
 namespace poplarroute::policy
 {
 
-namespace
-{
-
-/// Fraction of the bound that is used, since requests are spread unevenly over
-/// hosts and windows.
-constexpr double used_part = 0.6;
-
-} // namespace
-
-void resend_allowance::set_bound(resend_bound bound, std::int64_t hosts)
+void resend_allowance::set_bound(
+    resend_bound bound, std::int64_t hosts, double part)
 {
     bound_ = bound;
     hosts_ = std::max<std::int64_t>(hosts, 1);
+    part_ = part;
 }
 
 void resend_allowance::forget(core::time_point now)
@@ -39,18 +32,18 @@
     requests_.push_back(now);
 }
 
-bool resend_allowance::take(core::time_point now)
+bool resend_allowance::take(std::int64_t sends, core::time_point now)
 {
     forget(now);
     const double most =
-        used_part *
+        part_ *
         (bound_.ratio_ * static_cast<double>(requests_.size()) +
          static_cast<double>(bound_.slack_) / static_cast<double>(hosts_));
-    if (static_cast<double>(sends_.size()) + 1 > most)
+    if (static_cast<double>(sends_.size()) + static_cast<double>(sends) > most)
     {
         return false;
     }
-    sends_.push_back(now);
+    sends_.insert(sends_.end(), static_cast<std::size_t>(sends), now);
     return true;
 }
 
--- a/policy/resend_allowance.hpp
+++ b/policy/resend_allowance.hpp
@@ -16,24 +16,27 @@
     core::duration window_{10'000}; ///< Any span of this length counts.
 };
 
-/// One host's part of a bound on second sends over all hosts: its own
-/// requests pay in, and the slack is divided evenly.
+/// One process's part of a bound on second sends over all hosts: the requests
+/// that it sees pay in, and the slack is divided evenly.
 class resend_allowance
 {
 public:
-    void set_bound(resend_bound bound, std::int64_t hosts);
+    /// \param hosts how many processes share the bound in the same way.
+    /// \param part the fraction of it that they use together.
+    void set_bound(resend_bound bound, std::int64_t hosts, double part);
 
     /// Notes a request.
     void request(core::time_point now);
 
-    /// \return whether a second send may go out; it is noted then.
-    bool take(core::time_point now);
+    /// \return whether so many second sends may go out; they are noted then.
+    bool take(std::int64_t sends, core::time_point now);
 
 private:
     void forget(core::time_point now);
 
     resend_bound bound_;
     std::int64_t hosts_ = 1;
+    double part_ = 0;
     std::deque<core::time_point> requests_;
     std::deque<core::time_point> sends_;
 };
--- a/policy/stream_broker.cpp
+++ b/policy/stream_broker.cpp
@@ -33,6 +33,9 @@
 /// it busy; further prompts would only queue there.
 constexpr double reader_backlog_ms = 90;
 
+/// The list shows by then that an engine has been replaced.
+constexpr core::duration gone_from_list{5'000};
+
 /// Consecutive expired prompts after which a reader is ejected.
 constexpr int most_lapses = 2;
 
@@ -225,6 +228,16 @@
     }
 }
 
+void stream_broker::replaced(
+    const core::endpoint_id& name, core::time_point now)
+{
+    const auto found = engines_.find(name);
+    if (found != engines_.end())
+    {
+        found->second.ejections_.eject_for_all(now, gone_from_list);
+    }
+}
+
 void stream_broker::worked(
     const core::endpoint_id& name,
     const core::host_id& host,
--- a/policy/stream_broker.hpp
+++ b/policy/stream_broker.hpp
@@ -141,6 +141,10 @@
         const core::host_id& host,
         core::time_point now);
 
+    /// Another process answers at an engine's address: the engine is gone,
+    /// though it may be on the list for some seconds yet.
+    void replaced(const core::endpoint_id& engine, core::time_point now);
+
     /// A prompt's KV cache had expired at its reader before it was fetched.
     /// Several such events in a row eject the reader.
     void lapsed(const core::endpoint_id& reader, core::time_point now);
--- a/tests/policy/ejection_record_test.cpp
+++ b/tests/policy/ejection_record_test.cpp
@@ -49,6 +49,14 @@
     EXPECT_FALSE(record.is_out_for("host-1", again + duration{1'000}));
 }
 
+TEST(ejection_record, a_replaced_endpoint_stays_out_for_all_for_its_time)
+{
+    ejection_record record;
+    record.eject_for_all(start, duration{5'000});
+    EXPECT_TRUE(record.is_out_for("host-1", start + duration{4'999}));
+    EXPECT_FALSE(record.is_out_for("host-1", start + duration{5'000}));
+}
+
 TEST(ejection_record, an_answer_ends_a_hosts_own_ejection)
 {
     ejection_record record;
--- a/tests/policy/plain_balancer_test.cpp
+++ b/tests/policy/plain_balancer_test.cpp
@@ -151,7 +151,7 @@
     const resend_bound bound{0.2, 52, duration{10'000}};
     for (resend_allowance& host : all)
     {
-        host.set_bound(bound, hosts);
+        host.set_bound(bound, hosts, 0.6);
     }
     time_point now{100'000};
     std::vector<std::pair<time_point, bool>> events;
@@ -161,7 +161,7 @@
         resend_allowance& host = all[random() % hosts];
         host.request(now);
         events.emplace_back(now, false);
-        if (host.take(now))
+        if (host.take(1, now))
         {
             events.emplace_back(now, true);
         }
--- a/tests/policy/stream_broker_test.cpp
+++ b/tests/policy/stream_broker_test.cpp
@@ -122,6 +122,29 @@
     EXPECT_EQ(broker.running(), 0U);
 }
 
+// Found on the bench: after engines of a zone had come back as new processes,
+// streams went on being placed on the old ones until the list showed it, and
+// their prompts were read for nothing.
+TEST(stream_broker, gives_nothing_to_an_engine_that_has_been_replaced)
+{
+    stream_broker broker;
+    broker.set_engines(small_fleet());
+    const time_point now{1'000};
+    broker.replaced("decode-1", now);
+    for (int index = 0; index < 3; ++index)
+    {
+        broker.ask(want_of("s" + std::to_string(index), now), now);
+    }
+    for (const stream_decision& item : broker.decide(now))
+    {
+        const auto* place = std::get_if<stream_place>(&item);
+        if (place != nullptr)
+        {
+            EXPECT_EQ(place->decoder_, "decode-2");
+        }
+    }
+}
+
 // A cut between zones breaks the streams that cross it, and moves between
 // zones take twice as long.
 TEST(stream_broker, keeps_a_stream_in_its_callers_zone_while_there_is_room)
