Let stages follow what engines carry: orders of the leader, fenced by its term

Change: policy/stage_planner keeps the split that carries most, when at least half of it is asked for and the gain is a tenth (three tenths for more readers); two readers stay; few engines change at a time. node/stage_controller orders from the leader only, after a quorum has confirmed it, with the engine's count of orders, and not before its predecessor's lease has passed.

--- a/control/catalog.hpp
+++ b/control/catalog.hpp
@@ -53,6 +53,7 @@
     std::int64_t slots_ = 1;
     std::int64_t memory_tokens_ = 0;
     std::int64_t tokens_per_event_ = 1;
+    core::duration stage_change_time_; ///< Between reading and decoding.
 };
 
 struct catalog_service
--- a/node/catalog_keeper.cpp
+++ b/node/catalog_keeper.cpp
@@ -49,6 +49,7 @@
       group_(group),
       dialect_(dialect),
       desk_(with, stream_desk::reach::fleet),
+      stages_(with, group, dialect, desk_),
       tender_(with, group)
 {
 }
@@ -70,6 +71,7 @@
         });
     take_catalog();
     desk_.start();
+    stages_.start();
     tender_.start();
     drivers::spawn(with_.io_, tend());
 }
--- a/node/catalog_keeper.hpp
+++ b/node/catalog_keeper.hpp
@@ -11,6 +11,7 @@
 #include "node/fleet_sections.hpp"
 #include "node/group_tender.hpp"
 #include "node/replica.hpp"
+#include "node/stage_controller.hpp"
 #include "node/stream_desk.hpp"
 #include "policy/account_meter.hpp"
 #include "policy/quarantine.hpp"
@@ -79,6 +80,7 @@
     catalog_replica& group_;
     const wire_dialect& dialect_;
     stream_desk desk_;
+    stage_controller stages_;
     group_tender tender_;
     policy::meter_ledger ledger_;
     std::map<core::service_id, policy::resend_allowance> resends_;
--- a/node/fleet_settings.hpp
+++ b/node/fleet_settings.hpp
@@ -16,6 +16,8 @@
     double resend_ratio_ = 0.2;        ///< Second sends per request.
     std::int64_t resend_slack_ = 0;    ///< Besides, over all hosts.
     core::duration resend_window_{10'000};
+    core::duration order_lease_{
+        3'000};                   ///< One orderer excludes others so long.
     double rate_excess_ = 0;      ///< Part by which a rate may be passed.
     std::int64_t rate_slack_ = 0; ///< Tokens besides, in a window.
 };
--- a/node/stream_desk.cpp
+++ b/node/stream_desk.cpp
@@ -40,13 +40,18 @@
 
 void stream_desk::refresh()
 {
-    const auto engines = engines_of(
+    auto engines = engines_of(
         with_.board_.section<catalog_section>(),
         with_.board_.section<endpoint_section>(),
         sharers(),
         core::steady_now());
-    for (const auto& [service, facts] : engines)
+    for (auto& [service, facts] : engines)
     {
+        for (policy::engine_facts& item : facts)
+        {
+            const bool changing = changing_[service].count(item.name_) != 0;
+            item.usable_ = item.usable_ && !changing;
+        }
         const auto seed = static_cast<std::uint64_t>(core::steady_now().ms_);
         policy::stream_broker& broker =
             brokers_.try_emplace(service, seed).first->second;
@@ -62,6 +67,23 @@
     }
 }
 
+void stream_desk::set_changing(
+    const core::service_id& service, std::set<core::endpoint_id> engines)
+{
+    if (changing_[service] != engines)
+    {
+        changing_[service] = std::move(engines);
+        refresh();
+    }
+}
+
+std::optional<policy::stage_rates> stream_desk::rates(
+    const core::service_id& service, core::time_point now)
+{
+    policy::stream_broker* broker = find(service);
+    return broker == nullptr ? std::nullopt : broker->rates(now);
+}
+
 void stream_desk::reset()
 {
     brokers_.clear();
--- a/node/stream_desk.hpp
+++ b/node/stream_desk.hpp
@@ -8,6 +8,7 @@
 #include "node/context.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/stream_places.hpp"
+#include "policy/stage_planner.hpp"
 #include "policy/stream_broker.hpp"
 
 namespace poplarroute::node
@@ -34,6 +35,14 @@
     /// Takes over engines from the catalog and the list.
     void refresh();
 
+    /// Names the engines of a service that are changing their stage.
+    void set_changing(
+        const core::service_id& service, std::set<core::endpoint_id> engines);
+
+    /// \return what engines of a service carry; nothing until that is known.
+    std::optional<policy::stage_rates> rates(
+        const core::service_id& service, core::time_point now);
+
     /// Waits for a place.
     awaitable<place_reply> place(want_message want);
 
@@ -57,6 +66,7 @@
     context& with_;
     const reach reach_;
     std::map<core::service_id, policy::stream_broker> brokers_;
+    std::map<core::service_id, std::set<core::endpoint_id>> changing_;
     std::map<std::string, answer> waiting_;
 };
 
--- a/node/wire_dialect.hpp
+++ b/node/wire_dialect.hpp
@@ -90,6 +90,23 @@
     std::string next_;           ///< Empty: this was the last page.
 };
 
+/// What an engine says of itself.
+struct engine_report
+{
+    bool reads_prompts_ = false;
+    bool changing_ = false; ///< An order is being carried out.
+    std::int64_t orders_taken_ = 0;
+};
+
+/// An order to an engine to read prompts, or to decode.
+struct stage_order
+{
+    bool reads_prompts_ = false;
+    std::string holder_;            ///< The host that orders.
+    std::int64_t fence_ = 0;        ///< Rises with each holder.
+    std::int64_t after_orders_ = 0; ///< Void unless it has taken just so many.
+};
+
 /// How one platform spells requests, answers, lists and configurations.
 ///
 /// Virtual, since the layer that knows a platform's names lies above this
@@ -136,6 +153,17 @@
     virtual drivers::http_call list_call(
         std::string_view address, std::string_view page) const = 0;
 
+    virtual drivers::http_call report_call(
+        std::string_view address, const core::endpoint_id& engine) const = 0;
+
+    virtual std::optional<engine_report> decode_report(
+        std::string_view body) const = 0;
+
+    virtual drivers::http_call stage_call(
+        std::string_view address,
+        const core::endpoint_id& engine,
+        const stage_order& order) const = 0;
+
     /// \return nothing when the page cannot be read at all.
     virtual std::optional<endpoint_page> decode_list(
         std::string_view body) const = 0;
--- a/policy/stream_broker.cpp
+++ b/policy/stream_broker.cpp
@@ -64,6 +64,10 @@
 constexpr double blind_spread = 0.3;
 
 constexpr core::duration one_second{1'000};
+
+/// Over which the rate of arrivals is taken: longer than a lull, shorter than
+/// the tens of seconds for which stages are planned.
+constexpr core::duration rate_window{4'000};
 constexpr core::duration least_retry{300};
 
 void learn(double& mean, double seen)
@@ -124,6 +128,11 @@
 void stream_broker::ask(stream_want want, core::time_point now)
 {
     hosts_[want.host_] = now;
+    if (!want.prompt_is_read_)
+    {
+        learn(prompt_mean_, static_cast<double>(want.prompt_tokens_));
+        asked_.push_back(now);
+    }
     waiting_.push_back({std::move(want), now});
 }
 
@@ -348,6 +357,32 @@
     return out;
 }
 
+std::optional<stage_rates> stream_broker::rates(core::time_point now)
+{
+    while (!asked_.empty() && now - asked_.front() > rate_window)
+    {
+        asked_.pop_front();
+    }
+    if (read_rate_ <= 0 || output_mean_ <= 0 || token_ms_ <= 0 ||
+        engines_.empty())
+    {
+        return std::nullopt;
+    }
+    // Engines of one service are alike.
+    const engine_facts& any = engines_.begin()->second.facts_;
+    const double ms = static_cast<double>(one_second.ms_);
+    const double held = prompt_mean_ + mean_progress * output_mean_;
+    const double at_once = std::min(
+        fill_on_time * static_cast<double>(any.memory_tokens_) / held,
+        static_cast<double>(any.slots_));
+    stage_rates out;
+    out.per_reader_ = read_rate_ / prompt_mean_ * ms;
+    out.per_decoder_ = at_once / (output_mean_ * token_ms_) * ms;
+    out.offered_ = static_cast<double>(asked_.size()) * ms /
+                   static_cast<double>(rate_window.ms_);
+    return out;
+}
+
 double stream_broker::fill(core::time_point now) const
 {
     std::int64_t used = 0;
--- a/policy/stream_broker.hpp
+++ b/policy/stream_broker.hpp
@@ -14,6 +14,7 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "policy/ejection_record.hpp"
+#include "policy/stage_planner.hpp"
 
 namespace poplarroute::policy
 {
@@ -178,6 +179,10 @@
         return runs_.size();
     }
 
+    /// \return what engines carry and what is asked for; nothing until answers
+    /// have been seen.
+    std::optional<stage_rates> rates(core::time_point now);
+
     /// \return the part of the decode memory that is expected to be in use.
     double fill(core::time_point now) const;
 
@@ -244,8 +249,10 @@
     std::map<std::string, run> runs_;
     std::vector<waiting_stream> waiting_;
     std::map<core::host_id, core::time_point> hosts_;
+    std::deque<core::time_point> asked_; ///< Lately.
     std::minstd_rand random_;
     double stands_for_ = 1;  ///< Streams that one of this host's stands for.
+    double prompt_mean_ = 0; ///< Tokens of a prompt, of those asked for.
     double output_mean_ = 0; ///< Tokens of an answer, of those seen.
     double read_rate_ = 0;   ///< Prompt tokens a ms.
     double token_ms_ = 0;    ///< Between two tokens of a stream.
