Let the stand-ins take stage orders, and the soak judge them

One holder a fence, fences that never fall, and a lease between two holders, as the engines saw it; three readers and one decode engine, so that orders are given.

--- a/tests/fakes/platform_fakes.py
+++ b/tests/fakes/platform_fakes.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import random
+import time
 
 CRLF = b"\r\n"
 
@@ -54,6 +55,9 @@
         self.running = 0
         self.runs = []          # (attempt, tenant) of each run begun.
         self.handles = set()
+        self.orders = []        # (time, holder, fence) of each order.
+        self.sequence = 0
+        self.busy = False
         self.open = set()
         self.error_share = 0.0
         self.server = None
@@ -67,8 +71,8 @@
         self.open.add(writer)
         try:
             while True:
-                start, headers, _ = await read_message(reader)
-                keep = await self.answer(start, headers, writer)
+                start, headers, body = await read_message(reader)
+                keep = await self.answer(start, headers, body, writer)
                 await writer.drain()
                 if not keep:
                     break
@@ -78,18 +82,45 @@
             self.open.discard(writer)
             writer.close()
 
-    async def answer(self, start, headers, writer):
+    def take_order(self, order):
+        self.orders.append((time.monotonic(), order["holder"],
+                            order["fence"]))
+        if self.busy or order.get("expect", self.sequence) != self.sequence:
+            return "HTTP/1.1 409 Conflict"
+        if order["stage"] == self.stage:
+            return "HTTP/1.1 200 OK"
+        self.sequence += 1
+        self.busy = True
+        self.change = asyncio.create_task(self.change_stage(order["stage"]))
+        return "HTTP/1.1 202 Accepted"
+
+    async def change_stage(self, stage):
+        while self.running:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(STAGE_CHANGE_S)
+        self.stage = stage
+        self.busy = False
+
+    async def answer(self, start, headers, body, writer):
         method, target, _ = start.split(" ", 2)
         if method == "DELETE" and target.startswith("/kv-handle/"):
             self.handles.discard(target.rsplit("/", 1)[1])
             writer.write(message("HTTP/1.1 200 OK", {}))
             return True
+        if target == "/report":
+            writer.write(message("HTTP/1.1 200 OK", {}, json.dumps({
+                "stage": self.stage, "busy": self.busy, "models": [],
+                "sequence": self.sequence}).encode()))
+            return True
+        if target == "/order":
+            writer.write(message(self.take_order(json.loads(body)), {}))
+            return True
         attempt = headers.get("attempt-id", "")
         base = {"Attempt-Id": attempt}
         if headers.get("expect-instance", self.name) != self.name:
             writer.write(message("HTTP/1.1 421 Misdirected Request", base))
             return True
-        if self.running >= self.slots:
+        if self.busy or self.running >= self.slots:
             writer.write(message("HTTP/1.1 503 Service Unavailable",
                                  {**base, "Not-Run": "1"}))
             return True
@@ -100,7 +131,13 @@
             self.running -= 1
 
     async def run(self, headers, base, attempt, writer):
-        if headers.get("stage") == "prefill":
+        wrong_stage = (self.stage is not None and
+                       (self.stage == "prefill") !=
+                       (headers.get("stage") == "prefill"))
+        if wrong_stage:
+            writer.write(message("HTTP/1.1 421 Misdirected Request", base))
+            return True
+        if self.stage == "prefill":
             await asyncio.sleep(0.005)
             handle = f"{self.random.getrandbits(48):012x}"
             self.handles.add(handle)
@@ -137,6 +174,7 @@
 
 
 STREAM_EVENTS = 20
+STAGE_CHANGE_S = 0.5
 
 
 class Link:
--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -13,6 +13,7 @@
 - an endpoint sees the account of the key, and never the key;
 - a configuration read is never older than one acknowledged before;
 - planned stops cut nothing, exit with status 0 and in time;
+- orders to an engine come from one holder at a time, with rising fences;
 - acknowledged configurations are there at the end, and service is back.
 
     platform_soak.py --seed 1 --seeds 3 --seconds 15 [--entries 3]
@@ -38,6 +39,8 @@
 GRACE_S = 8
 RECOVER_S = 12  # The users' bound on service after the last fault.
 CONFIG_APPLY_S = 2.0
+LEASE_S = 1.0
+THAW_S = 0.3
 
 
 class Host:
@@ -64,6 +67,7 @@
                  f"firstStart={'true' if self.first else 'false'}",
                  f"cloudApi.address=127.0.0.1:{self.soak.list.port}",
                  f"bounds.graceS={GRACE_S}", "bounds.budgetSlack=50",
+                 f"bounds.leaseMs={int(LEASE_S * 1000)}",
                  "bounds.quotaSlack=1000"]
         if self.member:
             lines += [f"listen.control={self.ip}:{CONTROL_PORT}",
@@ -122,7 +126,7 @@
             for at in range(3)] + [
             fakes.Endpoint("i-read0", "llm", "prefill", 8, 7),
             fakes.Endpoint("i-read1", "llm", "prefill", 8, 8),
-            fakes.Endpoint("i-dec0", "llm", "decode", 8, 9),
+            fakes.Endpoint("i-read2", "llm", "prefill", 8, 9),
             fakes.Endpoint("i-dec1", "llm", "decode", 8, 10)]
         self.links = [fakes.Link(endpoint) for endpoint in self.endpoints]
         self.list = fakes.List(self.links)
@@ -132,9 +136,10 @@
         self.answers = {}   # attempt: (kind, status)
         self.attempt = 0
         self.counts = {"answered": 0, "refused": 0, "failed": 0, "faults": 0,
-                       "changes": 0, "reads": 0}
+                       "changes": 0, "reads": 0, "orders": 0}
         self.running = True
         self.wiped = False
+        self.thawed = []    # (time, name)
 
     def wrong(self, what):
         self.problems.append(what)
@@ -156,7 +161,7 @@
             "services": [
                 {"name": "desk"},
                 {"name": "llm", "engine": {"slots": 8, "kvCapTokens": 20000,
-                                           "stride": 5}}],
+                                           "roleSwitchS": 0.5, "stride": 5}}],
             "limits": {"idleTimeoutMs": 15000},
             "tenants": [{"name": "acme", "apiKeys": ["key-acme"]}]}).encode()
 
@@ -254,6 +259,7 @@
         host.send(signal.SIGSTOP)
         await asyncio.sleep(span)
         host.send(signal.SIGCONT)
+        self.thawed.append((time.monotonic(), host.name))
         host.paused = False
 
     async def wipe(self, host):
@@ -321,7 +327,23 @@
             if not served:
                 self.wrong(f"{entry.name} does not serve {what}")
 
+    def judge_orders(self, endpoint):
+        orders = [order for order in endpoint.orders if not any(
+            name == order[1] and 0 <= order[0] - at < THAW_S
+            for at, name in self.thawed)]
+        self.counts["orders"] += len(orders)
+        for (at, holder, fence), (then, other, later) in zip(orders,
+                                                             orders[1:]):
+            if later < fence or (later == fence and holder != other):
+                self.wrong(f"{endpoint.name}: {other} ordered with {later} "
+                           f"after {holder} with {fence}")
+            if holder != other and then - at < LEASE_S:
+                self.wrong(f"{endpoint.name}: {other} ordered {then - at:.2f}"
+                           f" s after {holder}")
+
     def judge(self):
+        for endpoint in self.endpoints:
+            self.judge_orders(endpoint)
         runs = {}
         for endpoint in self.endpoints:
             for attempt, account in endpoint.runs:
