Refuse a stream when it is overtaken; a caller that returns keeps its objective

A caller that came back was queued as if it were new, before others' first tries. Load: more than the engines carry for longer than callers wait. Change: once its objective has passed while others on time wait, a stream is refused (reason 'overtaken'), with a time to return that is spread by chance; a returning caller is known by the request's digest for five seconds and keeps its first objective, so that it takes only what others leave, and waits on. Tests play both without a network.

--- a/node/catalog_messages.cpp
+++ b/node/catalog_messages.cpp
@@ -35,6 +35,7 @@
 {
     policy::stream_want out;
     out.id_ = item.id_;
+    out.digest_ = item.digest_;
     out.host_ = item.host_;
     out.zone_ = item.zone_;
     out.prompt_tokens_ = item.prompt_tokens_;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -103,6 +103,7 @@
 {
     core::service_id service_;
     std::string id_;
+    std::string digest_; ///< Equal for the same request sent again.
     core::host_id host_;
     core::zone_id zone_;
     std::int64_t prompt_tokens_ = 0;
@@ -233,6 +234,7 @@
     want_message,
     service_,
     id_,
+    digest_,
     host_,
     zone_,
     prompt_tokens_,
--- a/node/stream_edge.cpp
+++ b/node/stream_edge.cpp
@@ -138,6 +138,7 @@
     want_message out;
     out.service_ = call_.service_;
     out.id_ = place_id_;
+    out.digest_ = call_.digest_;
     out.host_ = tools_.with_.identity().host_;
     out.zone_ = tools_.with_.board_.section<settings_section>().settings_.zone_;
     out.prompt_tokens_ = std::max<std::int64_t>(request.prompt_tokens_, 1);
--- a/policy/stream_broker.cpp
+++ b/policy/stream_broker.cpp
@@ -47,6 +47,10 @@
 /// placements are released.
 constexpr core::duration host_silence{4'000};
 
+/// A caller that was refused returns within this time or not at all: a third
+/// of the longest usual deadline.
+constexpr core::duration callers_return{5'000};
+
 /// Preference for a decode engine in the caller's zone, as a part of the
 /// engine's memory: a cut between zones breaks streams that cross it.
 constexpr double far_from_caller = 0.15;
@@ -87,6 +91,8 @@
         return "too_large";
     case stream_refusal_reason::no_room_soon:
         return "no_room_soon";
+    case stream_refusal_reason::overtaken:
+        return "overtaken";
     case stream_refusal_reason::waited_out:
         return "waited_out";
     }
@@ -133,9 +139,28 @@
         learn(prompt_mean_, static_cast<double>(want.prompt_tokens_));
         asked_.push_back(now);
     }
+    keep_first_objective(want, now);
     waiting_.push_back({std::move(want), now});
 }
 
+void stream_broker::keep_first_objective(
+    stream_want& want, core::time_point now)
+{
+    if (want.digest_.empty())
+    {
+        return;
+    }
+    const first_try fresh{want.on_time_until_, now + callers_return};
+    const auto [found, first] = first_tries_.try_emplace(want.digest_, fresh);
+    if (!first && now < found->second.forget_at_)
+    {
+        want.on_time_until_ =
+            std::min(want.on_time_until_, found->second.on_time_until_);
+        return;
+    }
+    found->second = fresh;
+}
+
 void stream_broker::free_reader(run& of)
 {
     const auto reader = engines_.find(of.reader_);
@@ -196,7 +221,6 @@
     {
         hosts_[found->second.host_] = now;
     }
-    release(end.id_);
     if (end.read_.ms_ > 0)
     {
         learn(
@@ -204,6 +228,11 @@
             static_cast<double>(end.prompt_tokens_) /
                 static_cast<double>(end.read_.ms_));
     }
+    if (end.complete_ && found != runs_.end())
+    {
+        first_tries_.erase(found->second.digest_);
+    }
+    release(end.id_);
     if (end.complete_ && end.output_tokens_ > 0)
     {
         const auto tokens = static_cast<double>(end.output_tokens_);
@@ -299,6 +328,12 @@
 
 void stream_broker::expire(core::time_point now)
 {
+    std::erase_if(
+        first_tries_,
+        [now](const auto& item)
+        {
+            return now >= item.second.forget_at_;
+        });
     std::erase_if(
         hosts_,
         [now](const auto& item)
@@ -515,6 +550,7 @@
     }
     run placed;
     placed.host_ = want.host_;
+    placed.digest_ = want.digest_;
     placed.decoder_ = decoder->facts_.name_;
     placed.prompt_tokens_ = want.prompt_tokens_;
     placed.expected_output_ = expected_output(want);
@@ -602,7 +638,7 @@
             out.emplace_back(stream_refusal{
                 item.want_.id_,
                 *reason,
-                std::max(time_to_room(), least_retry),
+                spread(std::max(time_to_room(), least_retry)),
                 static_cast<std::int64_t>(waiting_.size())});
             continue;
         }
@@ -612,28 +648,55 @@
         }
     }
     waiting_ = std::move(rest);
-    // Refuse new arrivals whose queueing delay exceeds their patience.
+    refuse_without_hope(now, out);
+    return out;
+}
+
+/// Refuses new arrivals whose queueing delay exceeds their patience, and those
+/// whose objective has passed while streams wait that can still meet theirs.
+void stream_broker::refuse_without_hope(
+    core::time_point now, std::vector<stream_decision>& out)
+{
+    const bool crowded = std::any_of(
+        waiting_.begin(),
+        waiting_.end(),
+        [now](const waiting_stream& item)
+        {
+            return now <= item.want_.on_time_until_;
+        });
+    const auto all = static_cast<std::int64_t>(waiting_.size());
     std::vector<waiting_stream> kept;
     for (waiting_stream& item : waiting_)
     {
-        const core::duration left = item.want_.give_up_at_ - now;
-        const double share = static_cast<double>(kept.size() + 1) /
-                             static_cast<double>(waiting_.size() + 1);
+        const stream_want& want = item.want_;
+        const double share =
+            static_cast<double>(kept.size() + 1) / static_cast<double>(all + 1);
         const core::duration wait{static_cast<std::int64_t>(
             share * static_cast<double>(time_to_room().ms_))};
-        if (item.asked_at_ == now && wait > left)
+        const bool too_long =
+            item.asked_at_ == now && wait > want.give_up_at_ - now;
+        // Callers that have returned wait on: few of them return twice.
+        const bool missed = crowded && now > want.on_time_until_ &&
+                            item.asked_at_ <= want.on_time_until_;
+        if (too_long || missed)
         {
+            const auto reason = too_long ? stream_refusal_reason::no_room_soon
+                                         : stream_refusal_reason::overtaken;
             out.emplace_back(stream_refusal{
-                item.want_.id_,
-                stream_refusal_reason::no_room_soon,
-                std::max(wait, least_retry),
-                static_cast<std::int64_t>(waiting_.size())});
+                want.id_, reason, spread(std::max(wait, least_retry)), all});
             continue;
         }
         kept.push_back(std::move(item));
     }
     waiting_ = std::move(kept);
-    return out;
+}
+
+/// \return a time from one to two times the given one, by chance, so that
+/// refused callers do not return together.
+core::duration stream_broker::spread(core::duration time)
+{
+    const double times = std::uniform_real_distribution<double>(1, 2)(random_);
+    return {static_cast<std::int64_t>(times * static_cast<double>(time.ms_))};
 }
 
 } // namespace poplarroute::policy
--- a/policy/stream_broker.hpp
+++ b/policy/stream_broker.hpp
@@ -35,6 +35,7 @@
 struct stream_want
 {
     std::string id_;
+    std::string digest_; ///< Equal for the same request sent again.
     core::host_id host_; ///< The entry host that will run it.
     core::zone_id zone_; ///< Of that host.
     std::int64_t prompt_tokens_ = 0;
@@ -63,6 +64,7 @@
     no_engine,    ///< None is there that could take it.
     too_large,    ///< It does not fit into any engine's memory.
     no_room_soon, ///< What waits before it takes longer than it can wait.
+    overtaken,    ///< Its objective has passed, others can still meet theirs.
     waited_out,   ///< It has waited for as long as it could.
 };
 
@@ -107,7 +109,9 @@
 /// bottleneck. A stream is placed when its expected memory use over time fits
 /// beside the others, so that prefills are not wasted; until then it queues,
 /// streams that can still meet their objective first. Reserving the stated
-/// maximum output would leave half of the memory unused.
+/// maximum output would leave half of the memory unused. A caller that was
+/// refused and returns keeps its first objective: under overload it does not
+/// displace those who can still be served on time.
 ///
 /// Pure: time comes in with each call.
 class stream_broker
@@ -202,6 +206,7 @@
         core::host_id host_;
         core::endpoint_id reader_; ///< Empty once the prompt is read.
         core::endpoint_id decoder_;
+        std::string digest_;
         std::int64_t prompt_tokens_ = 0;
         std::int64_t expected_output_ = 0;
         core::time_point placed_at_;
@@ -213,6 +218,12 @@
         core::time_point asked_at_;
     };
 
+    struct first_try
+    {
+        core::time_point on_time_until_;
+        core::time_point forget_at_;
+    };
+
     struct load
     {
         std::int64_t now_tokens_ = 0;
@@ -241,15 +252,20 @@
     std::optional<stream_refusal_reason> hopeless(
         const waiting_stream& item, core::time_point now) const;
     void release(const std::string& id);
+    void keep_first_objective(stream_want& want, core::time_point now);
     void free_reader(run& of);
+    void refuse_without_hope(
+        core::time_point now, std::vector<stream_decision>& out);
     core::duration time_to_room() const;
+    core::duration spread(core::duration time);
     double draw();
 
     std::map<core::endpoint_id, engine> engines_;
     std::map<std::string, run> runs_;
     std::vector<waiting_stream> waiting_;
     std::map<core::host_id, core::time_point> hosts_;
-    std::deque<core::time_point> asked_; ///< Lately.
+    std::map<std::string, first_try> first_tries_; ///< Unfinished, by digest.
+    std::deque<core::time_point> asked_;           ///< Lately.
     std::minstd_rand random_;
     double stands_for_ = 1;  ///< Streams that one of this host's stands for.
     double prompt_mean_ = 0; ///< Tokens of a prompt, of those asked for.
--- a/tests/policy/stream_broker_test.cpp
+++ b/tests/policy/stream_broker_test.cpp
@@ -96,6 +96,58 @@
     EXPECT_EQ(place->id_, "early");
 }
 
+// Load: more than the engines carry, for longer than callers wait.
+TEST(stream_broker, refuses_at_its_objective_what_others_will_overtake)
+{
+    stream_broker broker;
+    broker.set_engines({});
+    std::vector<engine_facts> full = small_fleet();
+    for (engine_facts& facts : full)
+    {
+        facts.slots_ = 1;
+    }
+    broker.set_engines(full);
+    const time_point start{10'000};
+    for (const char* id : {"a", "b", "early"})
+    {
+        broker.ask(want_of(id, start), start);
+    }
+    EXPECT_EQ(broker.decide(start).size(), 2U); // Both decode engines taken.
+    const time_point later = start + duration{701};
+    broker.ask(want_of("fresh", later), later);
+    const auto decisions = broker.decide(later);
+    ASSERT_EQ(decisions.size(), 1U);
+    const auto* refused = std::get_if<stream_refusal>(&decisions[0]);
+    ASSERT_NE(refused, nullptr);
+    EXPECT_EQ(refused->id_, "early");
+    EXPECT_EQ(refused->reason_, stream_refusal_reason::overtaken);
+    EXPECT_GE(refused->retry_after_.ms_, 300);
+}
+
+TEST(stream_broker, a_caller_that_returns_keeps_its_first_objective)
+{
+    stream_broker broker;
+    const time_point now{10'000};
+    stream_want first = want_of("first", now);
+    first.digest_ = "d";
+    first.give_up_at_ = now + duration{10};
+    broker.ask(first, now);
+    const time_point later = now + duration{1'500};
+    broker.decide(later); // No engine: it is refused.
+    stream_want again = want_of("again", later);
+    again.digest_ = "d";
+    broker.ask(again, later);
+    broker.ask(want_of("fresh", later), later);
+    auto fleet = small_fleet();
+    fleet.erase(fleet.begin() + 1);
+    broker.set_engines(fleet);
+    const auto decisions = broker.decide(later);
+    ASSERT_FALSE(decisions.empty());
+    const auto* place = std::get_if<stream_place>(&decisions[0]);
+    ASSERT_NE(place, nullptr);
+    EXPECT_EQ(place->id_, "fresh");
+}
+
 TEST(stream_broker, frees_what_a_silent_host_held)
 {
     stream_broker broker;
