Give failures log lines of their own, and check the log from outside

A storm of answered requests used up the allowance of the event that also tells of refusals. Levels have an allowance each now.

--- a/drivers/log.cpp
+++ b/drivers/log.cpp
@@ -101,9 +101,13 @@
     core::time_point filled_at_;
 };
 
-bool allowed(std::string_view event)
+/// Failures have an allowance of their own beside successes of the same event.
+bool allowed(log_level level, std::string_view event)
 {
-    static std::map<std::string, event_allowance, std::less<>> allowances;
+    static std::
+        map<log_level, std::map<std::string, event_allowance, std::less<>>>
+            all;
+    auto& allowances = all[level];
     auto found = allowances.find(event);
     if (found == allowances.end())
     {
@@ -222,7 +226,7 @@
     {
         return;
     }
-    if (!allowed(event))
+    if (!allowed(level, event))
     {
         ++counts.suppressed_;
         return;
--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -10,6 +10,7 @@
 - an attempt of a once-only call runs at most once;
 - an attempt that was answered 429 or 503 has not run and never will;
 - a success is whole, signed, and this attempt's; streams are in order;
+- every answer has its line in the log, with the same status;
 - an endpoint sees the account of the key, and never the key;
 - a configuration read is never older than one acknowledged before;
 - planned stops cut nothing, exit with status 0 and in time;
@@ -134,6 +135,8 @@
         self.acked = 0
         self.acked_at = 0.0
         self.answers = {}   # attempt: (kind, status)
+        self.answered_by = {}   # attempt: (host, time)
+        self.killed = []    # (time, host)
         self.attempt = 0
         self.counts = {"answered": 0, "refused": 0, "failed": 0, "faults": 0,
                        "changes": 0, "reads": 0, "orders": 0}
@@ -196,7 +199,7 @@
                 if read < acked and sent > acked_at + CONFIG_APPLY_S:
                     self.wrong(f"read {read} after {acked} was acknowledged")
 
-    async def call_once(self, caller, kind):
+    async def call_once(self, caller, kind, host):
         self.attempt += 1
         attempt = f"{self.seed:x}.{self.attempt:x}"
         headers = {"Host": "a.example", "Attempt-Id": attempt,
@@ -208,6 +211,7 @@
         status, got, body, whole = await caller.call(
             method, f"/{kind}/x", headers, b"" if method == "GET" else b"b")
         self.answers[attempt] = (kind, status)
+        self.answered_by[attempt] = (host.name, time.monotonic())
         if status == 200 and whole:
             self.counts["answered"] += 1
             self.check_success(kind, attempt, got, body)
@@ -238,7 +242,7 @@
         while self.running:
             kind = self.random.choice(["book", "book", "check", "digest",
                                        "long"])
-            await self.call_once(caller, kind)
+            await self.call_once(caller, kind, host)
             if caller.writer is None:
                 host = self.random.choice(self.entries)
                 caller = fakes.Caller(f"{host.ip}:{CLIENT_PORT}")
@@ -248,6 +252,8 @@
     async def restart(self, host, number, down):
         if host.stopping or host.process.returncode is not None:
             return
+        if number == signal.SIGKILL:
+            self.killed.append((time.monotonic(), host.name))
         await host.stop(number)
         await asyncio.sleep(down)
         await host.start()
@@ -319,8 +325,8 @@
             while not served and time.monotonic() < until:
                 before = self.counts["answered"]
                 caller = fakes.Caller(f"{entry.ip}:{CLIENT_PORT}")
-                await self.call_once(caller, "book")
-                await self.call_once(caller, "digest")
+                await self.call_once(caller, "book", entry)
+                await self.call_once(caller, "digest", entry)
                 caller.close()
                 served = self.counts["answered"] >= before + 2
                 await asyncio.sleep(0.05)
@@ -341,7 +347,26 @@
                 self.wrong(f"{endpoint.name}: {other} ordered {then - at:.2f}"
                            f" s after {holder}")
 
+    def judge_logs(self):
+        lines = {}
+        for entry in self.entries:
+            path = os.path.join(self.folder, entry.name + ".log")
+            with open(path, encoding="utf-8", errors="replace") as log:
+                for line in log:
+                    if " event=request_end " in line:
+                        fields = dict(part.split("=", 1) for part in
+                                      line.split() if "=" in part)
+                        lines[fields["id"]] = int(fields["status"])
+        for attempt, (_, status) in self.answers.items():
+            host, at = self.answered_by[attempt]
+            killed = any(name == host and abs(at - then) < 0.5
+                         for then, name in self.killed)
+            if status and not killed and lines.get(attempt) != status:
+                self.wrong(f"{attempt} was answered {status} by {host}, its "
+                           f"log says {lines.get(attempt)}")
+
     def judge(self):
+        self.judge_logs()
         for endpoint in self.endpoints:
             self.judge_orders(endpoint)
         runs = {}
