Let decode engines read prompts when no reader is left

Cause: with all readers gone, ejected or out of a host's reach, streams waited until they were refused, though decode engines can read prompts at half speed. Tried first and not kept: the same whenever a stream had waited 100 ms for a reader.

--- a/policy/stream_broker.cpp
+++ b/policy/stream_broker.cpp
@@ -439,6 +439,19 @@
     return item.facts_.usable_ && !item.ejections_.is_out_for(host, now);
 }
 
+bool stream_broker::has_reader(
+    const stream_want& want, core::time_point now) const
+{
+    return std::any_of(
+        engines_.begin(),
+        engines_.end(),
+        [&](const auto& item)
+        {
+            return item.second.facts_.reads_prompts_ &&
+                   in_use(item.second, want.host_, now);
+        });
+}
+
 bool stream_broker::may_start(engine& item, core::time_point now) const
 {
     while (!item.starts_.empty() && now - item.starts_.front() > one_second)
@@ -543,7 +556,9 @@
     if (needs_reader)
     {
         reader = pick_reader(want, decoder->facts_.zone_, now);
-        if (reader == nullptr)
+        // Without any reader decode engines read prompts themselves. While
+        // there is one they do not: it slows their streams down.
+        if (reader == nullptr && has_reader(want, now))
         {
             return false;
         }
--- a/policy/stream_broker.hpp
+++ b/policy/stream_broker.hpp
@@ -238,6 +238,7 @@
         const engine& item,
         const core::host_id& host,
         core::time_point now) const;
+    bool has_reader(const stream_want& want, core::time_point now) const;
     bool may_start(engine& item, core::time_point now) const;
     engine* pick_decoder(
         const stream_want& want, bool late, core::time_point now);
--- a/tests/policy/stream_broker_test.cpp
+++ b/tests/policy/stream_broker_test.cpp
@@ -174,6 +174,22 @@
     EXPECT_EQ(broker.running(), 0U);
 }
 
+// Load: all readers are gone, or out of a host's reach.
+TEST(stream_broker, lets_decode_engines_read_when_there_is_no_reader)
+{
+    stream_broker broker;
+    broker.set_engines(small_fleet());
+    const time_point now{1'000};
+    broker.failed("reader-1", "host-1", now);
+    broker.failed("reader-2", "host-1", now);
+    broker.ask(want_of("a", now), now);
+    const auto decisions = broker.decide(now);
+    const stream_place* place = only_place(decisions);
+    ASSERT_NE(place, nullptr);
+    EXPECT_TRUE(place->reader_.empty());
+    EXPECT_TRUE(place->decoder_.starts_with("decode"));
+}
+
 // Found on the bench: after engines of a zone had come back as new processes,
 // streams went on being placed on the old ones until the list showed it, and
 // their prompts were read for nothing.
