Dial peers again after 200 ms, so that hosts back from a loss of power are heard

Votes could not be sent back. Change: an attempt is given up after 200 ms and repeated after 50 to 200 ms.

--- a/drivers/peer_channel.cpp
+++ b/drivers/peer_channel.cpp
@@ -16,10 +16,15 @@
 namespace
 {
 
-constexpr core::duration connect_timeout{1'000};
+/// Some times the way between zones. A host without power answers nothing, and
+/// what was sent to it while it was away is repeated only after a second: a
+/// fresh attempt reaches it sooner.
+constexpr core::duration connect_timeout{200};
 constexpr core::duration handshake_timeout{2'000};
-constexpr core::duration first_backoff{100};
-constexpr core::duration longest_backoff{250};
+
+/// Between two attempts to reach a host that is away.
+constexpr core::duration first_backoff{50};
+constexpr core::duration longest_backoff{200};
 constexpr std::size_t connections_at_once = 2'048;
 constexpr int name_room = 256;
 
