Let quarantined requests expire; do not log callers that leave as an unanswered place

The leader's set of refused digests grew without end, though the records behind it expire. A caller that left while its stream waited was logged as a leader that did not answer in time.

--- a/node/catalog_keeper.cpp
+++ b/node/catalog_keeper.cpp
@@ -183,10 +183,29 @@
             {
                 return now - item.second > host_silence;
             });
+        forget_crashers(now);
         drivers::flush_log();
     }
 }
 
+void catalog_keeper::forget_crashers(core::time_point now)
+{
+    crashers_.expire(now);
+    const std::size_t ended = std::erase_if(
+        refused_digests_,
+        [&](const std::string& digest)
+        {
+            return crashers_.look_up(digest, now) !=
+                   policy::suspicion::quarantined;
+        });
+    if (ended > 0)
+    {
+        ++crash_revision_;
+        log_event(log_level::info, "quarantine_ended", {{"requests", ended}});
+        wake_watchers();
+    }
+}
+
 std::int64_t catalog_keeper::live_hosts() const
 {
     return std::max<std::int64_t>(static_cast<std::int64_t>(hosts_.size()), 1);
--- a/node/catalog_keeper.hpp
+++ b/node/catalog_keeper.hpp
@@ -74,6 +74,7 @@
     void take_catalog();
     void wake_watchers();
     void note_leadership();
+    void forget_crashers(core::time_point now);
     std::int64_t live_hosts() const;
 
     context& with_;
--- a/node/placement_link.cpp
+++ b/node/placement_link.cpp
@@ -39,6 +39,12 @@
     {
         co_return core::value(told);
     }
+    const bool caller_left = core::failure(told).code_ == core::errc::timeout &&
+                             core::steady_now() - asked_at < deadline;
+    if (caller_left)
+    {
+        co_return std::nullopt;
+    }
     drivers::log_event(
         drivers::log_level::warning,
         "place_unanswered",
