--- a/node/edge_controller.cpp
+++ b/node/edge_controller.cpp
@@ -19,10 +19,10 @@
 namespace
 {
 
-/// A host that has just started has a catalog within some 300 ms. Requests
-/// wait for it that long, rather than come back after a refusal.
-constexpr core::duration catalog_patience{500};
-constexpr core::duration catalog_check{20};
+/// A host that has just started has a catalog and a list of endpoints within
+/// some 300 ms. Requests wait for them, rather than come back after a refusal.
+constexpr core::duration start_patience{500};
+constexpr core::duration start_check{20};
 constexpr core::duration retry_without_catalog{400};
 
 /// Fractions of the bound on second sends that hosts use for plain calls, and
@@ -258,13 +258,18 @@
     return charge(call);
 }
 
-awaitable<void> edge_controller::until_catalog() const
+bool edge_controller::has_started() const
 {
-    const catalog_section& section = with_.board_.section<catalog_section>();
-    const core::time_point until = core::steady_now() + catalog_patience;
-    while (!section.view_ && core::steady_now() < until)
+    return with_.board_.section<catalog_section>().view_ != nullptr &&
+           with_.board_.section<endpoint_section>().read_at_.ms_ != 0;
+}
+
+awaitable<void> edge_controller::until_started() const
+{
+    const core::time_point until = core::steady_now() + start_patience;
+    while (!has_started() && core::steady_now() < until)
     {
-        co_await drivers::sleep_for(catalog_check);
+        co_await drivers::sleep_for(start_check);
     }
 }
 
@@ -292,7 +297,7 @@
     call.arrived_ = core::steady_now();
     call.request_ = tools_.dialect_.decode_request(exchange.request());
     edge_end end;
-    co_await until_catalog();
+    co_await until_started();
     const std::optional<refusal> refused = prepare(call);
     if (refused)
     {
--- a/node/edge_controller.hpp
+++ b/node/edge_controller.hpp
@@ -38,7 +38,8 @@
         std::string inputs_; ///< What decided it.
     };
 
-    awaitable<void> until_catalog() const;
+    bool has_started() const;
+    awaitable<void> until_started() const;
     std::optional<refusal> prepare(edge_call& call);
     std::optional<refusal> find_account(edge_call& call);
     std::optional<refusal> charge(edge_call& call);
