--- a/policy/stream_broker.cpp
+++ b/policy/stream_broker.cpp
@@ -624,9 +624,10 @@
         static_cast<double>(waiting_.size() + 1) / per_ms)};
 }
 
-std::vector<stream_decision> stream_broker::decide(core::time_point now)
+/// Sorts those that can still meet their objective before late ones, then by
+/// priority, then by arrival.
+void stream_broker::sort_waiting(core::time_point now)
 {
-    std::vector<stream_decision> out;
     std::stable_sort(
         waiting_.begin(),
         waiting_.end(),
@@ -644,6 +645,12 @@
             }
             return left.asked_at_ < right.asked_at_;
         });
+}
+
+std::vector<stream_decision> stream_broker::decide(core::time_point now)
+{
+    std::vector<stream_decision> out;
+    sort_waiting(now);
     std::vector<waiting_stream> rest;
     for (waiting_stream& item : waiting_)
     {
--- a/policy/stream_broker.hpp
+++ b/policy/stream_broker.hpp
@@ -255,6 +255,7 @@
     void release(const std::string& id);
     void keep_first_objective(stream_want& want, core::time_point now);
     void free_reader(run& of);
+    void sort_waiting(core::time_point now);
     void refuse_without_hope(
         core::time_point now, std::vector<stream_decision>& out);
     core::duration time_to_room() const;
--- a/tests/policy/stage_planner_test.cpp
+++ b/tests/policy/stage_planner_test.cpp
@@ -23,7 +23,9 @@
 std::vector<staged_engine> fleet(int readers, int decoders)
 {
     std::vector<staged_engine> out;
-    for (int at = 0; at < readers + decoders; ++at)
+    const int all = readers + decoders;
+    out.reserve(static_cast<std::size_t>(all));
+    for (int at = 0; at < all; ++at)
     {
         out.push_back(
             {"engine-" + std::to_string(at),
