Show failed watches, peer traffic and hosts behind the catalog

- event=watch_failed at the entry host, for each attempt: the member asked, the time limit, the bytes that came meanwhile, the revision held; and the counter poplarroute_watch_failures_total.
- poplarroute_peer_bytes_total also on the platform's processes.
- poplarroute_hosts_behind at members: watching hosts with an older catalog.

No decision changes.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -181,10 +181,10 @@
         }
         const core::time_point now = core::steady_now();
         std::erase_if(
-            last_watch_at_,
+            watching_hosts_,
             [now](const auto& item)
             {
-                return now - item.second > host_timeout;
+                return now - item.second.seen_at_ > host_timeout;
             });
         lift_expired_quarantines(now);
         drivers::flush_log();
@@ -212,7 +212,19 @@
 std::int64_t catalog_controller::live_hosts() const
 {
     return std::max<std::int64_t>(
-        static_cast<std::int64_t>(last_watch_at_.size()), 1);
+        static_cast<std::int64_t>(watching_hosts_.size()), 1);
+}
+
+std::int64_t catalog_controller::hosts_behind() const
+{
+    const std::uint64_t newest = group_.state().revision();
+    return std::count_if(
+        watching_hosts_.begin(),
+        watching_hosts_.end(),
+        [newest](const auto& item)
+        {
+            return item.second.revision_ < newest;
+        });
 }
 
 awaitable<core::result<submit_reply>> catalog_controller::submit_locally(
@@ -419,7 +431,7 @@
 
 awaitable<watch_reply> catalog_controller::answer_watch(watch_request request)
 {
-    last_watch_at_[request.host_] = core::steady_now();
+    watching_hosts_[request.host_] = {core::steady_now(), request.revision_};
     if (group_.leads())
     {
         placements_.reconcile(request.host_, request.places_);
@@ -437,7 +449,7 @@
             asio::redirect_error(asio::use_awaitable, woken));
     }
     std::erase(watchers_, timer);
-    last_watch_at_[request.host_] = core::steady_now();
+    watching_hosts_[request.host_] = {core::steady_now(), request.revision_};
     co_return make_watch_reply(request);
 }
 
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -60,7 +60,18 @@
         return group_.leads();
     }
 
+    /// \return the number of watching entry hosts whose catalog is older than
+    /// this member's.
+    std::int64_t hosts_behind() const;
+
 private:
+    /// An entry host, as its last watch request describes it.
+    struct watching_host
+    {
+        core::time_point seen_at_;
+        std::uint64_t revision_ = 0;
+    };
+
     void register_calls();
     void register_stream_calls();
     awaitable<void> maintenance_loop();
@@ -89,7 +100,7 @@
     policy::quarantine crashers_;
     std::uint64_t crash_revision_ = 0;
     std::set<std::string> refused_digests_;
-    std::map<core::host_id, core::time_point> last_watch_at_;
+    std::map<core::host_id, watching_host> watching_hosts_;
     std::vector<std::shared_ptr<drivers::asio::steady_timer>> watchers_;
     bool was_leading_ = false;
     core::host_id last_leader_;
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -107,6 +107,26 @@
     group.leader_.clear();
 }
 
+/// \param bytes what arrived from all peers during the attempt.
+void catalog_watcher::record_watch_failure(
+    const core::host_id& member,
+    core::duration timeout,
+    std::uint64_t bytes,
+    const core::error& error)
+{
+    log_event(
+        log_level::warning,
+        "watch_failed",
+        {{"asked", member},
+         {"problem", error.message_},
+         {"timeout_ms", timeout.ms_},
+         {"bytes_in", bytes},
+         {"revision", with_.board_.section<catalog_section>().revision_}});
+    with_.metrics_.count(
+        "poplarroute_watch_failures_total",
+        {{"kind", error.code_ == core::errc::timeout ? "timeout" : "other"}});
+}
+
 /// Records whether a member knows a leader. When a majority of the members
 /// knows none, there is none.
 void catalog_watcher::record_leader_report(
@@ -146,10 +166,16 @@
         const watch_request request = next_watch_request(wait);
         const core::duration timeout =
             group.leader_.empty() ? leader_search_timeout : watch_timeout;
+        const std::uint64_t bytes_before = drivers::traffic().bytes_in_;
         const core::result<watch_reply> reply = co_await ask<watch_reply>(
             with_.peers_, member, method::catalog_watch, request, timeout);
         if (!core::is_ok(reply))
         {
+            record_watch_failure(
+                member,
+                timeout,
+                drivers::traffic().bytes_in_ - bytes_before,
+                core::failure(reply));
             record_leader_lost(member, core::failure(reply));
             wait = false;
             co_await drivers::sleep_for(leader_search_interval);
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -42,6 +42,11 @@
     void refresh_limits();
     watch_request next_watch_request(bool wait) const;
     void record_leader_report(const core::host_id& member, bool leader_known);
+    void record_watch_failure(
+        const core::host_id& member,
+        core::duration timeout,
+        std::uint64_t bytes,
+        const core::error& error);
     void record_leader_lost(
         const core::host_id& member, const core::error& error);
 
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -263,6 +263,15 @@
         "poplarroute_directory_version",
         {},
         static_cast<double>(board_.section<catalog_section>().revision_));
+    const drivers::peer_traffic& traffic = drivers::traffic();
+    metrics_.set(
+        "poplarroute_peer_bytes_total",
+        {{"direction", "in"}},
+        static_cast<double>(traffic.bytes_in_));
+    metrics_.set(
+        "poplarroute_peer_bytes_total",
+        {{"direction", "out"}},
+        static_cast<double>(traffic.bytes_out_));
     if (ingress_)
     {
         metrics_.set(
@@ -274,6 +283,10 @@
     {
         metrics_.set(
             "poplarroute_control_role", {}, group_->leads() ? 1.0 : 0.0);
+        metrics_.set(
+            "poplarroute_hosts_behind",
+            {},
+            static_cast<double>(catalog_controller_->hosts_behind()));
     }
 }
 
