Fetch the catalog in parts beside the watch

Cause: the reply to a watch carried the whole catalog, 780 KB of text, under the watch's own time limit: 1,300 ms from the start of the wait, 300 ms while no leader is known. Over a host's 10 Mbit/s the text alone takes 0.64 s. A reply that missed the limit was thrown away, the leader counted as lost, and the next attempt began from the start at another member. So hosts kept their links full without getting further, and without a leader each placed its streams alone. The class: a transfer whose size the data decide, in one call under a fixed limit, which doubles as a sign of life and keeps nothing of a failed try.

Evidence: 64 leader_lost lines "deadline passed: catalog.watch" within 10 ms at 65.15 s; after that 1.0 to 1.28 MB a second into every host for 37 s with its processor under 2 %, and no catalog_in_force; all members had the version.

Change: a watch tells revision and version. The text is fetched beside it, compressed (1 MB of routes become 54 KB), in parts of 32 KB with a limit of 2 s each. A host keeps the parts it has through failed calls, cut connections and changes of member, and completes a transfer that has begun, since members keep eight revisions; so each part that arrives is progress. Zones out of service no longer resend the text. Programs before this one are served as before, and serve new hosts.

Why it works: the time that a host needs grows with the size, but no limit does depend on it any more; liveness is judged by replies of a bounded size.

--- a/core/compress.cpp
+++ b/core/compress.cpp
@@ -8,16 +8,19 @@
 namespace
 {
 
-constexpr int compression_level = 9;
+constexpr int small_output_level = 9;
+constexpr int fast_level = 3;
 constexpr unsigned long long max_decompressed_bytes = 64ULL * 1024 * 1024;
 
 } // namespace
 
-std::string compress(std::string_view bytes)
+std::string compress(std::string_view bytes, compression preference)
 {
+    const int level =
+        preference == compression::speed ? fast_level : small_output_level;
     std::string out(ZSTD_compressBound(bytes.size()), '\0');
     const std::size_t size = ZSTD_compress(
-        out.data(), out.size(), bytes.data(), bytes.size(), compression_level);
+        out.data(), out.size(), bytes.data(), bytes.size(), level);
     out.resize(ZSTD_isError(size) != 0 ? 0 : size);
     return out;
 }
--- a/core/compress.hpp
+++ b/core/compress.hpp
@@ -7,8 +7,16 @@
 namespace poplarroute::core
 {
 
+/// What compress() optimizes for.
+enum class compression
+{
+    size,
+    speed, ///< Several times as fast, with a slightly larger output.
+};
+
 /// Compresses bytes with Zstandard.
-std::string compress(std::string_view bytes);
+std::string compress(
+    std::string_view bytes, compression preference = compression::size);
 
 /// Decompresses the output of compress(); the input may come from an untrusted
 /// source.
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -381,7 +381,9 @@
     const bool list_changed = group_.leads() && list.read_at_.ms_ > 0 &&
                               (request.list_epoch_ != list.epoch_ ||
                                request.list_revision_ != list.revision_);
-    return group_.state().revision() > request.revision_ || list_changed ||
+    const std::uint64_t known_revision =
+        std::max(request.revision_, request.known_revision_);
+    return group_.state().revision() > known_revision || list_changed ||
            crash_revision_ != request.crash_revision_ || !group_.leads();
 }
 
@@ -396,7 +398,8 @@
     }
     const control::catalog_state_machine& state = group_.state();
     out.revision_ = state.revision();
-    if (state.revision() > request.revision_)
+    out.version_ = state.version();
+    if (state.revision() > request.revision_ && !request.fetches_parts_)
     {
         out.text_ = core::binary(state.text());
     }
@@ -429,6 +432,33 @@
     return out;
 }
 
+core::result<document_part_reply> catalog_controller::answer_part(
+    const document_part_request& request)
+{
+    const control::catalog_state_machine& state = group_.state();
+    const document_id newest = catalog_document(state.version());
+    if (request.id_.name_ != newest.name_ || state.version() == 0 ||
+        request.id_.revision_ > newest.revision_)
+    {
+        return error{errc::not_ready, "this member has no such document"};
+    }
+    document_part_request served = request;
+    if (!documents_.contains(request.id_))
+    {
+        served = {newest, 0};
+    }
+    if (!documents_.contains(served.id_))
+    {
+        documents_.put(served.id_, state.text());
+    }
+    const auto part = documents_.part(served);
+    if (!part)
+    {
+        return error{errc::invalid, "the offset is outside the document"};
+    }
+    return *part;
+}
+
 awaitable<watch_reply> catalog_controller::answer_watch(watch_request request)
 {
     watching_hosts_[request.host_] = {core::steady_now(), request.revision_};
@@ -482,6 +512,14 @@
         {
             co_return co_await answer_watch(std::move(request));
         });
+    with_.calls_.add_typed<document_part_request, document_part_reply>(
+        method::document_part,
+        allowed_callers::host,
+        [this](drivers::peer_identity, document_part_request request)
+            -> awaitable<core::result<document_part_reply>>
+        {
+            co_return answer_part(request);
+        });
     with_.calls_.add(
         method::catalog_submit,
         allowed_callers::host,
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -8,6 +8,7 @@
 
 #include "node/catalog_messages.hpp"
 #include "node/context.hpp"
+#include "node/document_parts.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/group_manager.hpp"
 #include "node/placement_controller.hpp"
@@ -80,6 +81,8 @@
     awaitable<watch_reply> answer_watch(watch_request request);
     bool has_updates(const watch_request& request) const;
     watch_reply make_watch_reply(const watch_request& request);
+    core::result<document_part_reply> answer_part(
+        const document_part_request& request);
     void apply_limits();
     awaitable<placement_reply> charge_and_place(placement_request request);
     settle_reply settle(const settle_request& request);
@@ -101,6 +104,7 @@
     std::uint64_t crash_revision_ = 0;
     std::set<std::string> refused_digests_;
     std::map<core::host_id, watching_host> watching_hosts_;
+    document_parts documents_;
     std::vector<std::shared_ptr<drivers::asio::steady_timer>> watchers_;
     bool was_leading_ = false;
     core::host_id last_leader_;
--- a/node/catalog_messages.cpp
+++ b/node/catalog_messages.cpp
@@ -87,6 +87,11 @@
         item);
 }
 
+document_id catalog_document(std::uint64_t version)
+{
+    return {"catalog", version};
+}
+
 placement_reply make_over_rate_reply(std::string inputs, core::duration wait)
 {
     placement_reply out;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -19,6 +19,7 @@
 inline constexpr const char* catalog_watch = "catalog.watch";
 inline constexpr const char* catalog_submit = "catalog.submit";
 inline constexpr const char* catalog_read = "catalog.read";
+inline constexpr const char* document_part = "documents.part";
 inline constexpr const char* catalog_join = "catalog.join";
 inline constexpr const char* streams_place = "streams.place";
 inline constexpr const char* streams_end = "streams.end";
@@ -50,6 +51,13 @@
     std::string list_epoch_; ///< Epoch of the list's source.
     std::int64_t wait_ms_ = 0;
     std::vector<placement_message> places_;
+
+    /// Latest revision that the host has heard of; revision_ is in force.
+    std::uint64_t known_revision_ = 0;
+
+    /// Whether the host fetches the catalog in parts. Older programs expect it
+    /// in the reply.
+    bool fetches_parts_ = false;
 };
 
 /// An endpoint of the platform's list.
@@ -72,7 +80,9 @@
     core::host_id leader_; ///< Peer address; empty: unknown.
     std::vector<core::host_id> members_;
     std::uint64_t revision_ = 0;
-    /// The catalog as a binary value if it is newer than the host's; else null.
+    std::uint64_t version_ = 0; ///< Version of the catalog; 0: not stated.
+    /// For hosts that do not fetch parts: the catalog as a binary value if it
+    /// is newer than the host's; else null.
     nlohmann::json text_;
     std::vector<core::zone_id> zones_out_;
     std::string list_epoch_;
@@ -85,6 +95,33 @@
     std::vector<std::string> crashers_; ///< Digests of quarantined requests.
 };
 
+/// Identifies a document that hosts fetch in parts.
+struct document_id
+{
+    std::string name_;
+    std::uint64_t revision_ = 0; ///< Increases with each change.
+
+    bool operator==(const document_id&) const = default;
+};
+
+/// Asks a member for the part of a document that begins at an offset.
+struct document_part_request
+{
+    document_id id_;
+    std::uint64_t offset_ = 0; ///< In bytes of the compressed document.
+};
+
+/// Part of a compressed document. It is of another revision than requested when
+/// the member has only that one; it then begins at offset 0.
+struct document_part_reply
+{
+    document_id id_;
+    std::uint64_t size_ = 0;     ///< Of the whole compressed document.
+    std::uint64_t checksum_ = 0; ///< core::stable_hash of the whole.
+    std::uint64_t offset_ = 0;
+    nlohmann::json bytes_; ///< As a binary value.
+};
+
 /// The catalog as read at the leader.
 struct catalog_read_reply
 {
@@ -213,7 +250,9 @@
     crash_revision_,
     list_epoch_,
     wait_ms_,
-    places_)
+    places_,
+    known_revision_,
+    fetches_parts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     endpoint_message,
     name_,
@@ -230,6 +269,7 @@
     leader_,
     members_,
     revision_,
+    version_,
     text_,
     zones_out_,
     list_epoch_,
@@ -240,6 +280,11 @@
     hosts_,
     crash_revision_,
     crashers_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_id, name_, revision_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    document_part_request, id_, offset_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    document_part_reply, id_, size_, checksum_, offset_, bytes_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     catalog_read_reply, version_, text_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(submit_reply, changed_, number_)
@@ -307,6 +352,9 @@
 policy::stream_result from_message(const stream_end_message& item);
 placement_reply to_message(const policy::stream_decision& item);
 
+/// \return the id of the document that holds a version of the catalog.
+document_id catalog_document(std::uint64_t version);
+
 /// \return the refusal of a stream whose account is over its rate.
 /// \param inputs the values that decided it, for the log.
 /// \param wait time after which the caller may retry.
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/redirect_error.hpp>
+
 #include "core/digest.hpp"
 #include "drivers/log.hpp"
 
@@ -28,6 +30,11 @@
 /// Validity of a member's reply that it knows no leader.
 constexpr core::duration leaderless_report_validity{1'500};
 
+/// Timeout of one part of a document, and the time until a failed one is asked
+/// for again.
+constexpr core::duration part_timeout{2'000};
+constexpr core::duration part_retry_interval{60};
+
 /// Interval and timeout of the settlement of accounts' usage.
 constexpr core::duration settle_interval{100};
 constexpr core::duration settle_timeout{500};
@@ -38,7 +45,7 @@
 } // namespace
 
 catalog_watcher::catalog_watcher(context& with, const wire_codec& codec)
-    : with_(with), codec_(codec)
+    : with_(with), codec_(codec), download_wake_(with.io_)
 {
 }
 
@@ -47,6 +54,7 @@
     with_.board_.section<meter_section>().meter_ =
         policy::account_meter(core::stable_hash(with_.identity().host_));
     drivers::spawn(with_.io_, watch_loop());
+    drivers::spawn(with_.io_, download_loop());
     drivers::spawn(with_.io_, settle_loop());
 }
 
@@ -83,6 +91,8 @@
     out.list_epoch_ = list.epoch_;
     out.list_revision_ = list.revision_;
     out.crash_revision_ = crash_revision_;
+    out.known_revision_ = known_revision_;
+    out.fetches_parts_ = true;
     out.wait_ms_ = wait ? max_watch_wait.ms_ : 0;
     out.places_ = running_placements(
         with_.board_.section<stream_section>(), core::steady_now());
@@ -228,34 +238,146 @@
 
 void catalog_watcher::apply_catalog(const watch_reply& reply)
 {
+    if (reply.revision_ <= known_revision_)
+    {
+        return;
+    }
+    known_revision_ = reply.revision_;
+    known_version_ = reply.version_;
     catalog_section& section = with_.board_.section<catalog_section>();
-    if (reply.revision_ <= section.revision_ || !reply.text_.is_binary())
+    section.zones_out_ = {reply.zones_out_.begin(), reply.zones_out_.end()};
+    if (reply.text_.is_binary())
     {
+        // A member of an older program sends the catalog in its reply.
+        put_in_force(reply.version_, core::text_of(reply.text_));
+        section.revision_ = reply.revision_;
         return;
     }
-    core::finding_list findings;
-    const std::string text = core::text_of(reply.text_);
-    if (text.empty())
+    if (needs_download())
     {
+        download_wake_.cancel();
         return;
     }
+    section.revision_ = reply.revision_;
+    log_event(
+        log_level::info,
+        "zones_in_force",
+        {{"revision", reply.revision_},
+         {"zones_out", section.zones_out_.size()}});
+}
+
+bool catalog_watcher::needs_download() const
+{
+    const catalog_section& section = with_.board_.section<catalog_section>();
+    const std::uint64_t version =
+        section.view_ ? section.view_->whole().version_ : 0;
+    return known_version_ > std::max(version, unreadable_version_);
+}
+
+awaitable<void> catalog_watcher::download_loop()
+{
+    for (;;)
+    {
+        if (!needs_download())
+        {
+            download_wake_.expires_at(
+                drivers::asio::steady_timer::time_point::max());
+            drivers::error_code woken;
+            co_await download_wake_.async_wait(drivers::asio::redirect_error(
+                drivers::asio::use_awaitable, woken));
+            download_started_at_ = core::steady_now();
+            download_source_.clear();
+            continue;
+        }
+        co_await fetch_part();
+    }
+}
+
+awaitable<void> catalog_watcher::fetch_part()
+{
+    download_.want(catalog_document(known_version_));
+    const core::host_id leader = with_.board_.section<group_section>().leader_;
+    core::host_id source = download_source_.empty() ? leader : download_source_;
+    if (source.empty())
+    {
+        source = next_member();
+    }
+    const document_part_request request = download_.next_request();
+    const core::result<document_part_reply> reply =
+        co_await ask<document_part_reply>(
+            with_.peers_, source, method::document_part, request, part_timeout);
+    if (!core::is_ok(reply))
+    {
+        abandon_source(source, core::failure(reply));
+        co_await drivers::sleep_for(part_retry_interval);
+        co_return;
+    }
+    switch (download_.add(core::value(reply)))
+    {
+    case document_download::progress::incomplete:
+        break;
+    case document_download::progress::complete:
+        put_in_force(download_.id().revision_, download_.take_content());
+        break;
+    case document_download::progress::damaged:
+        abandon_source(source, {core::errc::invalid, "the part is damaged"});
+        co_await drivers::sleep_for(part_retry_interval);
+        break;
+    }
+}
+
+/// Asks another member for the next part; what has arrived is kept.
+void catalog_watcher::abandon_source(
+    const core::host_id& source, const core::error& error)
+{
+    const document_part_request request = download_.next_request();
+    download_source_ = next_member();
+    log_event(
+        log_level::warning,
+        "part_failed",
+        {{"asked", source},
+         {"problem", error.message_},
+         {"version", request.id_.revision_},
+         {"offset", request.offset_},
+         {"next", download_source_},
+         {"since_ms", (core::steady_now() - download_started_at_).ms_}});
+    with_.metrics_.count("poplarroute_part_failures_total");
+}
+
+void catalog_watcher::put_in_force(std::uint64_t version, std::string_view text)
+{
+    catalog_section& section = with_.board_.section<catalog_section>();
+    core::finding_list findings;
     auto read = codec_.decode_catalog(text, findings);
     if (!read)
     {
+        unreadable_version_ = version;
         log_event(
             log_level::error,
             "catalog_unreadable",
-            {{"revision", reply.revision_}, {"findings", findings.text()}});
+            {{"version", version}, {"findings", findings.text()}});
+        return;
+    }
+    const bool is_newer =
+        !section.view_ || read->version_ > section.view_->whole().version_;
+    if (!is_newer)
+    {
         return;
     }
     section.view_ = std::make_shared<control::catalog_view>(std::move(*read));
-    section.revision_ = reply.revision_;
-    section.zones_out_ = {reply.zones_out_.begin(), reply.zones_out_.end()};
+    if (section.view_->whole().version_ == known_version_)
+    {
+        section.revision_ = known_revision_;
+    }
     log_event(
         log_level::info,
         "catalog_in_force",
         {{"version", section.view_->whole().version_},
-         {"revision", reply.revision_},
+         {"newest", known_version_},
+         {"revision", known_revision_},
+         {"routes", section.view_->whole().routes_.size()},
+         {"bytes", text.size()},
+         {"fetched_ms", (core::steady_now() - download_started_at_).ms_},
          {"zones_out", section.zones_out_.size()}});
     refresh_limits();
     for (const auto& call : section.on_change_)
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -5,6 +5,7 @@
 
 #include "node/catalog_messages.hpp"
 #include "node/context.hpp"
+#include "node/document_download.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/running_streams.hpp"
 #include "policy/account_meter.hpp"
@@ -20,6 +21,10 @@
 
 /// An entry host's connection to the group: it watches the catalog and the
 /// endpoint list at the leader, and settles the accounts' usage there.
+///
+/// A watch only tells that there is a newer catalog. The catalog itself is
+/// fetched in parts beside it, so that its size neither delays what else the
+/// watch tells nor makes a leader that answers look lost.
 class catalog_watcher
 {
 public:
@@ -33,11 +38,16 @@
 
 private:
     awaitable<void> watch_loop();
+    awaitable<void> download_loop();
+    awaitable<void> fetch_part();
     awaitable<void> settle_loop();
     awaitable<void> settle_once(core::host_id leader);
     core::host_id next_member();
     void apply(const watch_reply& reply, const core::host_id& from);
     void apply_catalog(const watch_reply& reply);
+    bool needs_download() const;
+    void put_in_force(std::uint64_t version, std::string_view text);
+    void abandon_source(const core::host_id& source, const core::error& error);
     void apply_endpoints(const watch_reply& reply);
     void refresh_limits();
     watch_request next_watch_request(bool wait) const;
@@ -55,6 +65,16 @@
     std::size_t next_member_index_ = 0;
     std::uint64_t crash_revision_ = 0;
 
+    /// The newest catalog that a member has told of; 0: none.
+    std::uint64_t known_revision_ = 0;
+    std::uint64_t known_version_ = 0;
+
+    document_download download_;
+    core::host_id download_source_; ///< Member; empty: the leader.
+    core::time_point download_started_at_;
+    std::uint64_t unreadable_version_ = 0; ///< Newest that failed to decode.
+    drivers::asio::steady_timer download_wake_;
+
     /// Members that recently replied that they know no leader, with the time.
     std::map<core::host_id, core::time_point> leaderless_members_;
 };
--- a/tests/platform/catalog_transfer_test.cpp
+++ b/tests/platform/catalog_transfer_test.cpp
@@ -324,5 +324,46 @@
         }));
 }
 
+TEST_F(catalog_transfer, a_transfer_goes_on_after_its_connection_is_cut)
+{
+    constexpr std::int64_t bytes_before_cut = 48 * 1024;
+    slow_link link(io_, link_bytes_per_ms);
+    link.cut_after_bytes_ = bytes_before_cut;
+    group_member member(io_, folder_.string());
+    submit(member, 4, 8 * routes_per_change);
+    entry_host host(io_);
+    EXPECT_TRUE(run_until(
+        [&]()
+        {
+            return has_version(host, 4);
+        }));
+}
+
+TEST_F(catalog_transfer, a_host_of_an_older_program_gets_the_whole_catalog)
+{
+    slow_link link(io_, link_bytes_per_ms);
+    group_member member(io_, folder_.string());
+    submit(member, 4, 48);
+    std::optional<node::watch_reply> reply;
+    drivers::spawn(
+        io_,
+        [](group_member& at,
+           std::optional<node::watch_reply>& out) -> asio::awaitable<void>
+        {
+            const drivers::peer_identity old_host{"host", "old"};
+            const nlohmann::json request{{"host_", "old"}};
+            const std::string body = core::encode_cbor(request);
+            const core::result<std::string> answer = co_await at.calls_.answer(
+                old_host, node::method::catalog_watch, body);
+            out = core::decode_cbor<node::watch_reply>(core::value(answer));
+        }(member, reply));
+    ASSERT_TRUE(run_until(
+        [&]()
+        {
+            return reply.has_value();
+        }));
+    EXPECT_EQ(core::text_of(reply->text_), make_configuration(4, 48));
+}
+
 } // namespace
 } // namespace poplarroute::platform
