Quarantine prompt parts that crash the engines which answer on them

Cause: a request that ends engines was known only by the digest of its path, caller and body. Requests with a deadly part are all different, so each was new.

In each crash exactly one stream had no event yet, the others on the engine had several.

Change: entry hosts decode the shareable parts of a prompt and report those of streams that had just begun when their engine crashed. The leader quarantines a part after three crashes apart in time, if no stream with it answered since and three streams without it did. Hosts refuse such requests at once with 503, and check again before the prefill and the decode call. A new leader takes over what hosts refuse, for the digests of whole requests too; until now a change of leader forgot them.

Why it works: the deadly part is the only one that is in every crash and never answered; a part that all prompts share is answered all the time, and cannot be quarantined while nothing else answers.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -43,6 +43,9 @@
 /// How long a request that crashes engines is refused.
 constexpr core::duration quarantine_duration{60'000};
 
+/// Time after its election in which a leader takes over what hosts refuse.
+constexpr core::duration adoption_period{4'000};
+
 } // namespace
 
 catalog_controller::catalog_controller(
@@ -150,6 +153,7 @@
             {{"term", group_.member()->term()}});
         if (was_leading_)
         {
+            leading_since_ = core::steady_now();
             placements_.reset();
             ledger_ = policy::meter_ledger();
             retry_allowances_.clear();
@@ -201,11 +205,99 @@
             return crashers_.look_up(digest, now) !=
                    policy::suspicion::quarantined;
         });
+    const bool part_ended = prompt_parts_.expire(now);
     if (ended > 0)
     {
-        ++crash_revision_;
         log_event(log_level::info, "quarantine_ended", {{"requests", ended}});
-        wake_watchers();
+    }
+    if (ended > 0 || part_ended)
+    {
+        publish_quarantines();
+    }
+}
+
+/// Tells hosts what to refuse and of which prompt parts to report answers.
+void catalog_controller::publish_quarantines()
+{
+    std::vector<std::string> parts = prompt_parts_.quarantined();
+    if (parts != quarantined_parts_)
+    {
+        std::string all;
+        for (const std::string& part : parts)
+        {
+            all += (all.empty() ? "" : ",") + part;
+        }
+        log_event(
+            log_level::warning,
+            "parts_quarantined",
+            {{"parts", all},
+             {"before", quarantined_parts_.size()},
+             {"suspects", prompt_parts_.suspects().size()}});
+        quarantined_parts_ = std::move(parts);
+    }
+    ++crash_revision_;
+    wake_watchers();
+}
+
+void catalog_controller::record_crash(const crash_message& report)
+{
+    const core::time_point now = core::steady_now();
+    crashers_.crashed(
+        report.digest_,
+        report.crash_,
+        static_cast<policy::evidence>(report.weight_),
+        quarantine_duration,
+        now);
+    const bool refused = crashers_.look_up(report.digest_, now) ==
+                             policy::suspicion::quarantined &&
+                         refused_digests_.insert(report.digest_).second;
+    if (refused)
+    {
+        log_event(
+            log_level::warning,
+            "request_quarantined",
+            {{"digest", report.digest_}});
+    }
+    const bool parts_changed =
+        prompt_parts_.crashed(report.service_, report.parts_, now);
+    if (refused || parts_changed)
+    {
+        publish_quarantines();
+    }
+}
+
+void catalog_controller::record_answer(
+    const core::service_id& service, std::span<const std::string> parts)
+{
+    if (prompt_parts_.answered(service, parts, core::steady_now()))
+    {
+        publish_quarantines();
+    }
+}
+
+/// Takes over what a host refuses, since a new leader has not seen the crashes.
+void catalog_controller::adopt_quarantines(const watch_request& request)
+{
+    const core::time_point now = core::steady_now();
+    if (!group_.leads() || now - leading_since_ > adoption_period)
+    {
+        return;
+    }
+    bool changed = false;
+    for (const std::string& key : request.crashers_)
+    {
+        if (policy::prompt_part_quarantine::is_key(key))
+        {
+            changed = prompt_parts_.adopt(key, now) || changed;
+            continue;
+        }
+        crashers_.crashed(
+            key, "adopted", policy::evidence::alone, quarantine_duration, now);
+        changed = refused_digests_.insert(key).second || changed;
+    }
+    if (changed)
+    {
+        publish_quarantines();
     }
 }
 
@@ -429,6 +521,11 @@
     out.hosts_ = live_hosts();
     out.crash_revision_ = crash_revision_;
     out.crashers_.assign(refused_digests_.begin(), refused_digests_.end());
+    out.crashers_.insert(
+        out.crashers_.end(),
+        quarantined_parts_.begin(),
+        quarantined_parts_.end());
+    out.suspects_ = prompt_parts_.suspects();
     return out;
 }
 
@@ -466,6 +563,7 @@
     {
         placements_.reconcile(request.host_, request.places_);
     }
+    adopt_quarantines(request);
     const core::duration max_wait{
         std::min(request.wait_ms_, max_watch_wait.ms_)};
     const core::time_point until = core::steady_now() + max_wait;
@@ -607,6 +705,10 @@
             -> awaitable<core::result<empty_reply>>
         {
             placements_.end_stream(ending);
+            if (ending.complete_)
+            {
+                record_answer(ending.service_, ending.parts_);
+            }
             co_return empty_reply();
         });
     with_.calls_.add_typed<engine_event_message, empty_reply>(
@@ -616,6 +718,10 @@
             -> awaitable<core::result<empty_reply>>
         {
             placements_.record_engine_event(event);
+            if (!event.answered_parts_.empty())
+            {
+                record_answer(event.service_, event.answered_parts_);
+            }
             co_return empty_reply();
         });
     with_.calls_.add_typed<settle_request, settle_reply>(
@@ -636,24 +742,7 @@
         [this](drivers::peer_identity, crash_message report)
             -> awaitable<core::result<empty_reply>>
         {
-            const core::time_point now = core::steady_now();
-            crashers_.crashed(
-                report.digest_,
-                report.crash_,
-                static_cast<policy::evidence>(report.weight_),
-                quarantine_duration,
-                now);
-            const bool refused = crashers_.look_up(report.digest_, now) ==
-                                 policy::suspicion::quarantined;
-            if (refused && refused_digests_.insert(report.digest_).second)
-            {
-                ++crash_revision_;
-                log_event(
-                    log_level::warning,
-                    "request_quarantined",
-                    {{"digest", report.digest_}});
-                wake_watchers();
-            }
+            record_crash(report);
             co_return empty_reply();
         });
 }
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -15,6 +15,7 @@
 #include "node/replica.hpp"
 #include "node/stage_controller.hpp"
 #include "policy/account_meter.hpp"
+#include "policy/prompt_part_quarantine.hpp"
 #include "policy/quarantine.hpp"
 
 namespace poplarroute::node
@@ -90,6 +91,11 @@
     void wake_watchers();
     void track_leadership();
     void lift_expired_quarantines(core::time_point now);
+    void record_crash(const crash_message& report);
+    void record_answer(
+        const core::service_id& service, std::span<const std::string> parts);
+    void adopt_quarantines(const watch_request& request);
+    void publish_quarantines();
     std::int64_t live_hosts() const;
 
     context& with_;
@@ -103,6 +109,9 @@
     policy::quarantine crashers_;
     std::uint64_t crash_revision_ = 0;
     std::set<std::string> refused_digests_;
+    policy::prompt_part_quarantine prompt_parts_;
+    std::vector<std::string> quarantined_parts_; ///< As last published.
+    core::time_point leading_since_;
     std::map<core::host_id, watching_host> watching_hosts_;
     document_parts documents_;
     std::vector<std::shared_ptr<drivers::asio::steady_timer>> watchers_;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -58,6 +58,9 @@
     /// Whether the host fetches the catalog in parts. Older programs expect it
     /// in the reply.
     bool fetches_parts_ = false;
+
+    /// What the host refuses, for a leader that has just been elected.
+    std::vector<std::string> crashers_;
 };
 
 /// An endpoint of the platform's list.
@@ -92,7 +95,10 @@
     std::int64_t list_age_ms_ = 0;
     std::int64_t hosts_ = 1; ///< Number of live entry hosts.
     std::uint64_t crash_revision_ = 0;
-    std::vector<std::string> crashers_; ///< Digests of quarantined requests.
+    /// Digests of quarantined requests and keys of quarantined prompt parts.
+    std::vector<std::string> crashers_;
+    /// Keys of prompt parts of which hosts report that a request answers.
+    std::vector<std::string> suspects_;
 };
 
 /// Identifies a document that hosts fetch in parts.
@@ -188,7 +194,8 @@
     std::int64_t prompt_tokens_ = 0;
     std::int64_t read_ms_ = 0; ///< Prefill time; 0: none.
     std::int64_t output_tokens_ = 0;
-    std::int64_t decode_ms_ = 0; ///< From the first to the last event.
+    std::int64_t decode_ms_ = 0;     ///< From the first to the last event.
+    std::vector<std::string> parts_; ///< Shared parts of its prompt.
 };
 
 /// Reports an event at an engine. Empty fields are not reported.
@@ -202,6 +209,8 @@
     std::vector<core::endpoint_id> worked_; ///< Engines whose call succeeded.
     /// Engine at whose address another process answers.
     core::endpoint_id replaced_;
+    /// Shared parts of a prompt that an engine answers.
+    std::vector<std::string> answered_parts_;
 };
 
 /// An account's usage and level, in tokens. A request contains the usage and
@@ -232,6 +241,9 @@
     std::string digest_; ///< Digest of the request.
     std::string crash_;  ///< Id of the crash: the endpoint's name.
     int weight_ = 1;     ///< How strongly it implicates the request.
+    core::service_id service_;
+    /// Shared parts of its prompt; empty when it had answered for a while.
+    std::vector<std::string> parts_;
 };
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
@@ -252,7 +264,8 @@
     wait_ms_,
     places_,
     known_revision_,
-    fetches_parts_)
+    fetches_parts_,
+    crashers_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     endpoint_message,
     name_,
@@ -279,7 +292,8 @@
     list_age_ms_,
     hosts_,
     crash_revision_,
-    crashers_)
+    crashers_,
+    suspects_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_id, name_, revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     document_part_request, id_, offset_)
@@ -326,7 +340,8 @@
     prompt_tokens_,
     read_ms_,
     output_tokens_,
-    decode_ms_)
+    decode_ms_,
+    parts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     engine_event_message,
     service_,
@@ -335,13 +350,14 @@
     failed_,
     lapsed_,
     worked_,
-    replaced_)
+    replaced_,
+    answered_parts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     account_usage_message, account_, used_, level_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(settle_request, host_, uses_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(settle_reply, levels_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    crash_message, digest_, crash_, weight_)
+    crash_message, digest_, crash_, weight_, service_, parts_)
 
 endpoint_message to_message(const listed_endpoint& item);
 listed_endpoint from_message(const endpoint_message& item);
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -35,6 +35,10 @@
 constexpr core::duration part_timeout{2'000};
 constexpr core::duration part_retry_interval{60};
 
+/// How long the quarantines that a previous leader imposed hold after a change
+/// of leader. The new leader takes them over meanwhile.
+constexpr core::duration previous_quarantines_validity{6'000};
+
 /// Interval and timeout of the settlement of accounts' usage.
 constexpr core::duration settle_interval{100};
 constexpr core::duration settle_timeout{500};
@@ -93,6 +97,8 @@
     out.crash_revision_ = crash_revision_;
     out.known_revision_ = known_revision_;
     out.fetches_parts_ = true;
+    const auto& crashers = with_.board_.section<group_section>().crashers_;
+    out.crashers_.assign(crashers.begin(), crashers.end());
     out.wait_ms_ = wait ? max_watch_wait.ms_ : 0;
     out.places_ = running_placements(
         with_.board_.section<stream_section>(), core::steady_now());
@@ -231,11 +237,31 @@
         group.hosts_ = reply.hosts_;
         refresh_limits();
     }
-    crash_revision_ = reply.crash_revision_;
-    group.crashers_ = {reply.crashers_.begin(), reply.crashers_.end()};
+    apply_quarantines(reply, from);
     apply_endpoints(reply);
 }
 
+void catalog_watcher::apply_quarantines(
+    const watch_reply& reply, const core::host_id& leader)
+{
+    group_section& group = with_.board_.section<group_section>();
+    const core::time_point now = core::steady_now();
+    if (leader != quarantine_leader_)
+    {
+        quarantine_leader_ = leader;
+        keep_quarantines_until_ = now + previous_quarantines_validity;
+    }
+    crash_revision_ = reply.crash_revision_;
+    std::set<std::string> crashers(
+        reply.crashers_.begin(), reply.crashers_.end());
+    if (now < keep_quarantines_until_)
+    {
+        crashers.insert(group.crashers_.begin(), group.crashers_.end());
+    }
+    group.crashers_ = std::move(crashers);
+    group.suspect_parts_ = {reply.suspects_.begin(), reply.suspects_.end()};
+}
+
 void catalog_watcher::apply_catalog(const watch_reply& reply)
 {
     if (reply.revision_ <= known_revision_)
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -44,6 +44,8 @@
     awaitable<void> settle_once(core::host_id leader);
     core::host_id next_member();
     void apply(const watch_reply& reply, const core::host_id& from);
+    void apply_quarantines(
+        const watch_reply& reply, const core::host_id& leader);
     void apply_catalog(const watch_reply& reply);
     bool needs_download() const;
     void put_in_force(std::uint64_t version, std::string_view text);
@@ -75,6 +77,11 @@
     std::uint64_t unreadable_version_ = 0; ///< Newest that failed to decode.
     drivers::asio::steady_timer download_wake_;
 
+    /// Leader whose quarantines are known, and until when what the previous one
+    /// told holds, too.
+    core::host_id quarantine_leader_;
+    core::time_point keep_quarantines_until_;
+
     /// Members that recently replied that they know no leader, with the time.
     std::map<core::host_id, core::time_point> leaderless_members_;
 };
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -64,7 +64,11 @@
     std::vector<core::host_id> members_;
     std::int64_t hosts_ = 1;             ///< Number of live entry hosts.
     core::time_point leader_contact_at_; ///< Time of the leader's last reply.
-    std::set<std::string> crashers_;     ///< Digests of requests to refuse.
+    /// Digests of requests and keys of prompt parts that are refused.
+    std::set<std::string> crashers_;
+    /// Keys of prompt parts of which the leader wants to know that a request
+    /// with them answers.
+    std::set<std::string> suspect_parts_;
 };
 
 /// \return the engines of each engine service, for the policies.
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -8,6 +8,7 @@
 #include "node/context.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/wire_codec.hpp"
+#include "policy/prompt_part_quarantine.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/retry_allowance.hpp"
 
@@ -66,10 +67,16 @@
     /// Checks whether an endpoint that broke a connection has crashed, and if
     /// so reports to the group that it crashed while it ran a request.
     /// \param weight how strongly the crash implicates the request.
+    /// \param has_just_begun whether the endpoint had only begun to answer,
+    /// which implicates the parts of the prompt.
     void check_for_crash(
         const ingress_call& call,
         const core::endpoint_id& endpoint,
-        policy::evidence weight);
+        policy::evidence weight,
+        bool has_just_begun);
+
+    /// \return whether the request or a part of its prompt is quarantined.
+    bool is_quarantined(const ingress_call& call) const;
 
     /// \return an endpoint of the list, or null when it is no longer listed.
     const known_endpoint* find_endpoint(const core::endpoint_id& name) const
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -59,6 +59,16 @@
     return std::to_string(core::stable_hash(hashed));
 }
 
+std::string join(const std::vector<std::string>& items)
+{
+    std::string out;
+    for (const std::string& item : items)
+    {
+        out += (out.empty() ? "" : ",") + item;
+    }
+    return out;
+}
+
 /// Reports to the leader that an endpoint crashed, if it refuses connections.
 awaitable<void> report_if_crashed(
     context& with, std::string address, crash_message report)
@@ -76,7 +86,8 @@
         "endpoint_crashed",
         {{"endpoint", report.crash_},
          {"digest", report.digest_},
-         {"weight", report.weight_}});
+         {"weight", report.weight_},
+         {"parts", join(report.parts_)}});
     co_await ask<empty_reply>(
         with.peers_,
         leader,
@@ -103,18 +114,47 @@
 void ingress_context::check_for_crash(
     const ingress_call& call,
     const core::endpoint_id& endpoint,
-    policy::evidence weight)
+    policy::evidence weight,
+    bool has_just_begun)
 {
     const known_endpoint* known = find_endpoint(endpoint);
-    if (known != nullptr)
+    if (known == nullptr)
+    {
+        return;
+    }
+    crash_message report;
+    report.digest_ = call.digest_;
+    report.crash_ = endpoint;
+    report.weight_ = static_cast<int>(weight);
+    report.service_ = call.service_;
+    if (has_just_begun)
+    {
+        report.parts_ = call.request_.shared_parts_;
+    }
+    std::string address = known->listed_.address_;
+    drivers::spawn(
+        with_.io_,
+        report_if_crashed(with_, std::move(address), std::move(report)));
+}
+
+bool ingress_context::is_quarantined(const ingress_call& call) const
+{
+    const std::set<std::string>& crashers =
+        with_.board_.section<group_section>().crashers_;
+    if (crashers.empty())
     {
-        drivers::spawn(
-            with_.io_,
-            report_if_crashed(
-                with_,
-                known->listed_.address_,
-                {call.digest_, endpoint, static_cast<int>(weight)}));
+        return false;
     }
+    const auto& parts = call.request_.shared_parts_;
+    return crashers.count(call.digest_) != 0 ||
+           std::any_of(
+               parts.begin(),
+               parts.end(),
+               [&](const std::string& part)
+               {
+                   return crashers.count(policy::prompt_part_quarantine::key_of(
+                              call.service_, part)) != 0;
+               });
 }
 
 ingress_controller::ingress_controller(context& with, const wire_codec& codec)
@@ -258,14 +298,14 @@
     }
     choose_service(call);
     call.digest_ = request_digest(call);
-    if (with_.board_.section<group_section>().crashers_.count(call.digest_) !=
-        0)
+    if (ingress_.is_quarantined(call))
     {
         return refusal{
             status_unavailable,
             "quarantined",
             quarantined_retry_after,
-            "digest " + call.digest_};
+            "digest " + call.digest_ + ", parts " +
+                join(call.request_.shared_parts_)};
     }
     return charge(call);
 }
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -112,7 +112,7 @@
         if (error.code_ == core::errc::broken)
         {
             ingress_.check_for_crash(
-                call_, endpoint_, policy::evidence::just_started);
+                call_, endpoint_, policy::evidence::just_started, true);
         }
         finish_attempt(call_outcome::broken);
         return send_result::may_have_run;
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -39,6 +39,14 @@
 /// Time from the placement to the first event when nothing is queued.
 constexpr core::duration typical_first_event_time{220};
 
+/// Time after its first event for which a stream has only begun. An engine that
+/// crashes within it may have crashed because of this prompt.
+constexpr core::duration begin_period{500};
+
+/// Retry-After of a stream that is refused because its prompt has been
+/// quarantined meanwhile.
+constexpr core::duration quarantined_retry_after{10'000};
+
 constexpr int max_placement_attempts = 4;
 constexpr core::duration min_retry_after{300};
 
@@ -96,6 +104,7 @@
             result_.events_ * service->engine_->tokens_per_event_;
         ending.decode_ms_ = (last_event_at_ - first_event_at_).ms_;
     }
+    ending.parts_ = call_.request_.shared_parts_;
     placements_.end_stream(std::move(ending));
 }
 
@@ -323,7 +332,10 @@
         if (core::failure(opened).code_ == errc::broken)
         {
             ingress_.check_for_crash(
-                call_, placement_.decoder_, policy::evidence::just_started);
+                call_,
+                placement_.decoder_,
+                policy::evidence::just_started,
+                true);
         }
         co_return may_resume() ? step_result::retry : step_result::failed;
     }
@@ -387,6 +399,10 @@
     drivers::http_exchange& exchange, stream_event event)
 {
     const core::time_point now = core::steady_now();
+    if (events_from_engine_ == 0)
+    {
+        engine_began_at_ = now;
+    }
     if (event.id_)
     {
         const bool duplicate = last_event_id_ && *event.id_ <= *last_event_id_;
@@ -402,7 +418,9 @@
         result_.first_event_ms_ = (now - call_.arrived_at_).ms_;
     }
     last_event_at_ = now;
+    ++events_from_engine_;
     ++result_.events_;
+    report_answered_parts();
     const bool written = co_await exchange.write(event.bytes_);
     co_return written;
 }
@@ -412,6 +430,7 @@
 {
     const core::duration event_timeout = caller_event_timeout(call_.route_);
     parser_ = event_stream_parser();
+    events_from_engine_ = 0;
     for (;;)
     {
         const core::duration timeout =
@@ -429,7 +448,10 @@
             if (core::failure(piece).code_ == errc::broken)
             {
                 ingress_.check_for_crash(
-                    call_, placement_.decoder_, policy::evidence::long_running);
+                    call_,
+                    placement_.decoder_,
+                    policy::evidence::long_running,
+                    has_just_begun());
             }
             co_return step_result::retry;
         }
@@ -454,6 +476,52 @@
     }
 }
 
+bool stream_forwarder::has_just_begun() const
+{
+    return events_from_engine_ == 0 ||
+           last_event_at_ - engine_began_at_ < begin_period;
+}
+
+/// Tells the leader once that an engine answers this prompt, if the leader
+/// suspects one of its parts.
+void stream_forwarder::report_answered_parts()
+{
+    const std::set<std::string>& suspects =
+        ingress_.with_.board_.section<group_section>().suspect_parts_;
+    if (has_reported_parts_ || suspects.empty() || has_just_begun())
+    {
+        return;
+    }
+    const std::vector<std::string>& parts = call_.request_.shared_parts_;
+    const bool is_suspect = std::any_of(
+        parts.begin(),
+        parts.end(),
+        [&](const std::string& part)
+        {
+            return suspects.count(policy::prompt_part_quarantine::key_of(
+                       call_.service_, part)) != 0;
+        });
+    if (is_suspect)
+    {
+        has_reported_parts_ = true;
+        engine_event_message event;
+        event.service_ = call_.service_;
+        event.answered_parts_ = parts;
+        placements_.record_engine_event(std::move(event));
+    }
+}
+
+bool stream_forwarder::refuse_if_quarantined()
+{
+    if (!ingress_.is_quarantined(call_))
+    {
+        return false;
+    }
+    result_.detail_ = "quarantined";
+    retry_after_ = quarantined_retry_after;
+    return true;
+}
+
 bool stream_forwarder::may_resume() const
 {
     return call_.route_.resumable_ && time_left(call_) > min_retry_time;
@@ -468,11 +536,19 @@
 awaitable<stream_forwarder::step_result> stream_forwarder::run_once(
     drivers::http_exchange& exchange)
 {
+    if (refuse_if_quarantined())
+    {
+        co_return step_result::refused;
+    }
     const step_result placed = co_await acquire_placement();
     if (placed != step_result::done)
     {
         co_return placed;
     }
+    if (refuse_if_quarantined())
+    {
+        co_return step_result::refused;
+    }
     if (!kv_handle_ && !placement_.reader_.empty())
     {
         const step_result prefilled = co_await prefill_prompt();
@@ -481,6 +557,10 @@
             co_return prefilled;
         }
     }
+    if (refuse_if_quarantined())
+    {
+        co_return step_result::refused;
+    }
     const step_result opened = co_await open_decode_stream();
     if (opened != step_result::done)
     {
--- a/node/stream_forwarder.hpp
+++ b/node/stream_forwarder.hpp
@@ -44,6 +44,9 @@
         drivers::http_exchange& exchange, stream_event event);
     awaitable<step_result> run_once(drivers::http_exchange& exchange);
     bool may_place_again();
+    bool refuse_if_quarantined();
+    bool has_just_begun() const;
+    void report_answered_parts();
     bool may_resume() const;
     void release_placement(bool complete);
     void release_kv_handle();
@@ -71,9 +74,14 @@
     std::optional<std::int64_t> last_event_id_;
     core::time_point first_event_at_;
     core::time_point last_event_at_;
+
+    /// Events from the engine that answers now, and the time of the first.
+    std::int64_t events_from_engine_ = 0;
+    core::time_point engine_began_at_;
     core::duration retry_after_;
     int prefills_sent_ = 0;
     bool may_have_run_ = false; ///< An engine that failed may have run it.
+    bool has_reported_parts_ = false;
 };
 
 } // namespace poplarroute::node
--- a/node/wire_codec.hpp
+++ b/node/wire_codec.hpp
@@ -31,6 +31,9 @@
         resume_after_;               ///< Id of the caller's last event.
     drivers::header_list forwarded_; ///< Headers that are forwarded unchanged.
     std::string body_;
+
+    /// Ids of the prompt's parts that other prompts may share.
+    std::vector<std::string> shared_parts_;
 };
 
 /// Part of a request that is sent to an endpoint.
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -62,6 +62,23 @@
     EXPECT_EQ(read.resume_after_, 12);
 }
 
+TEST(platform_codec, reads_the_parts_of_a_prompt_that_others_may_share)
+{
+    const platform_codec wire;
+    const auto shared_parts = [&](std::string text)
+    {
+        return wire
+            .decode_request(request_with({{"Prompt-Prefix", std::move(text)}}))
+            .shared_parts_;
+    };
+    using parts = std::vector<std::string>;
+    EXPECT_EQ(
+        shared_parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+        (parts{"5c1e07a2", "91bd3f06"}));
+    EXPECT_EQ(shared_parts("e4402b7d:250"), parts());
+    EXPECT_EQ(shared_parts(""), parts());
+}
+
 TEST(platform_codec, drops_headers_that_only_the_system_may_set)
 {
     const platform_codec wire;
