Bound what a response of an endpoint may take of memory and time

On an entry host of 88 MB such an endpoint would end the process and with it the requests of all callers.

Cause: limits on single parts only. The body of a response to another request, chunk extensions and trailers had none; a body of one-byte chunks took 29 s of processor time before its 16 MB were full; and each of several such bodies could take its 16 MB. The class: input whose size the other side decides.

Change: 64 KB are read ahead of the parser; responses to other requests are skipped without keeping them, up to 1 MB; all bodies together hold at most 24 MB; a body that is mostly framing is refused; informational responses are skipped. Unframed answers, which end with their connection, were right already and have tests now: complete at its end, broken by a reset.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -24,6 +24,21 @@
 constexpr std::size_t max_idle_connections_per_address = 64;
 constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
 
+/// Limit on the bodies that all pending responses together hold in memory. A
+/// faulty endpoint may send without end, on several connections.
+constexpr std::size_t max_buffered_bytes = 24 * 1024 * 1024;
+
+/// Limit on what is read ahead of the parser, which bounds headers, chunk
+/// extensions and trailers.
+constexpr std::size_t max_read_ahead_bytes = 64 * 1024;
+
+/// A whole body may take this many bytes more than half as much again on the
+/// wire. Chunks of single bytes would keep the process busy.
+constexpr std::size_t max_framing_bytes = 64 * 1024;
+
+/// Limit on the body of a response to another request, which is skipped.
+constexpr std::size_t max_skipped_bytes = 1024 * 1024;
+
 /// How long an idle connection is reused if the server states no timeout. The
 /// shortest idle timeout in common use is 5 s.
 constexpr core::duration default_idle_limit{4'000};
@@ -37,8 +52,11 @@
 /// deadlines.
 constexpr int tcp_user_timeout_ms = 1'500;
 
-/// A connection is closed when more responses to other requests than this
-/// arrive before the response to the current one.
+/// Smallest status that is not informational (RFC 9110, 15.2).
+constexpr unsigned min_final_status = 200;
+
+/// A connection is closed when more informational responses and responses to
+/// other requests than this arrive before the response to the current one.
 constexpr int max_mismatched_responses = 4;
 
 struct connection
@@ -46,7 +64,7 @@
     explicit connection(asio::io_context& context) : stream_(context) {}
 
     beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{max_read_ahead_bytes};
     core::time_point idle_since_;
     core::time_point usable_until_;
     bool reused_ = false;
@@ -140,6 +158,7 @@
     asio::io_context& context_;
     std::map<std::string, std::deque<connection_ptr>> idle_connections_;
     http_client_counts counts_;
+    std::size_t buffered_bytes_ = 0; ///< Of all bodies in read_rest().
 
 private:
     static bool is_open(connection& idle_connection)
@@ -226,6 +245,37 @@
     target->write_failed_ = static_cast<bool>(failed);
 }
 
+/// Counts the bytes of one body towards the limit of all bodies.
+class buffered_body
+{
+public:
+    explicit buffered_body(http_client::pool& pool) : pool_(pool) {}
+
+    ~buffered_body()
+    {
+        pool_.buffered_bytes_ -= counted_;
+    }
+
+    buffered_body(const buffered_body&) = delete;
+    buffered_body& operator=(const buffered_body&) = delete;
+
+    /// \return whether the body may grow by this many bytes.
+    bool add(std::size_t bytes)
+    {
+        if (pool_.buffered_bytes_ + bytes > max_buffered_bytes)
+        {
+            return false;
+        }
+        pool_.buffered_bytes_ += bytes;
+        counted_ += bytes;
+        return true;
+    }
+
+private:
+    http_client::pool& pool_;
+    std::size_t counted_ = 0;
+};
+
 class beast_stream final : public http_stream
 {
 public:
@@ -263,17 +313,20 @@
                 connection_->buffer_,
                 *parser_,
                 asio::redirect_error(asio::use_awaitable, failed));
-            if (failed || !is_mismatched(echo_header, echo_value))
+            if (failed)
             {
                 co_return failed;
             }
-            ++pool_->counts_.mismatched_responses_;
-            skipped_mismatched_ = true;
-            co_await http::async_read(
-                connection_->stream_,
-                connection_->buffer_,
-                *parser_,
-                asio::redirect_error(asio::use_awaitable, failed));
+            if (!is_informational())
+            {
+                if (!is_mismatched(echo_header, echo_value))
+                {
+                    co_return failed;
+                }
+                ++pool_->counts_.mismatched_responses_;
+                skipped_mismatched_ = true;
+            }
+            failed = co_await skip_body();
             if (failed)
             {
                 co_return failed;
@@ -330,7 +383,7 @@
             }
             connection_->stream_.expires_after(timeout.chrono());
             error_code failed;
-            co_await http::async_read_some(
+            wire_bytes_ += co_await http::async_read_some(
                 connection_->stream_,
                 connection_->buffer_,
                 *parser_,
@@ -348,6 +401,7 @@
         core::duration timeout, std::size_t max_bytes) override
     {
         const core::time_point deadline = core::steady_now() + timeout;
+        buffered_body counted(*pool_);
         std::string out;
         for (;;)
         {
@@ -362,11 +416,17 @@
             {
                 co_return std::move(out);
             }
-            out += *core::value(piece);
-            if (out.size() > max_bytes)
+            const std::string& bytes = *core::value(piece);
+            const std::size_t size = out.size() + bytes.size();
+            if (size > max_bytes || !counted.add(bytes.size()))
             {
                 co_return error{errc::invalid, "the answer is too large"};
             }
+            if (wire_bytes_ > size + size / 2 + max_framing_bytes)
+            {
+                co_return error{errc::invalid, "the answer is mostly framing"};
+            }
+            out += bytes;
         }
     }
 
@@ -377,6 +437,32 @@
         parser_->body_limit(boost::none);
     }
 
+    /// Reads the rest of a response to another request without keeping it.
+    asio::awaitable<error_code> skip_body()
+    {
+        std::size_t skipped = 0;
+        error_code failed;
+        while (!parser_->is_done() && !failed)
+        {
+            skipped += co_await http::async_read_some(
+                connection_->stream_,
+                connection_->buffer_,
+                *parser_,
+                asio::redirect_error(asio::use_awaitable, failed));
+            parser_->get().body().clear();
+            if (skipped > max_skipped_bytes)
+            {
+                failed = make_error_code(http::error::body_limit);
+            }
+        }
+        co_return failed;
+    }
+
+    bool is_informational() const
+    {
+        return parser_->get().result_int() < min_final_status;
+    }
+
     bool is_mismatched(
         const std::string& echo_header, const std::string& echo_value) const
     {
@@ -428,6 +514,7 @@
     connection_ptr connection_;
     std::optional<parser_type> parser_;
     bool skipped_mismatched_ = false;
+    std::size_t wire_bytes_ = 0; ///< Read after the header.
     std::string partial_line_;
 };
 
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -159,6 +159,57 @@
         });
 }
 
+/// Endpoint that sends an answer with neither a length nor chunks, and then
+/// ends or resets the connection.
+asio::awaitable<void> serve_unframed(
+    tcp::acceptor& acceptor, std::string answer, bool reset)
+{
+    tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::array<char, 4096> buffer{};
+    co_await socket.async_read_some(asio::buffer(buffer), asio::use_awaitable);
+    co_await asio::async_write(
+        socket, asio::buffer(answer), asio::use_awaitable);
+    if (reset)
+    {
+        co_await sleep_for(core::duration{20});
+        socket.set_option(asio::socket_base::linger(true, 0));
+    }
+    socket.close();
+}
+
+constexpr const char* unframed = "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nwhole";
+
+TEST(http_client, reads_an_answer_that_ends_with_its_connection)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, parse_endpoint(address));
+    spawn(io, serve_unframed(acceptor, unframed, false));
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call call = make_call("a");
+            const auto reply = co_await client.request(std::move(call));
+            EXPECT_TRUE(core::is_ok(reply));
+            EXPECT_EQ(core::value(reply).body_, "whole");
+        });
+}
+
+TEST(http_client, treats_a_reset_answer_without_a_length_as_broken)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, parse_endpoint(address));
+    spawn(io, serve_unframed(acceptor, unframed, true));
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call call = make_call("a");
+            const auto reply = co_await client.request(std::move(call));
+            EXPECT_FALSE(core::is_ok(reply));
+        });
+}
+
 TEST(http_client, says_unreachable_only_when_nothing_was_sent)
 {
     asio::io_context io;
