Tell a deadly prompt part from the parts that come with it

Three answered streams without the part were needed, but only streams with a suspected part reported, and the others ended with their engines before they were complete. The test with the killed leader showed one more: a member that restarts and leads again has the address of the leader before, so hosts dropped what they refused.

Change: while any part is suspected, each stream that has been answered for 0.2 s is reported. Of parts that were in each of the same requests only the last is quarantined; a part that answered within the last minute needs eight crashes; crashes of requests with a quarantined part implicate no other part. Hosts know a new leader by its term.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -205,22 +205,22 @@
             return crashers_.look_up(digest, now) !=
                    policy::suspicion::quarantined;
         });
-    const bool part_ended = prompt_parts_.expire(now);
+    prompt_parts_.expire(now);
     if (ended > 0)
     {
         log_event(log_level::info, "quarantine_ended", {{"requests", ended}});
     }
-    if (ended > 0 || part_ended)
-    {
-        publish_quarantines();
-    }
+    publish_quarantines(ended > 0);
 }
 
-/// Tells hosts what to refuse and of which prompt parts to report answers.
-void catalog_controller::publish_quarantines()
+/// Tells hosts what to refuse, and whether to report answered prompts.
+/// \param requests_changed whether the digests to refuse have changed.
+void catalog_controller::publish_quarantines(bool requests_changed)
 {
+    const std::vector<std::string> suspects = prompt_parts_.suspects();
     std::vector<std::string> parts = prompt_parts_.quarantined();
-    if (parts != quarantined_parts_)
+    const bool parts_changed = parts != quarantined_parts_;
+    if (parts_changed)
     {
         std::string all;
         for (const std::string& part : parts)
@@ -232,11 +232,15 @@
             "parts_quarantined",
             {{"parts", all},
              {"before", quarantined_parts_.size()},
-             {"suspects", prompt_parts_.suspects().size()}});
+             {"suspects", suspects.size()}});
         quarantined_parts_ = std::move(parts);
     }
-    ++crash_revision_;
-    wake_watchers();
+    if (requests_changed || parts_changed || has_suspects_ == suspects.empty())
+    {
+        has_suspects_ = !suspects.empty();
+        ++crash_revision_;
+        wake_watchers();
+    }
 }
 
 void catalog_controller::record_crash(const crash_message& report)
@@ -258,12 +262,8 @@
             "request_quarantined",
             {{"digest", report.digest_}});
     }
-    const bool parts_changed =
-        prompt_parts_.crashed(report.service_, report.parts_, now);
-    if (refused || parts_changed)
-    {
-        publish_quarantines();
-    }
+    prompt_parts_.crashed(report.service_, report.parts_, now);
+    publish_quarantines(refused);
 }
 
 void catalog_controller::record_answer(
@@ -271,7 +271,7 @@
 {
     if (prompt_parts_.answered(service, parts, core::steady_now()))
     {
-        publish_quarantines();
+        publish_quarantines(false);
     }
 }
 
@@ -288,17 +288,14 @@
     {
         if (policy::prompt_part_quarantine::is_key(key))
         {
-            changed = prompt_parts_.adopt(key, now) || changed;
+            prompt_parts_.adopt(key, now);
             continue;
         }
         crashers_.crashed(
             key, "adopted", policy::evidence::alone, quarantine_duration, now);
         changed = refused_digests_.insert(key).second || changed;
     }
-    if (changed)
-    {
-        publish_quarantines();
-    }
+    publish_quarantines(changed);
 }
 
 std::int64_t catalog_controller::live_hosts() const
@@ -484,6 +481,7 @@
     watch_reply out;
     out.leads_ = group_.leads();
     out.leader_ = group_.leader();
+    out.term_ = group_.member()->term();
     for (const control::member& item : group_.member()->log().group().members_)
     {
         out.members_.push_back(item.host_);
@@ -525,7 +523,7 @@
         out.crashers_.end(),
         quarantined_parts_.begin(),
         quarantined_parts_.end());
-    out.suspects_ = prompt_parts_.suspects();
+    out.suspects_parts_ = has_suspects_;
     return out;
 }
 
@@ -718,7 +716,7 @@
             -> awaitable<core::result<empty_reply>>
         {
             placements_.record_engine_event(event);
-            if (!event.answered_parts_.empty())
+            if (event.answered_)
             {
                 record_answer(event.service_, event.answered_parts_);
             }
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -95,7 +95,7 @@
     void record_answer(
         const core::service_id& service, std::span<const std::string> parts);
     void adopt_quarantines(const watch_request& request);
-    void publish_quarantines();
+    void publish_quarantines(bool requests_changed);
     std::int64_t live_hosts() const;
 
     context& with_;
@@ -111,6 +111,7 @@
     std::set<std::string> refused_digests_;
     policy::prompt_part_quarantine prompt_parts_;
     std::vector<std::string> quarantined_parts_; ///< As last published.
+    bool has_suspects_ = false;                  ///< As last published.
     core::time_point leading_since_;
     std::map<core::host_id, watching_host> watching_hosts_;
     document_parts documents_;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -80,7 +80,8 @@
 struct watch_reply
 {
     bool leads_ = false;
-    core::host_id leader_; ///< Peer address; empty: unknown.
+    core::host_id leader_;   ///< Peer address; empty: unknown.
+    std::uint64_t term_ = 0; ///< Raft term of the member.
     std::vector<core::host_id> members_;
     std::uint64_t revision_ = 0;
     std::uint64_t version_ = 0; ///< Version of the catalog; 0: not stated.
@@ -97,8 +98,8 @@
     std::uint64_t crash_revision_ = 0;
     /// Digests of quarantined requests and keys of quarantined prompt parts.
     std::vector<std::string> crashers_;
-    /// Keys of prompt parts of which hosts report that a request answers.
-    std::vector<std::string> suspects_;
+    /// Whether hosts report the parts of prompts that are answered.
+    bool suspects_parts_ = false;
 };
 
 /// Identifies a document that hosts fetch in parts.
@@ -209,8 +210,8 @@
     std::vector<core::endpoint_id> worked_; ///< Engines whose call succeeded.
     /// Engine at whose address another process answers.
     core::endpoint_id replaced_;
-    /// Shared parts of a prompt that an engine answers.
-    std::vector<std::string> answered_parts_;
+    bool answered_ = false; ///< A stream has been answered for a while.
+    std::vector<std::string> answered_parts_; ///< Shared parts of its prompt.
 };
 
 /// An account's usage and level, in tokens. A request contains the usage and
@@ -280,6 +281,7 @@
     watch_reply,
     leads_,
     leader_,
+    term_,
     members_,
     revision_,
     version_,
@@ -293,7 +295,7 @@
     hosts_,
     crash_revision_,
     crashers_,
-    suspects_)
+    suspects_parts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_id, name_, revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     document_part_request, id_, offset_)
@@ -351,6 +353,7 @@
     lapsed_,
     worked_,
     replaced_,
+    answered_,
     answered_parts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     account_usage_message, account_, used_, level_)
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -237,18 +237,17 @@
         group.hosts_ = reply.hosts_;
         refresh_limits();
     }
-    apply_quarantines(reply, from);
+    apply_quarantines(reply);
     apply_endpoints(reply);
 }
 
-void catalog_watcher::apply_quarantines(
-    const watch_reply& reply, const core::host_id& leader)
+void catalog_watcher::apply_quarantines(const watch_reply& reply)
 {
     group_section& group = with_.board_.section<group_section>();
     const core::time_point now = core::steady_now();
-    if (leader != quarantine_leader_)
+    if (reply.term_ != quarantine_term_)
     {
-        quarantine_leader_ = leader;
+        quarantine_term_ = reply.term_;
         keep_quarantines_until_ = now + previous_quarantines_validity;
     }
     crash_revision_ = reply.crash_revision_;
@@ -259,7 +258,7 @@
         crashers.insert(group.crashers_.begin(), group.crashers_.end());
     }
     group.crashers_ = std::move(crashers);
-    group.suspect_parts_ = {reply.suspects_.begin(), reply.suspects_.end()};
+    group.suspects_parts_ = reply.suspects_parts_;
 }
 
 void catalog_watcher::apply_catalog(const watch_reply& reply)
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -44,8 +44,7 @@
     awaitable<void> settle_once(core::host_id leader);
     core::host_id next_member();
     void apply(const watch_reply& reply, const core::host_id& from);
-    void apply_quarantines(
-        const watch_reply& reply, const core::host_id& leader);
+    void apply_quarantines(const watch_reply& reply);
     void apply_catalog(const watch_reply& reply);
     bool needs_download() const;
     void put_in_force(std::uint64_t version, std::string_view text);
@@ -77,9 +76,9 @@
     std::uint64_t unreadable_version_ = 0; ///< Newest that failed to decode.
     drivers::asio::steady_timer download_wake_;
 
-    /// Leader whose quarantines are known, and until when what the previous one
-    /// told holds, too.
-    core::host_id quarantine_leader_;
+    /// Term of the leader whose quarantines are known, and until when what the
+    /// previous one told holds, too. A member that restarts may lead again.
+    std::uint64_t quarantine_term_ = 0;
     core::time_point keep_quarantines_until_;
 
     /// Members that recently replied that they know no leader, with the time.
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -66,9 +66,9 @@
     core::time_point leader_contact_at_; ///< Time of the leader's last reply.
     /// Digests of requests and keys of prompt parts that are refused.
     std::set<std::string> crashers_;
-    /// Keys of prompt parts of which the leader wants to know that a request
-    /// with them answers.
-    std::set<std::string> suspect_parts_;
+    /// Whether the leader wants to know which prompts are answered, since it
+    /// suspects some of their parts.
+    bool suspects_parts_ = false;
 };
 
 /// \return the engines of each engine service, for the policies.
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -41,7 +41,7 @@
 
 /// Time after its first event for which a stream has only begun. An engine that
 /// crashes within it may have crashed because of this prompt.
-constexpr core::duration begin_period{500};
+constexpr core::duration begin_period{200};
 
 /// Retry-After of a stream that is refused because its prompt has been
 /// quarantined meanwhile.
@@ -482,33 +482,22 @@
            last_event_at_ - engine_began_at_ < begin_period;
 }
 
-/// Tells the leader once that an engine answers this prompt, if the leader
-/// suspects one of its parts.
+/// Tells the leader once that an engine answers this prompt, while the leader
+/// suspects any part: it compares requests with the part to those without.
 void stream_forwarder::report_answered_parts()
 {
-    const std::set<std::string>& suspects =
-        ingress_.with_.board_.section<group_section>().suspect_parts_;
-    if (has_reported_parts_ || suspects.empty() || has_just_begun())
+    const bool is_wanted =
+        ingress_.with_.board_.section<group_section>().suspects_parts_;
+    if (has_reported_parts_ || !is_wanted || has_just_begun())
     {
         return;
     }
-    const std::vector<std::string>& parts = call_.request_.shared_parts_;
-    const bool is_suspect = std::any_of(
-        parts.begin(),
-        parts.end(),
-        [&](const std::string& part)
-        {
-            return suspects.count(policy::prompt_part_quarantine::key_of(
-                       call_.service_, part)) != 0;
-        });
-    if (is_suspect)
-    {
-        has_reported_parts_ = true;
-        engine_event_message event;
-        event.service_ = call_.service_;
-        event.answered_parts_ = parts;
-        placements_.record_engine_event(std::move(event));
-    }
+    has_reported_parts_ = true;
+    engine_event_message event;
+    event.service_ = call_.service_;
+    event.answered_ = true;
+    event.answered_parts_ = call_.request_.shared_parts_;
+    placements_.record_engine_event(std::move(event));
 }
 
 bool stream_forwarder::refuse_if_quarantined()
--- a/policy/prompt_part_quarantine.cpp
+++ b/policy/prompt_part_quarantine.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr int min_crashes = 3;
+constexpr int min_crashes_after_answers = 8;
 
 /// Crashes within this time of the last counted one are not counted.
 constexpr core::duration crash_separation{300};
@@ -20,6 +21,11 @@
 constexpr core::duration quarantine_duration{60'000};
 constexpr std::size_t max_records = 4'096;
 
+/// How long an answer speaks for a part.
+constexpr core::duration answer_validity{60'000};
+constexpr core::duration answer_check_interval{5'000};
+constexpr std::size_t max_answers = 20'000;
+
 constexpr char key_separator = '/';
 
 } // namespace
@@ -35,12 +41,25 @@
     return text.find(key_separator) != std::string_view::npos;
 }
 
+bool prompt_part_quarantine::has_answered(const std::string& key) const
+{
+    return answered_at_.count(key) != 0;
+}
+
+bool prompt_part_quarantine::is_quarantined(const std::string& key) const
+{
+    const auto found = records_.find(key);
+    return found != records_.end() && found->second.quarantined_;
+}
+
 bool prompt_part_quarantine::quarantine_if_proven(
-    record& entry, core::time_point now)
+    const std::string& key, record& entry, core::time_point now) const
 {
-    const bool proven = !entry.quarantined_ &&
-                        entry.crash_count_ >= min_crashes &&
-                        entry.answered_without_ >= min_answered_without;
+    const int needed =
+        has_answered(key) ? min_crashes_after_answers : min_crashes;
+    const bool proven = !entry.quarantined_ && entry.crash_count_ >= needed &&
+                        entry.answered_without_ >= min_answered_without &&
+                        entry.always_followed_by_.empty();
     if (proven)
     {
         entry.quarantined_ = true;
@@ -49,32 +68,69 @@
     return proven;
 }
 
+/// Counts a crash against one part.
+/// \param keys those of all parts of the request's prompt.
+bool prompt_part_quarantine::count_crash(
+    std::span<const std::string> keys,
+    std::size_t position,
+    core::time_point now)
+{
+    const std::string& key = keys[position];
+    if (records_.size() >= max_records && records_.count(key) == 0)
+    {
+        return false;
+    }
+    const auto [found, inserted] = records_.try_emplace(key);
+    record& entry = found->second;
+    if (!inserted && now - entry.last_counted_at_ < crash_separation)
+    {
+        return false;
+    }
+    std::set<std::string> followed_by;
+    for (const std::string& later : keys.subspan(position + 1))
+    {
+        const bool explains =
+            !has_answered(later) &&
+            (inserted || entry.always_followed_by_.count(later) != 0);
+        if (explains)
+        {
+            followed_by.insert(later);
+        }
+    }
+    entry.always_followed_by_ = std::move(followed_by);
+    ++entry.crash_count_;
+    entry.last_counted_at_ = now;
+    entry.expires_at_ = now + suspicion_duration;
+    return quarantine_if_proven(key, entry, now) || inserted;
+}
+
 bool prompt_part_quarantine::crashed(
     const core::service_id& service,
     std::span<const std::string> parts,
     core::time_point now)
 {
-    bool changed = false;
+    std::vector<std::string> keys;
     for (const std::string& part : parts)
     {
-        const std::string key = key_of(service, part);
-        if (records_.size() >= max_records && records_.count(key) == 0)
-        {
-            continue;
-        }
-        const auto [found, inserted] = records_.try_emplace(key);
-        record& entry = found->second;
-        if (!inserted && now - entry.last_counted_at_ < crash_separation)
+        keys.push_back(key_of(service, part));
+    }
+    const auto quarantined = std::find_if(
+        keys.begin(),
+        keys.end(),
+        [this](const std::string& key)
         {
-            continue;
-        }
-        ++entry.crash_count_;
-        entry.last_counted_at_ = now;
-        entry.expires_at_ = std::max(
-            entry.expires_at_,
-            now + (entry.quarantined_ ? quarantine_duration
-                                      : suspicion_duration));
-        changed = quarantine_if_proven(entry, now) || inserted || changed;
+            return is_quarantined(key);
+        });
+    if (quarantined != keys.end())
+    {
+        // The request was sent before its host knew of the quarantine.
+        records_[*quarantined].expires_at_ = now + quarantine_duration;
+        return false;
+    }
+    bool changed = false;
+    for (std::size_t position = 0; position < keys.size(); ++position)
+    {
+        changed = count_crash(keys, position, now) || changed;
     }
     return changed;
 }
@@ -85,21 +141,47 @@
     core::time_point now)
 {
     bool changed = false;
+    std::vector<std::string> keys;
     for (const std::string& part : parts)
     {
-        changed = records_.erase(key_of(service, part)) > 0 || changed;
+        keys.push_back(key_of(service, part));
+        changed = records_.erase(keys.back()) > 0 || changed;
+        if (answered_at_.size() < max_answers || has_answered(keys.back()))
+        {
+            answered_at_[keys.back()] = now;
+        }
     }
     const std::string prefix = service + key_separator;
     for (auto item = records_.lower_bound(prefix);
          item != records_.end() && item->first.starts_with(prefix);
          ++item)
     {
-        ++item->second.answered_without_;
-        changed = quarantine_if_proven(item->second, now) || changed;
+        record& entry = item->second;
+        ++entry.answered_without_;
+        for (const std::string& key : keys)
+        {
+            entry.always_followed_by_.erase(key);
+        }
+        changed = quarantine_if_proven(item->first, entry, now) || changed;
     }
     return changed;
 }
 
+void prompt_part_quarantine::forget_old_answers(core::time_point now)
+{
+    if (now - answers_checked_at_ < answer_check_interval)
+    {
+        return;
+    }
+    answers_checked_at_ = now;
+    std::erase_if(
+        answered_at_,
+        [now](const auto& item)
+        {
+            return now - item.second > answer_validity;
+        });
+}
+
 bool prompt_part_quarantine::adopt(const std::string& key, core::time_point now)
 {
     record& entry = records_[key];
@@ -109,12 +191,14 @@
     }
     entry.quarantined_ = true;
     entry.crash_count_ = min_crashes;
+    entry.always_followed_by_.clear();
     entry.expires_at_ = now + quarantine_duration;
     return true;
 }
 
 bool prompt_part_quarantine::expire(core::time_point now)
 {
+    forget_old_answers(now);
     bool ended = false;
     std::erase_if(
         records_,
--- a/policy/prompt_part_quarantine.hpp
+++ b/policy/prompt_part_quarantine.hpp
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "core/clock.hpp"
@@ -20,12 +22,16 @@
 /// engine, most of them innocent. A part is quarantined once several crashes
 /// have implicated it, no request with it has answered since the first of them,
 /// and requests of its service without it have. So a part that most requests
-/// share is never quarantined when engines crash for other reasons.
+/// share is never quarantined when engines crash for other reasons. Of parts
+/// that were in each of the same requests, the last one is quarantined, since
+/// earlier parts are shared by more prompts. Parts that answered shortly before
+/// need more crashes.
 class prompt_part_quarantine
 {
 public:
     /// Records that an engine crashed under a request that had just begun.
-    /// \param parts the parts of its prompt that other prompts may share.
+    /// \param parts the parts of its prompt that other prompts may share, in
+    /// their order.
     /// \return whether suspects() or quarantined() have changed.
     bool crashed(
         const core::service_id& service,
@@ -68,15 +74,31 @@
     struct record
     {
         int crash_count_ = 0;
+
+        /// Later parts that were in each of the requests, which explain the
+        /// crashes as well.
+        std::set<std::string> always_followed_by_;
         core::time_point last_counted_at_;
         std::int64_t answered_without_ = 0; ///< Requests without the part.
         bool quarantined_ = false;
         core::time_point expires_at_;
     };
 
-    static bool quarantine_if_proven(record& entry, core::time_point now);
+    bool has_answered(const std::string& key) const;
+    bool is_quarantined(const std::string& key) const;
+    bool count_crash(
+        std::span<const std::string> keys,
+        std::size_t position,
+        core::time_point now);
+    bool quarantine_if_proven(
+        const std::string& key, record& entry, core::time_point now) const;
+    void forget_old_answers(core::time_point now);
 
     std::map<std::string, record> records_;
+
+    /// Parts of requests that answered, with the time.
+    std::unordered_map<std::string, core::time_point> answered_at_;
+    core::time_point answers_checked_at_;
 };
 
 } // namespace poplarroute::policy
--- a/tests/policy/prompt_part_quarantine_test.cpp
+++ b/tests/policy/prompt_part_quarantine_test.cpp
@@ -105,6 +105,48 @@
     EXPECT_FALSE(quarantine_.expire(now_));
 }
 
+TEST_F(prompt_part_quarantine_test, takes_the_last_of_parts_that_come_together)
+{
+    for (int round = 0; round < 3; ++round)
+    {
+        crash({"first", "deadly"});
+        answer({"other"});
+    }
+    EXPECT_TRUE(is_quarantined("deadly"));
+    EXPECT_FALSE(is_quarantined("first"));
+}
+
+TEST_F(prompt_part_quarantine_test, an_answer_tells_parts_apart)
+{
+    for (int round = 0; round < 3; ++round)
+    {
+        crash({"deadly", "session"});
+        answer({"other"});
+    }
+    EXPECT_TRUE(is_quarantined("session"));
+    answer({"session"});
+    crash({"deadly"});
+    answer({"other"});
+    EXPECT_TRUE(is_quarantined("deadly"));
+    EXPECT_FALSE(is_quarantined("session"));
+}
+
+TEST_F(prompt_part_quarantine_test, spares_a_part_that_answered_shortly_before)
+{
+    answer({"shared"});
+    for (int round = 0; round < 5; ++round)
+    {
+        crash({"shared"});
+        answer({"other"});
+    }
+    EXPECT_FALSE(is_quarantined("shared"));
+    for (int round = 0; round < 5; ++round)
+    {
+        crash({"shared"});
+    }
+    EXPECT_TRUE(is_quarantined("shared"));
+}
+
 TEST_F(prompt_part_quarantine_test, services_are_apart)
 {
     for (int round = 0; round < 5; ++round)
