Give up streams that send more than an answer

A stream was the one path without a bound on the content.

Cause: an event grew in memory until its end came, and was searched from its start with each piece; events with ids that had been seen were dropped without counting; the number of events was not compared with the tokens asked for.

Change: a stream with an event of over 1 MB, or with 1,000 events more than the tokens that the request allows, is broken off like one whose engine failed. The parser goes on searching where it stopped.

--- a/node/event_stream_parser.cpp
+++ b/node/event_stream_parser.cpp
@@ -9,11 +9,17 @@
 namespace
 {
 
+constexpr std::size_t max_event_bytes = 1024 * 1024;
+
+/// Length of the longest end of an event, less one.
+constexpr std::size_t search_overlap = 2;
+
+/// \param begin position before which no event ends.
 /// \return the end of the first event, including its empty line; npos when no
 /// event is complete.
-std::size_t end_of_event(std::string_view text)
+std::size_t end_of_event(std::string_view text, std::size_t begin)
 {
-    for (std::size_t at = text.find('\n'); at != std::string_view::npos;
+    for (std::size_t at = text.find('\n', begin); at != std::string_view::npos;
          at = text.find('\n', at + 1))
     {
         const std::string_view rest = text.substr(at + 1);
@@ -66,13 +72,22 @@
     pending_ += bytes;
 }
 
+bool event_stream_parser::is_overlong() const
+{
+    return pending_.size() > max_event_bytes;
+}
+
 std::optional<stream_event> event_stream_parser::next()
 {
-    const std::size_t end = end_of_event(pending_);
+    const std::size_t end = end_of_event(pending_, searched_);
     if (end == std::string::npos)
     {
+        searched_ = pending_.size() > search_overlap
+                        ? pending_.size() - search_overlap
+                        : 0;
         return std::nullopt;
     }
+    searched_ = 0;
     stream_event out;
     out.bytes_ = pending_.substr(0, end);
     pending_.erase(0, end);
--- a/node/event_stream_parser.hpp
+++ b/node/event_stream_parser.hpp
@@ -27,6 +27,10 @@
     /// \return the next complete event; nothing until more bytes are added.
     std::optional<stream_event> next();
 
+    /// \return whether the buffered event is larger than any sensible one, so
+    /// that what arrives is no event stream.
+    bool is_overlong() const;
+
     /// \return whether bytes of an incomplete event are buffered.
     bool has_partial_event() const
     {
@@ -35,6 +39,7 @@
 
 private:
     std::string pending_;
+    std::size_t searched_ = 0; ///< Bytes that hold no end of an event.
 };
 
 } // namespace poplarroute::node
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -1,6 +1,7 @@
 #include "node/stream_forwarder.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace poplarroute::node
@@ -47,6 +48,9 @@
 /// quarantined meanwhile.
 constexpr core::duration quarantined_retry_after{10'000};
 
+/// Events of a stream that carry no token, such as comments.
+constexpr std::int64_t max_events_without_tokens = 1'000;
+
 constexpr int max_placement_attempts = 4;
 constexpr core::duration min_retry_after{300};
 
@@ -429,6 +433,11 @@
     drivers::http_exchange& exchange)
 {
     const core::duration event_timeout = caller_event_timeout(call_.route_);
+    const std::int64_t max_events =
+        call_.request_.counts_tokens_
+            ? call_.request_.most_output_ + max_events_without_tokens
+            : std::numeric_limits<std::int64_t>::max();
+    std::int64_t events_read = 0;
     parser_ = event_stream_parser();
     events_from_engine_ = 0;
     for (;;)
@@ -465,6 +474,7 @@
         parser_.add(*core::value(piece));
         for (auto event = parser_.next(); event; event = parser_.next())
         {
+            ++events_read;
             const bool written =
                 co_await forward_event(exchange, std::move(*event));
             if (!written)
@@ -473,6 +483,11 @@
                 co_return step_result::failed;
             }
         }
+        if (parser_.is_overlong() || events_read > max_events)
+        {
+            result_.detail_ = "the engine sends more than an answer";
+            co_return step_result::retry;
+        }
     }
 }
 
--- a/tests/node/event_stream_parser_test.cpp
+++ b/tests/node/event_stream_parser_test.cpp
@@ -63,6 +63,26 @@
     RC_ASSERT(out == whole);
 }
 
+TEST(event_stream_parser, tells_that_an_event_does_not_end)
+{
+    constexpr std::size_t piece_bytes = 64 * 1024;
+    event_stream_parser parser;
+    for (int piece = 0; piece < 10; ++piece)
+    {
+        parser.add(std::string(piece_bytes, 'x'));
+        EXPECT_FALSE(parser.next());
+    }
+    EXPECT_FALSE(parser.is_overlong());
+    for (int piece = 0; piece < 10; ++piece)
+    {
+        parser.add(std::string(piece_bytes, 'x'));
+    }
+    EXPECT_TRUE(parser.is_overlong());
+    parser.add("\n\n");
+    EXPECT_TRUE(parser.next());
+    EXPECT_FALSE(parser.is_overlong());
+}
+
 RC_GTEST_PROP(event_stream_parser, survives_any_bytes, (std::string bytes))
 {
     event_stream_parser parser;
--- a/tests/platform/catalog_transfer_test.cpp
+++ b/tests/platform/catalog_transfer_test.cpp
@@ -10,7 +10,7 @@
 
 #include "node/catalog_controller.hpp"
 #include "node/catalog_watcher.hpp"
-#include "platform/platform_codec.hpp"
+#include "tests/platform/process.hpp"
 
 namespace poplarroute::platform
 {
@@ -113,43 +113,11 @@
     std::int64_t bytes_per_ms_;
 };
 
-/// What every process has, without its controllers.
-struct process
-{
-    process(asio::io_context& io, const std::string& peer_address)
-        : http_(io),
-          peers_(io, nullptr),
-          with_{io, board_, peers_, http_, metrics_, calls_}
-    {
-        node::identity_section& identity =
-            board_.section<node::identity_section>();
-        identity.host_ = peer_address;
-        node::fleet_settings& settings =
-            board_.section<node::settings_section>().settings_;
-        settings.peer_listen_ = peer_address;
-        settings.seeds_ = {link_address};
-        settings.first_start_ = true;
-    }
-
-    const node::catalog_section& catalog()
-    {
-        return board_.section<node::catalog_section>();
-    }
-
-    core::blackboard board_;
-    drivers::metrics metrics_;
-    node::call_dispatcher calls_;
-    drivers::http_client http_;
-    drivers::peer_client peers_;
-    node::context with_;
-    platform_codec codec_;
-};
-
 /// A group of one member, known to hosts by the address of the slow link.
 struct group_member : process
 {
     group_member(asio::io_context& io, const std::string& folder)
-        : process(io, link_address),
+        : process(io, link_address, link_address),
           port_(
               io,
               member_address,
@@ -182,7 +150,7 @@
 struct entry_host : process
 {
     explicit entry_host(asio::io_context& io)
-        : process(io, "127.0.0.1:19487"), watcher_(with_, codec_)
+        : process(io, "127.0.0.1:19487", link_address), watcher_(with_, codec_)
     {
         watcher_.start();
     }
