--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -502,12 +502,11 @@
     pending_reads_.clear();
 }
 
-void raft::compact(
-    log_index index, std::string state, std::size_t entries_to_keep)
+void raft::compact(log_index index, std::string state, log_retention to_keep)
 {
     core::check_invariant(
         index <= commit_, "a snapshot must contain committed entries only");
-    log_.compact(index, std::move(state), entries_to_keep);
+    log_.compact(index, std::move(state), to_keep);
 }
 
 void raft::advance_commit()
--- a/control/raft.hpp
+++ b/control/raft.hpp
@@ -108,9 +108,8 @@
     /// Replaces applied entries by a snapshot of the state.
     /// \param index the last index that the state contains.
     /// \param state the state machine's encoded state.
-    /// \param entries_to_keep how many entries up to the index stay in the log.
-    void compact(
-        log_index index, std::string state, std::size_t entries_to_keep);
+    /// \param to_keep how many entries up to the index stay in the log.
+    void compact(log_index index, std::string state, log_retention to_keep);
 
     raft_role role() const
     {
--- a/control/raft_log.cpp
+++ b/control/raft_log.cpp
@@ -93,8 +93,38 @@
     update_group();
 }
 
+std::size_t raft_log::bytes_after_snapshot() const
+{
+    std::size_t out = 0;
+    for (log_index index = last_index();
+         index > std::max(base_index_, snapshot_.index_);
+         --index)
+    {
+        out += at(index).payload_.size();
+    }
+    return out;
+}
+
+/// \return the index before the first entry to keep, given a snapshot at an
+/// index.
+log_index raft_log::base_to_keep(log_index index, log_retention to_keep) const
+{
+    log_index base = index;
+    std::size_t bytes = 0;
+    while (base > base_index_ && index - base < to_keep.entries_)
+    {
+        bytes += at(base).payload_.size();
+        if (bytes > to_keep.bytes_)
+        {
+            break;
+        }
+        --base;
+    }
+    return base;
+}
+
 void raft_log::compact(
-    log_index index, std::string state, std::size_t entries_to_keep)
+    log_index index, std::string state, log_retention to_keep)
 {
     const std::optional<term_number> term = term_at(index);
     if (!term || index <= snapshot_.index_)
@@ -102,9 +132,7 @@
         return;
     }
     snapshot_ = {index, *term, group_up_to(index), std::move(state)};
-    const log_index first_kept =
-        index > entries_to_keep ? index - entries_to_keep : 0;
-    const log_index base = std::max(base_index_, first_kept);
+    const log_index base = base_to_keep(index, to_keep);
     base_group_ = group_up_to(base);
     base_term_ = *term_at(base);
     entries_.erase(
--- a/control/raft_log.hpp
+++ b/control/raft_log.hpp
@@ -9,6 +9,13 @@
 namespace poplarroute::control
 {
 
+/// Limits on the entries that a log keeps although a snapshot contains them.
+struct log_retention
+{
+    std::size_t entries_ = 0;
+    std::size_t bytes_ = 0; ///< Total size of their payloads.
+};
+
 /// In-memory Raft log: the entries after a base index, and the latest snapshot.
 class raft_log
 {
@@ -46,13 +53,15 @@
     /// Drops all entries from an index on.
     void truncate_from(log_index first);
 
+    /// \return the total size of the payloads after the latest snapshot.
+    std::size_t bytes_after_snapshot() const;
+
     /// Stores a snapshot of the state at an index and drops old entries.
     /// \param index the last index that the state contains.
     /// \param state the state machine's encoded state.
-    /// \param entries_to_keep how many entries up to the index stay, so that a
+    /// \param to_keep how many of the entries up to the index stay, so that a
     /// member that is slightly behind does not need the whole snapshot.
-    void compact(
-        log_index index, std::string state, std::size_t entries_to_keep);
+    void compact(log_index index, std::string state, log_retention to_keep);
 
     /// Replaces the whole log by a leader's snapshot.
     void install(snapshot leader_snapshot);
@@ -77,6 +86,7 @@
 
 private:
     member_group group_up_to(log_index index) const;
+    log_index base_to_keep(log_index index, log_retention to_keep) const;
     void update_group();
 
     snapshot snapshot_;
--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -27,7 +27,10 @@
 constexpr core::duration send_timeout{1'000};
 constexpr core::duration commit_timeout{4'000};
 constexpr control::log_index snapshot_interval_entries = 2'000;
-constexpr std::size_t retained_entries = 500;
+
+/// Log entries can be large, and a disk may have as little as 128 MB.
+constexpr std::size_t snapshot_interval_bytes = 16 * 1024 * 1024;
+constexpr control::log_retention retained_entries{500, 4 * 1024 * 1024};
 constexpr std::size_t max_queued_proposals = 4'096;
 constexpr std::size_t max_queued_messages = 4'096;
 constexpr int storage_exit_status = 3;
@@ -497,7 +500,11 @@
 awaitable<void> raft_replica<Machine>::snapshot_if_due()
 {
     const control::log_index last = raft_->log().latest_snapshot().index_;
-    if (applied_ < last + snapshot_interval_entries)
+    const bool is_due =
+        applied_ >= last + snapshot_interval_entries ||
+        (applied_ > last &&
+         raft_->log().bytes_after_snapshot() >= snapshot_interval_bytes);
+    if (!is_due)
     {
         co_return;
     }
--- a/tests/soak/group_run.cpp
+++ b/tests/soak/group_run.cpp
@@ -23,7 +23,7 @@
 constexpr std::int64_t step_ms = 10;
 constexpr int member_count = 3;
 constexpr std::uint64_t snapshot_interval_entries = 60;
-constexpr std::size_t entries_kept_after_snapshot = 10;
+constexpr control::log_retention entries_kept_after_snapshot{10, 64 * 1024};
 constexpr std::size_t account_count = 3;
 constexpr std::size_t key_count = 12;
 constexpr std::uint64_t recovery_steps = 3'000;
