Fetch the endpoint list in parts like the catalog

Cause: the reply to a watch still carried one thing that grows with the fleet, the endpoint list, under 300 ms for a host that starts.

Change: the list is a document like the catalog, fetched in parts from the leader, with its age. A watch tells its epoch and revision, so that nothing in its reply grows with routes or endpoints. Programs before this one are served as before.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -40,6 +40,21 @@
 /// granted.
 constexpr double stream_retry_fraction = 0.5;
 
+/// \return the list, with times relative to when it was read.
+std::vector<endpoint_message> make_list_messages(const endpoint_section& list)
+{
+    std::vector<endpoint_message> out;
+    out.reserve(list.endpoints_.size());
+    for (const auto& [name, item] : list.endpoints_)
+    {
+        endpoint_message message = to_message(item.listed_);
+        message.cold_ms_ =
+            std::max<std::int64_t>((item.cold_until_ - list.read_at_).ms_, 0);
+        out.push_back(std::move(message));
+    }
+    return out;
+}
+
 /// How long a request that crashes engines is refused.
 constexpr core::duration quarantine_duration{60'000};
 
@@ -467,9 +482,15 @@
 bool catalog_controller::has_updates(const watch_request& request) const
 {
     const endpoint_section& list = with_.board_.section<endpoint_section>();
-    const bool list_changed = group_.leads() && list.read_at_.ms_ > 0 &&
-                              (request.list_epoch_ != list.epoch_ ||
-                               request.list_revision_ != list.revision_);
+    const std::string& known_epoch = request.fetches_parts_
+                                         ? request.known_list_epoch_
+                                         : request.list_epoch_;
+    const std::uint64_t known_list_revision = request.fetches_parts_
+                                                  ? request.known_list_revision_
+                                                  : request.list_revision_;
+    const bool list_changed =
+        group_.leads() && list.read_at_.ms_ > 0 &&
+        (known_epoch != list.epoch_ || known_list_revision != list.revision_);
     const std::uint64_t known_revision =
         std::max(request.revision_, request.known_revision_);
     return group_.state().revision() > known_revision || list_changed ||
@@ -502,19 +523,13 @@
         out.list_epoch_ = list.epoch_;
         out.list_revision_ = list.revision_;
         out.list_age_ms_ = (core::steady_now() - list.read_at_).ms_;
-        out.list_sent_ = request.list_epoch_ != list.epoch_ ||
-                         request.list_revision_ != list.revision_;
+        out.list_sent_ = !request.fetches_parts_ &&
+                         (request.list_epoch_ != list.epoch_ ||
+                          request.list_revision_ != list.revision_);
     }
     if (out.list_sent_)
     {
-        const core::time_point now = core::steady_now();
-        for (const auto& [name, item] : list.endpoints_)
-        {
-            endpoint_message message = to_message(item.listed_);
-            message.cold_ms_ = std::max<std::int64_t>(
-                (item.cold_until_ - now).ms_ + out.list_age_ms_, 0);
-            out.list_.push_back(std::move(message));
-        }
+        out.list_ = make_list_messages(list);
     }
     out.hosts_ = live_hosts();
     out.crash_revision_ = crash_revision_;
@@ -530,9 +545,19 @@
 core::result<document_part_reply> catalog_controller::answer_part(
     const document_part_request& request)
 {
+    const endpoint_section& list = with_.board_.section<endpoint_section>();
     const control::catalog_state_machine& state = group_.state();
-    const document_id newest = catalog_document(state.version());
-    if (request.id_.name_ != newest.name_ || state.version() == 0 ||
+    const core::time_point now = core::steady_now();
+    document_id newest = catalog_document(state.version());
+    const bool is_catalog = request.id_.name_ == newest.name_;
+    if (!is_catalog)
+    {
+        newest = endpoint_list_document(list.epoch_, list.revision_);
+    }
+    const bool is_available = is_catalog
+                                  ? state.version() > 0
+                                  : group_.leads() && list.read_at_.ms_ > 0;
+    if (!is_available || request.id_.name_ != newest.name_ ||
         request.id_.revision_ > newest.revision_)
     {
         return error{errc::not_ready, "this member has no such document"};
@@ -544,9 +569,18 @@
     }
     if (!documents_.contains(served.id_))
     {
-        documents_.put(served.id_, state.text());
+        if (is_catalog)
+        {
+            documents_.put(served.id_, state.text(), now);
+        }
+        else
+        {
+            const std::string content =
+                core::encode_cbor(make_list_messages(list));
+            documents_.put(served.id_, content, list.read_at_);
+        }
     }
-    const auto part = documents_.part(served);
+    const auto part = documents_.part(served, now);
     if (!part)
     {
         return error{errc::invalid, "the offset is outside the document"};
--- a/node/catalog_messages.cpp
+++ b/node/catalog_messages.cpp
@@ -92,6 +92,12 @@
     return {"catalog", version};
 }
 
+document_id endpoint_list_document(
+    std::string_view epoch, std::uint64_t revision)
+{
+    return {"endpoints/" + std::string(epoch), revision};
+}
+
 placement_reply make_over_rate_reply(std::string inputs, core::duration wait)
 {
     placement_reply out;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -55,8 +55,12 @@
     /// Latest revision that the host has heard of; revision_ is in force.
     std::uint64_t known_revision_ = 0;
 
-    /// Whether the host fetches the catalog in parts. Older programs expect it
-    /// in the reply.
+    /// Endpoint list that the host has heard of; list_revision_ is in force.
+    std::string known_list_epoch_;
+    std::uint64_t known_list_revision_ = 0;
+
+    /// Whether the host fetches the catalog and the endpoint list in parts.
+    /// Older programs expect them in the reply.
     bool fetches_parts_ = false;
 
     /// What the host refuses, for a leader that has just been elected.
@@ -126,7 +130,8 @@
     std::uint64_t size_ = 0;     ///< Of the whole compressed document.
     std::uint64_t checksum_ = 0; ///< core::stable_hash of the whole.
     std::uint64_t offset_ = 0;
-    nlohmann::json bytes_; ///< As a binary value.
+    nlohmann::json bytes_;    ///< As a binary value.
+    std::int64_t age_ms_ = 0; ///< Of the document's content.
 };
 
 /// The catalog as read at the leader.
@@ -265,6 +270,8 @@
     wait_ms_,
     places_,
     known_revision_,
+    known_list_epoch_,
+    known_list_revision_,
     fetches_parts_,
     crashers_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
@@ -300,7 +307,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     document_part_request, id_, offset_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    document_part_reply, id_, size_, checksum_, offset_, bytes_)
+    document_part_reply, id_, size_, checksum_, offset_, bytes_, age_ms_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     catalog_read_reply, version_, text_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(submit_reply, changed_, number_)
@@ -374,6 +381,11 @@
 /// \return the id of the document that holds a version of the catalog.
 document_id catalog_document(std::uint64_t version);
 
+/// \return the id of the document that holds a revision of an endpoint list.
+/// \param epoch that of the list's source.
+document_id endpoint_list_document(
+    std::string_view epoch, std::uint64_t revision);
+
 /// \return the refusal of a stream whose account is over its rate.
 /// \param inputs the values that decided it, for the log.
 /// \param wait time after which the caller may retry.
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -96,6 +96,8 @@
     out.list_revision_ = list.revision_;
     out.crash_revision_ = crash_revision_;
     out.known_revision_ = known_revision_;
+    out.known_list_epoch_ = known_list_epoch_;
+    out.known_list_revision_ = known_list_revision_;
     out.fetches_parts_ = true;
     const auto& crashers = with_.board_.section<group_section>().crashers_;
     out.crashers_.assign(crashers.begin(), crashers.end());
@@ -278,7 +280,7 @@
         section.revision_ = reply.revision_;
         return;
     }
-    if (needs_download())
+    if (needs_catalog())
     {
         download_wake_.cancel();
         return;
@@ -291,7 +293,7 @@
          {"zones_out", section.zones_out_.size()}});
 }
 
-bool catalog_watcher::needs_download() const
+bool catalog_watcher::needs_catalog() const
 {
     const catalog_section& section = with_.board_.section<catalog_section>();
     const std::uint64_t version =
@@ -299,11 +301,30 @@
     return known_version_ > std::max(version, unreadable_version_);
 }
 
+/// \return whether the leader has another endpoint list. Only the leader has
+/// its list.
+bool catalog_watcher::needs_list() const
+{
+    const endpoint_section& list = with_.board_.section<endpoint_section>();
+    return !with_.board_.section<group_section>().leader_.empty() &&
+           !known_list_epoch_.empty() &&
+           (known_list_epoch_ != list.epoch_ ||
+            known_list_revision_ != list.revision_);
+}
+
 awaitable<void> catalog_watcher::download_loop()
 {
     for (;;)
     {
-        if (!needs_download())
+        if (needs_list())
+        {
+            co_await fetch_list_part();
+        }
+        if (needs_catalog())
+        {
+            co_await fetch_catalog_part();
+        }
+        if (!needs_list() && !needs_catalog())
         {
             download_wake_.expires_at(
                 drivers::asio::steady_timer::time_point::max());
@@ -312,22 +333,88 @@
                 drivers::asio::use_awaitable, woken));
             download_started_at_ = core::steady_now();
             download_source_.clear();
-            continue;
         }
-        co_await fetch_part();
     }
 }
 
-awaitable<void> catalog_watcher::fetch_part()
+awaitable<void> catalog_watcher::fetch_list_part()
+{
+    list_download_.want(
+        endpoint_list_document(known_list_epoch_, known_list_revision_));
+    const core::host_id leader = with_.board_.section<group_section>().leader_;
+    const document_part_request request = list_download_.next_request();
+    const core::result<document_part_reply> reply =
+        co_await ask<document_part_reply>(
+            with_.peers_, leader, method::document_part, request, part_timeout);
+    if (!core::is_ok(reply))
+    {
+        record_part_failure(leader, request, core::failure(reply));
+        co_await drivers::sleep_for(part_retry_interval);
+        co_return;
+    }
+    switch (list_download_.add(core::value(reply)))
+    {
+    case document_download::progress::incomplete:
+        break;
+    case document_download::progress::complete:
+    {
+        const std::string content = list_download_.take_content();
+        put_list_in_force(content, core::duration{core::value(reply).age_ms_});
+        break;
+    }
+    case document_download::progress::damaged:
+        record_part_failure(
+            leader, request, {core::errc::invalid, "the part is damaged"});
+        co_await drivers::sleep_for(part_retry_interval);
+        break;
+    }
+}
+
+void catalog_watcher::put_list_in_force(
+    std::string_view content, core::duration age)
+{
+    const document_id id = list_download_.id();
+    const bool is_current =
+        id.name_ == endpoint_list_document(known_list_epoch_, 0).name_;
+    if (!is_current)
+    {
+        // Another leader's list has become known meanwhile.
+        return;
+    }
+    const auto read = core::decode_cbor<std::vector<endpoint_message>>(content);
+    if (!read)
+    {
+        log_event(
+            log_level::error,
+            "list_unreadable",
+            {{"list", id.name_}, {"revision", id.revision_}});
+        known_list_epoch_.clear();
+        return;
+    }
+    std::vector<listed_endpoint> all;
+    all.reserve(read->size());
+    for (const endpoint_message& item : *read)
+    {
+        all.push_back(from_message(item));
+    }
+    endpoint_section& list = with_.board_.section<endpoint_section>();
+    list.epoch_ = known_list_epoch_;
+    replace_endpoints(list, all, core::steady_now() - age);
+    list.read_at_ = std::max(list.read_at_, known_list_read_at_);
+    list.revision_ = id.revision_;
+    known_list_revision_ = std::max(known_list_revision_, id.revision_);
+}
+
+awaitable<void> catalog_watcher::fetch_catalog_part()
 {
-    download_.want(catalog_document(known_version_));
+    catalog_download_.want(catalog_document(known_version_));
     const core::host_id leader = with_.board_.section<group_section>().leader_;
     core::host_id source = download_source_.empty() ? leader : download_source_;
     if (source.empty())
     {
         source = next_member();
     }
-    const document_part_request request = download_.next_request();
+    const document_part_request request = catalog_download_.next_request();
     const core::result<document_part_reply> reply =
         co_await ask<document_part_reply>(
             with_.peers_, source, method::document_part, request, part_timeout);
@@ -337,13 +424,16 @@
         co_await drivers::sleep_for(part_retry_interval);
         co_return;
     }
-    switch (download_.add(core::value(reply)))
+    switch (catalog_download_.add(core::value(reply)))
     {
     case document_download::progress::incomplete:
         break;
     case document_download::progress::complete:
-        put_in_force(download_.id().revision_, download_.take_content());
+    {
+        const std::string text = catalog_download_.take_content();
+        put_in_force(catalog_download_.id().revision_, text);
         break;
+    }
     case document_download::progress::damaged:
         abandon_source(source, {core::errc::invalid, "the part is damaged"});
         co_await drivers::sleep_for(part_retry_interval);
@@ -355,16 +445,23 @@
 void catalog_watcher::abandon_source(
     const core::host_id& source, const core::error& error)
 {
-    const document_part_request request = download_.next_request();
+    record_part_failure(source, catalog_download_.next_request(), error);
     download_source_ = next_member();
+}
+
+void catalog_watcher::record_part_failure(
+    const core::host_id& source,
+    const document_part_request& request,
+    const core::error& error)
+{
     log_event(
         log_level::warning,
         "part_failed",
         {{"asked", source},
          {"problem", error.message_},
-         {"version", request.id_.revision_},
+         {"document", request.id_.name_},
+         {"revision", request.id_.revision_},
          {"offset", request.offset_},
-         {"next", download_source_},
          {"since_ms", (core::steady_now() - download_started_at_).ms_}});
     with_.metrics_.count("poplarroute_part_failures_total");
 }
@@ -435,8 +532,16 @@
     {
         return;
     }
+    known_list_epoch_ = reply.list_epoch_;
+    known_list_revision_ = reply.list_revision_;
+    known_list_read_at_ = read_at;
     if (!reply.list_sent_)
     {
+        if (needs_list())
+        {
+            download_wake_.cancel();
+            return;
+        }
         list.read_at_ = std::max(list.read_at_, read_at);
         return;
     }
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -22,9 +22,9 @@
 /// An entry host's connection to the group: it watches the catalog and the
 /// endpoint list at the leader, and settles the accounts' usage there.
 ///
-/// A watch only tells that there is a newer catalog. The catalog itself is
-/// fetched in parts beside it, so that its size neither delays what else the
-/// watch tells nor makes a leader that answers look lost.
+/// A watch only tells that there is a newer catalog or list. They are fetched
+/// in parts beside it, so that their size neither delays what else the watch
+/// tells nor makes a leader that answers look lost.
 class catalog_watcher
 {
 public:
@@ -39,16 +39,23 @@
 private:
     awaitable<void> watch_loop();
     awaitable<void> download_loop();
-    awaitable<void> fetch_part();
+    awaitable<void> fetch_catalog_part();
+    awaitable<void> fetch_list_part();
     awaitable<void> settle_loop();
     awaitable<void> settle_once(core::host_id leader);
     core::host_id next_member();
     void apply(const watch_reply& reply, const core::host_id& from);
     void apply_quarantines(const watch_reply& reply);
     void apply_catalog(const watch_reply& reply);
-    bool needs_download() const;
+    bool needs_catalog() const;
+    bool needs_list() const;
+    void put_list_in_force(std::string_view content, core::duration age);
     void put_in_force(std::uint64_t version, std::string_view text);
     void abandon_source(const core::host_id& source, const core::error& error);
+    void record_part_failure(
+        const core::host_id& source,
+        const document_part_request& request,
+        const core::error& error);
     void apply_endpoints(const watch_reply& reply);
     void refresh_limits();
     watch_request next_watch_request(bool wait) const;
@@ -70,7 +77,13 @@
     std::uint64_t known_revision_ = 0;
     std::uint64_t known_version_ = 0;
 
-    document_download download_;
+    /// The endpoint list that the leader has told of.
+    std::string known_list_epoch_;
+    std::uint64_t known_list_revision_ = 0;
+    core::time_point known_list_read_at_; ///< Last read, changed or not.
+
+    document_download list_download_;
+    document_download catalog_download_;
     core::host_id download_source_; ///< Member; empty: the leader.
     core::time_point download_started_at_;
     std::uint64_t unreadable_version_ = 0; ///< Newest that failed to decode.
--- a/node/document_download.cpp
+++ b/node/document_download.cpp
@@ -17,8 +17,9 @@
 
 void document_download::want(const document_id& id)
 {
-    if (received_.empty())
+    if (received_.empty() || id.name_ != id_.name_)
     {
+        received_.clear();
         id_ = id;
     }
 }
--- a/node/document_download.hpp
+++ b/node/document_download.hpp
@@ -24,7 +24,7 @@
     };
 
     /// Sets the document to download, unless the download of an earlier
-    /// revision has begun.
+    /// revision of it has begun.
     void want(const document_id& id);
 
     /// \return the request for the next part.
--- a/node/document_parts.cpp
+++ b/node/document_parts.cpp
@@ -18,9 +18,11 @@
 
 } // namespace
 
-void document_parts::put(const document_id& id, std::string_view content)
+void document_parts::put(
+    const document_id& id, std::string_view content, core::time_point as_of)
 {
     document added;
+    added.as_of_ = as_of;
     added.id_ = id;
     added.bytes_ = core::compress(content, core::compression::speed);
     added.checksum_ = core::stable_hash(added.bytes_);
@@ -43,7 +45,7 @@
 }
 
 std::optional<document_part_reply> document_parts::part(
-    const document_part_request& request)
+    const document_part_request& request, core::time_point now)
 {
     const auto found = std::find_if(
         documents_.begin(),
@@ -62,6 +64,7 @@
     out.size_ = found->bytes_.size();
     out.checksum_ = found->checksum_;
     out.offset_ = request.offset_;
+    out.age_ms_ = (now - found->as_of_).ms_;
     out.bytes_ =
         core::binary(found->bytes_.substr(request.offset_, part_bytes));
     return out;
--- a/node/document_parts.hpp
+++ b/node/document_parts.hpp
@@ -21,7 +21,11 @@
 public:
     /// Makes a document available.
     /// \param content the document, not compressed.
-    void put(const document_id& id, std::string_view content);
+    /// \param as_of time from which the content's age is counted.
+    void put(
+        const document_id& id,
+        std::string_view content,
+        core::time_point as_of);
 
     /// \return whether a document is available.
     bool contains(const document_id& id) const;
@@ -29,7 +33,7 @@
     /// \return the part that begins at the requested offset; nothing when the
     /// document is not available or the offset is outside it.
     std::optional<document_part_reply> part(
-        const document_part_request& request);
+        const document_part_request& request, core::time_point now);
 
 private:
     struct document
@@ -37,6 +41,7 @@
         document_id id_;
         std::string bytes_;
         std::uint64_t checksum_ = 0;
+        core::time_point as_of_;
     };
 
     std::list<document> documents_; ///< The most recently requested first.
--- a/tests/node/document_download_test.cpp
+++ b/tests/node/document_download_test.cpp
@@ -14,6 +14,8 @@
 
 using progress = document_download::progress;
 
+constexpr core::time_point now{1'000};
+
 /// \return text that compresses to more than one part.
 std::string make_text(std::uint32_t seed)
 {
@@ -31,14 +33,14 @@
 {
     const std::string text = make_text(1);
     document_parts member;
-    member.put(catalog_document(3), text);
+    member.put(catalog_document(3), text, now);
     document_download host;
     host.want(catalog_document(3));
     int parts = 0;
     progress last = progress::incomplete;
     while (last == progress::incomplete)
     {
-        last = host.add(*member.part(host.next_request()));
+        last = host.add(*member.part(host.next_request(), now));
         ++parts;
     }
     EXPECT_EQ(last, progress::complete);
@@ -49,7 +51,7 @@
 TEST(document_download, completes_while_newer_revisions_keep_coming)
 {
     document_parts member;
-    member.put(catalog_document(1), make_text(1));
+    member.put(catalog_document(1), make_text(1), now);
     document_download host;
     std::uint64_t newest = 1;
     progress last = progress::incomplete;
@@ -61,9 +63,9 @@
         {
             request = {catalog_document(newest), 0};
         }
-        last = host.add(*member.part(request));
+        last = host.add(*member.part(request, now));
         ++newest;
-        member.put(catalog_document(newest), make_text(1));
+        member.put(catalog_document(newest), make_text(1), now);
         ASSERT_LT(newest, 20U);
     }
     EXPECT_EQ(last, progress::complete);
@@ -73,16 +75,16 @@
 TEST(document_download, starts_again_when_another_member_has_other_bytes)
 {
     document_parts first;
-    first.put(catalog_document(1), make_text(1));
+    first.put(catalog_document(1), make_text(1), now);
     document_parts second;
-    second.put(catalog_document(1), make_text(2));
+    second.put(catalog_document(1), make_text(2), now);
     document_download host;
     host.want(catalog_document(1));
-    host.add(*first.part(host.next_request()));
+    host.add(*first.part(host.next_request(), now));
     progress last = progress::incomplete;
     while (last == progress::incomplete)
     {
-        last = host.add(*second.part(host.next_request()));
+        last = host.add(*second.part(host.next_request(), now));
     }
     EXPECT_EQ(last, progress::complete);
     EXPECT_EQ(host.take_content(), make_text(2));
@@ -91,13 +93,13 @@
 TEST(document_download, discards_damaged_parts)
 {
     document_parts member;
-    member.put(catalog_document(1), make_text(1));
+    member.put(catalog_document(1), make_text(1), now);
     document_download host;
     host.want(catalog_document(1));
-    document_part_reply part = *member.part(host.next_request());
+    document_part_reply part = *member.part(host.next_request(), now);
     part.bytes_ = "no bytes";
     EXPECT_EQ(host.add(part), progress::damaged);
-    part = *member.part(host.next_request());
+    part = *member.part(host.next_request(), now);
     part.bytes_ = core::binary(std::string(1'000, 'x'));
     part.size_ = 1'000;
     EXPECT_EQ(host.add(part), progress::damaged);
@@ -110,7 +112,7 @@
     ())
 {
     document_parts member;
-    member.put(catalog_document(1), make_text(1));
+    member.put(catalog_document(1), make_text(1), now);
     document_download host;
     host.want(catalog_document(1));
     std::uint64_t newest = 1;
@@ -123,7 +125,8 @@
             ++newest;
             member.put(
                 catalog_document(newest),
-                make_text(static_cast<std::uint32_t>(newest)));
+                make_text(static_cast<std::uint32_t>(newest)),
+                now);
         }
         if (kind == 1)
         {
@@ -135,13 +138,13 @@
         {
             request = {catalog_document(newest), 0};
         }
-        delayed.push_back(*member.part(request));
+        delayed.push_back(*member.part(request, now));
         const std::size_t repeated =
             kind == 2 ? *rc::gen::inRange<std::size_t>(0, delayed.size())
                       : delayed.size() - 1;
-        const progress now = host.add(delayed[repeated]);
-        RC_ASSERT(now != progress::damaged);
-        if (now == progress::complete)
+        const progress last = host.add(delayed[repeated]);
+        RC_ASSERT(last != progress::damaged);
+        if (last == progress::complete)
         {
             const auto revision =
                 static_cast<std::uint32_t>(host.id().revision_);
--- a/tests/platform/catalog_transfer_test.cpp
+++ b/tests/platform/catalog_transfer_test.cpp
@@ -292,6 +292,38 @@
         }));
 }
 
+TEST_F(catalog_transfer, a_starting_host_gets_the_list_of_the_target_fleet)
+{
+    // 370 hosts that start at once share a leader's link of 1 Gbit/s.
+    constexpr std::int64_t bytes_per_ms = 1'000'000'000 / 8 / 1'000 / 370;
+    constexpr int endpoints = 1'000;
+    slow_link link(io_, bytes_per_ms);
+    group_member member(io_, folder_.string());
+    submit(member, 4, 48);
+    std::mt19937 random(7);
+    std::vector<node::listed_endpoint> list;
+    for (int index = 0; index < endpoints; ++index)
+    {
+        node::listed_endpoint item;
+        item.name_ = "i-" + random_name(random);
+        item.service_ = "depu9b";
+        item.address_ = "10.1.64." + std::to_string(index) + ":8066";
+        item.zone_ = "zone-a";
+        list.push_back(item);
+    }
+    node::endpoint_section& known =
+        member.board_.section<node::endpoint_section>();
+    known.epoch_ = "epoch";
+    node::replace_endpoints(known, list, core::steady_now());
+    entry_host host(io_);
+    EXPECT_TRUE(run_until(
+        [&]()
+        {
+            return host.board_.section<node::endpoint_section>()
+                       .endpoints_.size() == endpoints;
+        }));
+}
+
 TEST_F(catalog_transfer, a_transfer_goes_on_after_its_connection_is_cut)
 {
     constexpr std::int64_t bytes_before_cut = 48 * 1024;
