Remember a quarantined prompt part after its quarantine

Callers saw: nothing yet; found by reading the rule again.

Change: for ten minutes after a quarantine one crash is enough for the next, which lasts twice as long; an answer clears the part.

--- a/policy/prompt_part_quarantine.cpp
+++ b/policy/prompt_part_quarantine.cpp
@@ -19,6 +19,10 @@
 
 constexpr core::duration suspicion_duration{30'000};
 constexpr core::duration quarantine_duration{60'000};
+constexpr int max_quarantine_doublings = 6;
+
+/// How long a quarantine is remembered after its end.
+constexpr core::duration probation_duration{600'000};
 constexpr std::size_t max_records = 4'096;
 
 /// How long an answer speaks for a part.
@@ -57,17 +61,28 @@
 {
     const int needed =
         has_answered(key) ? min_crashes_after_answers : min_crashes;
-    const bool proven = !entry.quarantined_ && entry.crash_count_ >= needed &&
+    const bool proven = entry.quarantines_ == 0 &&
+                        entry.crash_count_ >= needed &&
                         entry.answered_without_ >= min_answered_without &&
                         entry.always_followed_by_.empty();
     if (proven)
     {
-        entry.quarantined_ = true;
-        entry.expires_at_ = now + quarantine_duration;
+        begin_quarantine(entry, now);
     }
     return proven;
 }
 
+void prompt_part_quarantine::begin_quarantine(
+    record& entry, core::time_point now)
+{
+    const int doublings =
+        std::min(entry.quarantines_, max_quarantine_doublings);
+    entry.quarantined_ = true;
+    ++entry.quarantines_;
+    entry.expires_at_ =
+        now + quarantine_duration * (std::int64_t{1} << doublings);
+}
+
 /// Counts a crash against one part.
 /// \param keys those of all parts of the request's prompt.
 bool prompt_part_quarantine::count_crash(
@@ -82,6 +97,11 @@
     }
     const auto [found, inserted] = records_.try_emplace(key);
     record& entry = found->second;
+    if (entry.quarantines_ > 0)
+    {
+        begin_quarantine(entry, now);
+        return true;
+    }
     if (!inserted && now - entry.last_counted_at_ < crash_separation)
     {
         return false;
@@ -124,7 +144,9 @@
     if (quarantined != keys.end())
     {
         // The request was sent before its host knew of the quarantine.
-        records_[*quarantined].expires_at_ = now + quarantine_duration;
+        record& entry = records_[*quarantined];
+        entry.expires_at_ =
+            std::max(entry.expires_at_, now + quarantine_duration);
         return false;
     }
     bool changed = false;
@@ -189,10 +211,7 @@
     {
         return false;
     }
-    entry.quarantined_ = true;
-    entry.crash_count_ = min_crashes;
-    entry.always_followed_by_.clear();
-    entry.expires_at_ = now + quarantine_duration;
+    begin_quarantine(entry, now);
     return true;
 }
 
@@ -200,13 +219,20 @@
 {
     forget_old_answers(now);
     bool ended = false;
+    for (auto& [key, entry] : records_)
+    {
+        if (entry.quarantined_ && now >= entry.expires_at_)
+        {
+            entry.quarantined_ = false;
+            entry.expires_at_ = now + probation_duration;
+            ended = true;
+        }
+    }
     std::erase_if(
         records_,
         [&](const auto& item)
         {
-            const bool expired = now >= item.second.expires_at_;
-            ended = ended || (expired && item.second.quarantined_);
-            return expired;
+            return now >= item.second.expires_at_;
         });
     return ended;
 }
@@ -216,7 +242,7 @@
     std::vector<std::string> out;
     for (const auto& [key, entry] : records_)
     {
-        if (!entry.quarantined_)
+        if (entry.quarantines_ == 0)
         {
             out.push_back(key);
         }
--- a/policy/prompt_part_quarantine.hpp
+++ b/policy/prompt_part_quarantine.hpp
@@ -25,7 +25,8 @@
 /// share is never quarantined when engines crash for other reasons. Of parts
 /// that were in each of the same requests, the last one is quarantined, since
 /// earlier parts are shared by more prompts. Parts that answered shortly before
-/// need more crashes.
+/// need more crashes. After a quarantine one crash is enough for the next,
+/// which lasts twice as long.
 class prompt_part_quarantine
 {
 public:
@@ -55,7 +56,7 @@
     /// \return whether a quarantine has ended.
     bool expire(core::time_point now);
 
-    /// \return the keys of the implicated parts that are not quarantined.
+    /// \return the keys of the implicated parts that have not been quarantined.
     std::vector<std::string> suspects() const;
 
     /// \return the keys of the quarantined parts.
@@ -81,6 +82,7 @@
         core::time_point last_counted_at_;
         std::int64_t answered_without_ = 0; ///< Requests without the part.
         bool quarantined_ = false;
+        int quarantines_ = 0; ///< Those that have begun.
         core::time_point expires_at_;
     };
 
@@ -92,6 +94,7 @@
         core::time_point now);
     bool quarantine_if_proven(
         const std::string& key, record& entry, core::time_point now) const;
+    static void begin_quarantine(record& entry, core::time_point now);
     void forget_old_answers(core::time_point now);
 
     std::map<std::string, record> records_;
--- a/tests/policy/prompt_part_quarantine_test.cpp
+++ b/tests/policy/prompt_part_quarantine_test.cpp
@@ -103,6 +103,31 @@
     EXPECT_TRUE(quarantine_.expire(now_));
     EXPECT_FALSE(is_quarantined("deadly"));
     EXPECT_FALSE(quarantine_.expire(now_));
+    EXPECT_TRUE(quarantine_.suspects().empty());
+    answer({"other"});
+    EXPECT_FALSE(is_quarantined("deadly"));
+    answer({"deadly"});
+    crash({"deadly"});
+    EXPECT_FALSE(is_quarantined("deadly"));
+}
+
+TEST_F(prompt_part_quarantine_test, a_part_that_goes_on_crashing_gets_few_tries)
+{
+    constexpr duration whole{1'800'000};
+    constexpr duration step{5'000};
+    constexpr int max_crashes_after_the_fifth = 3;
+    int crashes = 0;
+    for (const time_point end = now_ + whole; now_ < end; now_ = now_ + step)
+    {
+        quarantine_.expire(now_);
+        answer({"other"});
+        if (!is_quarantined("deadly"))
+        {
+            quarantine_.crashed(service, parts{"deadly"}, now_);
+            ++crashes;
+        }
+    }
+    EXPECT_LE(crashes, 5 + max_crashes_after_the_fifth);
 }
 
 TEST_F(prompt_part_quarantine_test, takes_the_last_of_parts_that_come_together)
