--- a/core/ini.cpp
+++ b/core/ini.cpp
@@ -326,6 +326,20 @@
     return parts;
 }
 
+std::string join_list(std::span<const std::string> items, char separator)
+{
+    std::string out;
+    for (const std::string& item : items)
+    {
+        if (!out.empty())
+        {
+            out += separator;
+        }
+        out += item;
+    }
+    return out;
+}
+
 bool is_address(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
--- a/core/ini.hpp
+++ b/core/ini.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -112,6 +113,9 @@
 /// parts.
 std::vector<std::string> split_list(std::string_view text, char separator);
 
+/// \return the items with a separator between them.
+std::string join_list(std::span<const std::string> items, char separator);
+
 /// \return whether the text is an IPv4 address and a port, "ip:port".
 bool is_address(std::string_view text);
 
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 
+#include "core/ini.hpp"
 #include "drivers/log.hpp"
 
 namespace poplarroute::node
@@ -40,6 +41,12 @@
 /// granted.
 constexpr double stream_retry_fraction = 0.5;
 
+/// How long a request that crashes engines is refused.
+constexpr core::duration quarantine_duration{60'000};
+
+/// Time after its election in which a leader takes over what hosts refuse.
+constexpr core::duration adoption_period{4'000};
+
 /// \return the list, with times relative to when it was read.
 std::vector<endpoint_message> make_list_messages(const endpoint_section& list)
 {
@@ -55,12 +62,6 @@
     return out;
 }
 
-/// How long a request that crashes engines is refused.
-constexpr core::duration quarantine_duration{60'000};
-
-/// Time after its election in which a leader takes over what hosts refuse.
-constexpr core::duration adoption_period{4'000};
-
 } // namespace
 
 catalog_controller::catalog_controller(
@@ -237,20 +238,16 @@
     const bool parts_changed = parts != quarantined_parts_;
     if (parts_changed)
     {
-        std::string all;
-        for (const std::string& part : parts)
-        {
-            all += (all.empty() ? "" : ",") + part;
-        }
         log_event(
             log_level::warning,
             "parts_quarantined",
-            {{"parts", all},
+            {{"parts", core::join_list(parts, ',')},
              {"before", quarantined_parts_.size()},
              {"suspects", suspects.size()}});
         quarantined_parts_ = std::move(parts);
     }
-    if (requests_changed || parts_changed || has_suspects_ == suspects.empty())
+    const bool suspects_changed = has_suspects_ != !suspects.empty();
+    if (requests_changed || parts_changed || suspects_changed)
     {
         has_suspects_ = !suspects.empty();
         ++crash_revision_;
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -337,41 +337,81 @@
     }
 }
 
+/// Fetches the next part of a document; after a failure, waits a little.
+awaitable<catalog_watcher::part_result> catalog_watcher::fetch_part(
+    document_download& download, core::host_id source)
+{
+    const document_part_request request = download.next_request();
+    const core::result<document_part_reply> reply =
+        co_await ask<document_part_reply>(
+            with_.peers_, source, method::document_part, request, part_timeout);
+    core::error problem{core::errc::invalid, "the document is damaged"};
+    if (!core::is_ok(reply))
+    {
+        problem = core::failure(reply);
+    }
+    else
+    {
+        const document_download::progress state =
+            download.add(core::value(reply));
+        if (state != document_download::progress::damaged)
+        {
+            co_return state == document_download::progress::complete
+                ? part_result::completed
+                : part_result::received;
+        }
+    }
+    log_event(
+        log_level::warning,
+        "part_failed",
+        {{"asked", source},
+         {"problem", problem.message_},
+         {"document", request.id_.name_},
+         {"revision", request.id_.revision_},
+         {"offset", request.offset_},
+         {"since_ms", (core::steady_now() - download_started_at_).ms_}});
+    with_.metrics_.count("poplarroute_part_failures_total");
+    co_await drivers::sleep_for(part_retry_interval);
+    co_return part_result::failed;
+}
+
 awaitable<void> catalog_watcher::fetch_list_part()
 {
     list_download_.want(
         endpoint_list_document(known_list_epoch_, known_list_revision_));
     const core::host_id leader = with_.board_.section<group_section>().leader_;
-    const document_part_request request = list_download_.next_request();
-    const core::result<document_part_reply> reply =
-        co_await ask<document_part_reply>(
-            with_.peers_, leader, method::document_part, request, part_timeout);
-    if (!core::is_ok(reply))
+    const part_result result = co_await fetch_part(list_download_, leader);
+    if (result == part_result::completed)
     {
-        record_part_failure(leader, request, core::failure(reply));
-        co_await drivers::sleep_for(part_retry_interval);
-        co_return;
+        put_list_in_force(list_download_.take_content());
     }
-    switch (list_download_.add(core::value(reply)))
+}
+
+awaitable<void> catalog_watcher::fetch_catalog_part()
+{
+    catalog_download_.want(catalog_document(known_version_));
+    core::host_id source = download_source_;
+    if (source.empty())
     {
-    case document_download::progress::incomplete:
-        break;
-    case document_download::progress::complete:
+        source = with_.board_.section<group_section>().leader_;
+    }
+    if (source.empty())
     {
-        const std::string content = list_download_.take_content();
-        put_list_in_force(content, core::duration{core::value(reply).age_ms_});
-        break;
+        source = next_member();
+    }
+    const part_result result = co_await fetch_part(catalog_download_, source);
+    if (result == part_result::completed)
+    {
+        put_in_force(
+            catalog_download_.id().revision_, catalog_download_.take_content());
     }
-    case document_download::progress::damaged:
-        record_part_failure(
-            leader, request, {core::errc::invalid, "the part is damaged"});
-        co_await drivers::sleep_for(part_retry_interval);
-        break;
+    if (result == part_result::failed)
+    {
+        download_source_ = next_member();
     }
 }
 
-void catalog_watcher::put_list_in_force(
-    std::string_view content, core::duration age)
+void catalog_watcher::put_list_in_force(std::string_view content)
 {
     const document_id id = list_download_.id();
     const bool is_current =
@@ -399,73 +439,12 @@
     }
     endpoint_section& list = with_.board_.section<endpoint_section>();
     list.epoch_ = known_list_epoch_;
-    replace_endpoints(list, all, core::steady_now() - age);
+    replace_endpoints(list, all, core::steady_now() - list_download_.age());
     list.read_at_ = std::max(list.read_at_, known_list_read_at_);
     list.revision_ = id.revision_;
     known_list_revision_ = std::max(known_list_revision_, id.revision_);
 }
 
-awaitable<void> catalog_watcher::fetch_catalog_part()
-{
-    catalog_download_.want(catalog_document(known_version_));
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
-    core::host_id source = download_source_.empty() ? leader : download_source_;
-    if (source.empty())
-    {
-        source = next_member();
-    }
-    const document_part_request request = catalog_download_.next_request();
-    const core::result<document_part_reply> reply =
-        co_await ask<document_part_reply>(
-            with_.peers_, source, method::document_part, request, part_timeout);
-    if (!core::is_ok(reply))
-    {
-        abandon_source(source, core::failure(reply));
-        co_await drivers::sleep_for(part_retry_interval);
-        co_return;
-    }
-    switch (catalog_download_.add(core::value(reply)))
-    {
-    case document_download::progress::incomplete:
-        break;
-    case document_download::progress::complete:
-    {
-        const std::string text = catalog_download_.take_content();
-        put_in_force(catalog_download_.id().revision_, text);
-        break;
-    }
-    case document_download::progress::damaged:
-        abandon_source(source, {core::errc::invalid, "the part is damaged"});
-        co_await drivers::sleep_for(part_retry_interval);
-        break;
-    }
-}
-
-/// Asks another member for the next part; what has arrived is kept.
-void catalog_watcher::abandon_source(
-    const core::host_id& source, const core::error& error)
-{
-    record_part_failure(source, catalog_download_.next_request(), error);
-    download_source_ = next_member();
-}
-
-void catalog_watcher::record_part_failure(
-    const core::host_id& source,
-    const document_part_request& request,
-    const core::error& error)
-{
-    log_event(
-        log_level::warning,
-        "part_failed",
-        {{"asked", source},
-         {"problem", error.message_},
-         {"document", request.id_.name_},
-         {"revision", request.id_.revision_},
-         {"offset", request.offset_},
-         {"since_ms", (core::steady_now() - download_started_at_).ms_}});
-    with_.metrics_.count("poplarroute_part_failures_total");
-}
-
 void catalog_watcher::put_in_force(std::uint64_t version, std::string_view text)
 {
     catalog_section& section = with_.board_.section<catalog_section>();
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -37,8 +37,18 @@
     bool list_is_stale() const;
 
 private:
+    /// Result of asking for one part of a document.
+    enum class part_result
+    {
+        received,
+        completed, ///< It was the last part.
+        failed,    ///< Parts that arrived before are kept, unless damaged.
+    };
+
     awaitable<void> watch_loop();
     awaitable<void> download_loop();
+    awaitable<part_result> fetch_part(
+        document_download& download, core::host_id source);
     awaitable<void> fetch_catalog_part();
     awaitable<void> fetch_list_part();
     awaitable<void> settle_loop();
@@ -49,13 +59,8 @@
     void apply_catalog(const watch_reply& reply);
     bool needs_catalog() const;
     bool needs_list() const;
-    void put_list_in_force(std::string_view content, core::duration age);
+    void put_list_in_force(std::string_view content);
     void put_in_force(std::uint64_t version, std::string_view text);
-    void abandon_source(const core::host_id& source, const core::error& error);
-    void record_part_failure(
-        const core::host_id& source,
-        const document_part_request& request,
-        const core::error& error);
     void apply_endpoints(const watch_reply& reply);
     void refresh_limits();
     watch_request next_watch_request(bool wait) const;
--- a/node/document_download.cpp
+++ b/node/document_download.cpp
@@ -66,6 +66,7 @@
         return discard();
     }
     received_ += bytes;
+    age_ = core::duration{part.age_ms_};
     if (received_.size() < size_)
     {
         return progress::incomplete;
--- a/node/document_download.hpp
+++ b/node/document_download.hpp
@@ -39,6 +39,12 @@
         return id_;
     }
 
+    /// \return the age of the document's content when its last part was sent.
+    core::duration age() const
+    {
+        return age_;
+    }
+
     /// Ends the download.
     /// \return the complete document.
     std::string take_content();
@@ -50,6 +56,7 @@
     document_id id_;
     std::uint64_t size_ = 0;
     std::uint64_t checksum_ = 0;
+    core::duration age_;
     std::string received_; ///< Compressed.
     std::string content_;
 };
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -7,6 +7,7 @@
 
 #include "core/counted.hpp"
 #include "core/digest.hpp"
+#include "core/ini.hpp"
 #include "drivers/log.hpp"
 #include "node/plain_forwarder.hpp"
 
@@ -59,16 +60,6 @@
     return std::to_string(core::stable_hash(hashed));
 }
 
-std::string join(const std::vector<std::string>& items)
-{
-    std::string out;
-    for (const std::string& item : items)
-    {
-        out += (out.empty() ? "" : ",") + item;
-    }
-    return out;
-}
-
 /// Reports to the leader that an endpoint crashed, if it refuses connections.
 awaitable<void> report_if_crashed(
     context& with, std::string address, crash_message report)
@@ -87,7 +78,7 @@
         {{"endpoint", report.crash_},
          {"digest", report.digest_},
          {"weight", report.weight_},
-         {"parts", join(report.parts_)}});
+         {"parts", core::join_list(report.parts_, ',')}});
     co_await ask<empty_reply>(
         with.peers_,
         leader,
@@ -305,7 +296,7 @@
             "quarantined",
             quarantined_retry_after,
             "digest " + call.digest_ + ", parts " +
-                join(call.request_.shared_parts_)};
+                core::join_list(call.request_.shared_parts_, ',')};
     }
     return charge(call);
 }
--- a/tests/core/ini_test.cpp
+++ b/tests/core/ini_test.cpp
@@ -73,4 +73,12 @@
     }
 }
 
+TEST(ini, joins_what_it_splits)
+{
+    const std::vector<std::string> items{"a", "b c", "d"};
+    EXPECT_EQ(join_list(items, ','), "a,b c,d");
+    EXPECT_EQ(split_list(join_list(items, ','), ','), items);
+    EXPECT_EQ(join_list({}, ','), "");
+}
+
 } // namespace poplarroute::core
