Look for a crash when a stream ends inside an event

Callers saw: as with a deadly prompt part before its quarantine, if the engine's answer had neither a length nor chunks: its connection then ends like that of a complete answer, only inside an event.

Cause: such an end broke the stream off, but was not taken as a sign of a crash. Only a reset or a missing last chunk was.

Change: the end inside an event is followed by the same check as a broken connection, which reports only engines that refuse connections.

--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -469,6 +469,14 @@
             const bool complete = !parser_.has_partial_event();
             result_.detail_ =
                 complete ? "" : "the stream ended within an event";
+            if (!complete)
+            {
+                ingress_.check_for_crash(
+                    call_,
+                    placement_.decoder_,
+                    policy::evidence::long_running,
+                    has_just_begun());
+            }
             co_return complete ? step_result::done : step_result::retry;
         }
         parser_.add(*core::value(piece));
--- a/tests/deadly_part.py
+++ b/tests/deadly_part.py
@@ -5,6 +5,9 @@
 the time that the platform allows, no more than three requests with the part may
 reach an engine, and sound requests are served at least half as often as before.
 The leader is killed in between.
+
+    deadly_part.py [--unframed]    an answer without a length or chunks, which
+                                   ends inside an event
 """
 
 import asyncio
@@ -44,10 +47,14 @@
             self.test.arrivals.append((time.monotonic(), attempt))
         if not self.is_deadly(headers) or self.stage == "prefill":
             return await super().run(headers, base, attempt, writer)
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        framing = (b"" if self.test.unframed
+                   else b"Transfer-Encoding: chunked\r\n")
+        event = b"id: 1\nda" if self.test.unframed else b""
+        writer.write(b"HTTP/1.1 200 OK\r\n" + framing +
                      b"Content-Type: text/event-stream\r\n"
                      b"Attempt-Id: " + attempt.encode() + b"\r\n"
-                     b"Server-Stamp: x." + attempt.encode() + b"\r\n\r\n")
+                     b"Server-Stamp: x." + attempt.encode() + b"\r\n\r\n" +
+                     event)
         await writer.drain()
         await asyncio.sleep(0.02)
         if self.is_down:
@@ -55,6 +62,8 @@
         self.is_down = True
         self.test.crashes.append(time.monotonic())
         self.server.close()
+        if self.test.unframed:
+            writer.close()
         self.reset_connections()
         self.restart = asyncio.create_task(self.start_again())
         return False
@@ -67,8 +76,9 @@
 
 
 class DeadlyPartTest(platform_soak.Soak):
-    def __init__(self):
+    def __init__(self, unframed):
         super().__init__(1, 0, 3)
+        self.unframed = unframed
         self.arrivals = []
         self.crashes = []
         self.served = []   # times of sound answers
@@ -177,7 +187,7 @@
 
 
 def main():
-    test = DeadlyPartTest()
+    test = DeadlyPartTest("--unframed" in sys.argv[1:])
     passed = asyncio.run(test.run())
     for problem in test.problems:
         print("  " + problem)
