--- a/drivers/peer_channel.hpp
+++ b/drivers/peer_channel.hpp
@@ -11,6 +11,7 @@
 
 #include "core/result.hpp"
 #include "drivers/asio.hpp"
+#include "drivers/metrics.hpp"
 
 namespace poplarroute::drivers
 {
@@ -53,6 +54,9 @@
 /// \return the counters of this process since its start.
 peer_traffic& traffic();
 
+/// Sets the metrics of the traffic with peers.
+void set_traffic_metrics(metrics& out);
+
 /// Server for calls of peers and operators, each an HTTP/2 stream.
 class peer_server
 {
--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -65,6 +65,15 @@
     return counts;
 }
 
+void set_traffic_metrics(metrics& out)
+{
+    constexpr const char* name = "poplarroute_peer_bytes_total";
+    const peer_traffic& counts = traffic();
+    out.set(name, {{"direction", "in"}}, static_cast<double>(counts.bytes_in_));
+    out.set(
+        name, {{"direction", "out"}}, static_cast<double>(counts.bytes_out_));
+}
+
 peer_connection::peer_connection(
     asio::io_context& context,
     peer_stream stream,
--- a/node/admin_api.cpp
+++ b/node/admin_api.cpp
@@ -133,14 +133,7 @@
     const drivers::header_list text{{"Content-Type", "text/plain"}};
     if (path == "/metrics")
     {
-        with_.metrics_.set(
-            "poplarroute_peer_bytes_total",
-            {{"direction", "in"}},
-            static_cast<double>(drivers::traffic().bytes_in_));
-        with_.metrics_.set(
-            "poplarroute_peer_bytes_total",
-            {{"direction", "out"}},
-            static_cast<double>(drivers::traffic().bytes_out_));
+        drivers::set_traffic_metrics(with_.metrics_);
         co_await exchange.send(status_ok, text, with_.metrics_.text());
     }
     else if (path == "/live")
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -229,7 +229,7 @@
     publish_quarantines(ended > 0);
 }
 
-/// Tells hosts what to refuse, and whether to report answered prompts.
+/// Publishes to hosts what to refuse, and whether to report answered prompts.
 /// \param requests_changed whether the digests to refuse have changed.
 void catalog_controller::publish_quarantines(bool requests_changed)
 {
@@ -476,18 +476,24 @@
     co_return catalog_contents{reply->version_, core::text_of(reply->text_)};
 }
 
+/// \return whether a host has this leader's endpoint list, or is fetching it.
+bool catalog_controller::knows_list(const watch_request& request) const
+{
+    const endpoint_section& list = with_.board_.section<endpoint_section>();
+    if (request.fetches_parts_)
+    {
+        return request.known_list_epoch_ == list.epoch_ &&
+               request.known_list_revision_ == list.revision_;
+    }
+    return request.list_epoch_ == list.epoch_ &&
+           request.list_revision_ == list.revision_;
+}
+
 bool catalog_controller::has_updates(const watch_request& request) const
 {
     const endpoint_section& list = with_.board_.section<endpoint_section>();
-    const std::string& known_epoch = request.fetches_parts_
-                                         ? request.known_list_epoch_
-                                         : request.list_epoch_;
-    const std::uint64_t known_list_revision = request.fetches_parts_
-                                                  ? request.known_list_revision_
-                                                  : request.list_revision_;
     const bool list_changed =
-        group_.leads() && list.read_at_.ms_ > 0 &&
-        (known_epoch != list.epoch_ || known_list_revision != list.revision_);
+        group_.leads() && list.read_at_.ms_ > 0 && !knows_list(request);
     const std::uint64_t known_revision =
         std::max(request.revision_, request.known_revision_);
     return group_.state().revision() > known_revision || list_changed ||
@@ -520,9 +526,7 @@
         out.list_epoch_ = list.epoch_;
         out.list_revision_ = list.revision_;
         out.list_age_ms_ = (core::steady_now() - list.read_at_).ms_;
-        out.list_sent_ = !request.fetches_parts_ &&
-                         (request.list_epoch_ != list.epoch_ ||
-                          request.list_revision_ != list.revision_);
+        out.list_sent_ = !request.fetches_parts_ && !knows_list(request);
     }
     if (out.list_sent_)
     {
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -80,6 +80,7 @@
     awaitable<core::result<submit_reply>> submit(std::string command);
     awaitable<core::result<submit_reply>> submit_locally(std::string command);
     awaitable<watch_reply> answer_watch(watch_request request);
+    bool knows_list(const watch_request& request) const;
     bool has_updates(const watch_request& request) const;
     watch_reply make_watch_reply(const watch_request& request);
     core::result<document_part_reply> answer_part(
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -52,10 +52,10 @@
     std::int64_t wait_ms_ = 0;
     std::vector<placement_message> places_;
 
-    /// Latest revision that the host has heard of; revision_ is in force.
+    /// Latest revision known to the host; revision_ is in force.
     std::uint64_t known_revision_ = 0;
 
-    /// Endpoint list that the host has heard of; list_revision_ is in force.
+    /// Latest endpoint list known to the host; list_revision_ is in force.
     std::string known_list_epoch_;
     std::uint64_t known_list_revision_ = 0;
 
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -22,9 +22,9 @@
 /// An entry host's connection to the group: it watches the catalog and the
 /// endpoint list at the leader, and settles the accounts' usage there.
 ///
-/// A watch only tells that there is a newer catalog or list. They are fetched
-/// in parts beside it, so that their size neither delays what else the watch
-/// tells nor makes a leader that answers look lost.
+/// A watch only announces a newer catalog or list. They are fetched in parts
+/// beside it, so that their size neither delays the rest of the reply nor makes
+/// a responsive leader look lost.
 class catalog_watcher
 {
 public:
@@ -78,11 +78,11 @@
     std::size_t next_member_index_ = 0;
     std::uint64_t crash_revision_ = 0;
 
-    /// The newest catalog that a member has told of; 0: none.
+    /// The newest catalog that a member has announced; 0: none.
     std::uint64_t known_revision_ = 0;
     std::uint64_t known_version_ = 0;
 
-    /// The endpoint list that the leader has told of.
+    /// The endpoint list that the leader has announced.
     std::string known_list_epoch_;
     std::uint64_t known_list_revision_ = 0;
     core::time_point known_list_read_at_; ///< Last read, changed or not.
@@ -94,8 +94,9 @@
     std::uint64_t unreadable_version_ = 0; ///< Newest that failed to decode.
     drivers::asio::steady_timer download_wake_;
 
-    /// Term of the leader whose quarantines are known, and until when what the
-    /// previous one told holds, too. A member that restarts may lead again.
+    /// Term of the leader whose quarantines are known, and the end of the time
+    /// for which those of the previous leader hold, too. A member that restarts
+    /// may lead again.
     std::uint64_t quarantine_term_ = 0;
     core::time_point keep_quarantines_until_;
 
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -263,15 +263,7 @@
         "poplarroute_directory_version",
         {},
         static_cast<double>(board_.section<catalog_section>().revision_));
-    const drivers::peer_traffic& traffic = drivers::traffic();
-    metrics_.set(
-        "poplarroute_peer_bytes_total",
-        {{"direction", "in"}},
-        static_cast<double>(traffic.bytes_in_));
-    metrics_.set(
-        "poplarroute_peer_bytes_total",
-        {{"direction", "out"}},
-        static_cast<double>(traffic.bytes_out_));
+    drivers::set_traffic_metrics(metrics_);
     if (ingress_)
     {
         metrics_.set(
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -505,7 +505,7 @@
            last_event_at_ - engine_began_at_ < begin_period;
 }
 
-/// Tells the leader once that an engine answers this prompt, while the leader
+/// Reports once to the leader that an engine answers this prompt, while it
 /// suspects any part: it compares requests with the part to those without.
 void stream_forwarder::report_answered_parts()
 {
--- a/policy/prompt_part_quarantine.cpp
+++ b/policy/prompt_part_quarantine.cpp
@@ -85,7 +85,7 @@
 
 /// Counts a crash against one part.
 /// \param keys those of all parts of the request's prompt.
-bool prompt_part_quarantine::count_crash(
+void prompt_part_quarantine::count_crash(
     std::span<const std::string> keys,
     std::size_t position,
     core::time_point now)
@@ -93,18 +93,18 @@
     const std::string& key = keys[position];
     if (records_.size() >= max_records && records_.count(key) == 0)
     {
-        return false;
+        return;
     }
     const auto [found, inserted] = records_.try_emplace(key);
     record& entry = found->second;
     if (entry.quarantines_ > 0)
     {
         begin_quarantine(entry, now);
-        return true;
+        return;
     }
     if (!inserted && now - entry.last_counted_at_ < crash_separation)
     {
-        return false;
+        return;
     }
     std::set<std::string> followed_by;
     for (const std::string& later : keys.subspan(position + 1))
@@ -121,10 +121,10 @@
     ++entry.crash_count_;
     entry.last_counted_at_ = now;
     entry.expires_at_ = now + suspicion_duration;
-    return quarantine_if_proven(key, entry, now) || inserted;
+    quarantine_if_proven(key, entry, now);
 }
 
-bool prompt_part_quarantine::crashed(
+void prompt_part_quarantine::crashed(
     const core::service_id& service,
     std::span<const std::string> parts,
     core::time_point now)
@@ -147,14 +147,12 @@
         record& entry = records_[*quarantined];
         entry.expires_at_ =
             std::max(entry.expires_at_, now + quarantine_duration);
-        return false;
+        return;
     }
-    bool changed = false;
     for (std::size_t position = 0; position < keys.size(); ++position)
     {
-        changed = count_crash(keys, position, now) || changed;
+        count_crash(keys, position, now);
     }
-    return changed;
 }
 
 bool prompt_part_quarantine::answered(
--- a/policy/prompt_part_quarantine.hpp
+++ b/policy/prompt_part_quarantine.hpp
@@ -19,22 +19,21 @@
 /// them, and quarantines them.
 ///
 /// A crash implicates all parts of the requests that had just begun on the
-/// engine, most of them innocent. A part is quarantined once several crashes
-/// have implicated it, no request with it has answered since the first of them,
-/// and requests of its service without it have. So a part that most requests
-/// share is never quarantined when engines crash for other reasons. Of parts
-/// that were in each of the same requests, the last one is quarantined, since
-/// earlier parts are shared by more prompts. Parts that answered shortly before
-/// need more crashes. After a quarantine one crash is enough for the next,
-/// which lasts twice as long.
+/// engine, most of them unrelated to it. A part is quarantined once several
+/// crashes have implicated it, no request with it has answered since the first
+/// of them, and requests of its service without it have. So a part that most
+/// requests share is never quarantined when engines crash for other reasons. Of
+/// parts that were in each of the same requests, the last one is quarantined,
+/// since earlier parts are shared by more prompts. Parts that answered shortly
+/// before need more crashes. After a quarantine one crash is enough for the
+/// next, which lasts twice as long.
 class prompt_part_quarantine
 {
 public:
     /// Records that an engine crashed under a request that had just begun.
     /// \param parts the parts of its prompt that other prompts may share, in
     /// their order.
-    /// \return whether suspects() or quarantined() have changed.
-    bool crashed(
+    void crashed(
         const core::service_id& service,
         std::span<const std::string> parts,
         core::time_point now);
@@ -88,7 +87,7 @@
 
     bool has_answered(const std::string& key) const;
     bool is_quarantined(const std::string& key) const;
-    bool count_crash(
+    void count_crash(
         std::span<const std::string> keys,
         std::size_t position,
         core::time_point now);
