Obey what endpoints say in their answers of leaving and staying away

Cause: a host learned of an endpoint that stops from the platform's list only, and nothing read a Retry-After of an endpoint. A host that is cut off, or has an older list, kept sending.

Every call to an endpoint now goes through node/endpoint_client, which keeps what the answers say (policy/endpoint_notices) and sends nothing that the endpoint does not want. Leaving endpoints are told to the leader at once and with each watch; those that turned a host away are left out of its placement requests only. Streams that no decode engine may take are refused at once with the earliest time at which one takes calls again. It also bounds a stream by the time for a whole event (the change of stream_forwarder comes in one piece).

Ruled out: a message of its own to the leader, since the watch has to repeat it for a new leader anyway; clearing the mark when a list shows the endpoint as ready, since a list may be older than the answer.

--- a/core/result.hpp
+++ b/core/result.hpp
@@ -21,6 +21,7 @@
     denied,      ///< The credentials do not allow this.
     not_found,   ///< The named object does not exist.
     storage,     ///< The disk failed; the Raft member must stop.
+    withheld,    ///< The endpoint wants no such call now; nothing was sent.
 };
 
 /// An error with its kind and a message that people can read.
@@ -101,6 +102,8 @@
         return "not_found";
     case errc::storage:
         return "storage";
+    case errc::withheld:
+        return "withheld";
     }
     return "unknown";
 }
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -287,6 +287,25 @@
     }
 }
 
+/// Leaves an endpoint out for all hosts that told one of them that it is
+/// leaving.
+void catalog_controller::record_leaving(
+    const core::endpoint_id& name, const core::host_id& told_by)
+{
+    endpoint_section& list = with_.board_.section<endpoint_section>();
+    const bool is_new =
+        group_.leads() && mark_leaving(list, name, core::steady_now());
+    if (is_new)
+    {
+        log_event(
+            log_level::info,
+            "endpoint_leaving",
+            {{"endpoint", name},
+             {"told_by", told_by},
+             {"list_revision", list.revision_}});
+    }
+}
+
 /// Takes over what a host refuses, since a new leader has not seen the crashes.
 void catalog_controller::adopt_quarantines(const watch_request& request)
 {
@@ -597,6 +616,10 @@
         placements_.reconcile(request.host_, request.places_);
     }
     adopt_quarantines(request);
+    for (const core::endpoint_id& name : request.leaving_)
+    {
+        record_leaving(name, request.host_);
+    }
     const core::duration max_wait{
         std::min(request.wait_ms_, max_watch_wait.ms_)};
     const core::time_point until = core::steady_now() + max_wait;
@@ -751,6 +774,10 @@
             -> awaitable<core::result<empty_reply>>
         {
             placements_.record_engine_event(event);
+            if (!event.leaving_.empty())
+            {
+                record_leaving(event.leaving_, event.host_);
+            }
             if (event.answered_)
             {
                 record_answer(event.service_, event.answered_parts_);
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -95,6 +95,8 @@
     void record_crash(const crash_message& report);
     void record_answer(
         const core::service_id& service, std::span<const std::string> parts);
+    void record_leaving(
+        const core::endpoint_id& name, const core::host_id& told_by);
     void adopt_quarantines(const watch_request& request);
     void publish_quarantines(bool requests_changed);
     std::int64_t live_hosts() const;
--- a/node/catalog_messages.cpp
+++ b/node/catalog_messages.cpp
@@ -15,7 +15,8 @@
         item.slots_,
         item.leaving_,
         item.cold_time_left_.ms_,
-        item.reads_prompts_};
+        item.reads_prompts_,
+        item.started_at_ms_};
 }
 
 listed_endpoint from_message(const endpoint_message& item)
@@ -27,6 +28,7 @@
         item.zone_,
         item.slots_,
         item.leaving_,
+        item.started_at_ms_,
         core::duration{item.cold_ms_},
         item.reads_prompts_};
 }
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -65,6 +65,10 @@
 
     /// What the host refuses, for a leader that has just been elected.
     std::vector<std::string> crashers_;
+
+    /// Endpoints that told the host that they are leaving, and that no list has
+    /// shown as such.
+    std::vector<core::endpoint_id> leaving_;
 };
 
 /// An endpoint of the platform's list.
@@ -78,6 +82,7 @@
     bool leaving_ = false;
     std::int64_t cold_ms_ = 0;
     bool reads_prompts_ = false;
+    std::int64_t started_at_ms_ = 0; ///< Unix time; 0: unknown.
 };
 
 /// Reply to watch_request.
@@ -215,7 +220,8 @@
     std::vector<core::endpoint_id> worked_; ///< Engines whose call succeeded.
     /// Engine at whose address another process answers.
     core::endpoint_id replaced_;
-    bool answered_ = false; ///< A stream has been answered for a while.
+    core::endpoint_id leaving_; ///< Endpoint that said that it is leaving.
+    bool answered_ = false;     ///< A stream has been answered for a while.
     std::vector<std::string> answered_parts_; ///< Shared parts of its prompt.
 };
 
@@ -273,7 +279,8 @@
     known_list_epoch_,
     known_list_revision_,
     fetches_parts_,
-    crashers_)
+    crashers_,
+    leaving_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     endpoint_message,
     name_,
@@ -283,7 +290,8 @@
     slots_,
     leaving_,
     cold_ms_,
-    reads_prompts_)
+    reads_prompts_,
+    started_at_ms_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     watch_reply,
     leads_,
@@ -360,6 +368,7 @@
     lapsed_,
     worked_,
     replaced_,
+    leaving_,
     answered_,
     answered_parts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -101,6 +101,7 @@
     out.fetches_parts_ = true;
     const auto& crashers = with_.board_.section<group_section>().crashers_;
     out.crashers_.assign(crashers.begin(), crashers.end());
+    out.leaving_ = list.notices_.unlisted_leaving(core::steady_now());
     out.wait_ms_ = wait ? max_watch_wait.ms_ : 0;
     out.places_ = running_placements(
         with_.board_.section<stream_section>(), core::steady_now());
@@ -439,7 +440,9 @@
     }
     endpoint_section& list = with_.board_.section<endpoint_section>();
     list.epoch_ = known_list_epoch_;
-    replace_endpoints(list, all, core::steady_now() - list_download_.age());
+    const core::time_point now = core::steady_now();
+    update_notices(list, all, now);
+    replace_endpoints(list, all, now - list_download_.age());
     list.read_at_ = std::max(list.read_at_, known_list_read_at_);
     list.revision_ = id.revision_;
     known_list_revision_ = std::max(known_list_revision_, id.revision_);
@@ -531,6 +534,7 @@
         all.push_back(from_message(item));
     }
     list.epoch_ = reply.list_epoch_;
+    update_notices(list, all, core::steady_now());
     replace_endpoints(list, all, read_at);
     list.revision_ = reply.list_revision_;
 }
--- /dev/null
+++ b/node/endpoint_client.cpp
@@ -0,0 +1,145 @@
+#include "node/endpoint_client.hpp"
+
+#include <utility>
+
+#include "drivers/log.hpp"
+#include "node/catalog_messages.hpp"
+
+namespace poplarroute::node
+{
+
+using drivers::log_event;
+using drivers::log_level;
+
+namespace
+{
+
+constexpr core::duration tell_timeout{1'000};
+
+/// Tells the leader that an endpoint is leaving. A lost message is made up for
+/// by the next watch, which names the endpoint as well.
+awaitable<void> tell_leader(
+    context& with, core::host_id leader, engine_event_message event)
+{
+    co_await ask<empty_reply>(
+        with.peers_, leader, method::streams_note, event, tell_timeout);
+}
+
+} // namespace
+
+endpoint_client::endpoint_client(context& with, const wire_codec& codec)
+    : with_(with), codec_(codec)
+{
+}
+
+/// \return why a call may not be sent now; nothing when it may. It is then
+/// counted as sent.
+std::optional<core::error> endpoint_client::find_objection(
+    const core::endpoint_id& to, policy::call_purpose purpose)
+{
+    policy::endpoint_notices& notices =
+        with_.board_.section<endpoint_section>().notices_;
+    const core::time_point now = core::steady_now();
+    if (!notices.may_send(to, purpose, now))
+    {
+        with_.metrics_.count("poplarroute_calls_withheld_total");
+        const bool leaving = notices.is_leaving(to, now);
+        return core::error{
+            core::errc::withheld,
+            leaving ? "the endpoint is leaving"
+                    : "the endpoint has turned this host away"};
+    }
+    notices.record_send(to, now);
+    return std::nullopt;
+}
+
+void endpoint_client::record_notice(
+    const core::endpoint_id& from, const policy::endpoint_notice& notice)
+{
+    if (!notice.leaving_ && !notice.stay_away_)
+    {
+        return;
+    }
+    endpoint_section& section = with_.board_.section<endpoint_section>();
+    const core::time_point now = core::steady_now();
+    policy::listed_state listed{from};
+    core::service_id service;
+    const auto known = section.endpoints_.find(from);
+    if (known != section.endpoints_.end())
+    {
+        listed = to_listed_state(known->second.listed_);
+        service = known->second.listed_.service_;
+    }
+    const bool newly_leaving = section.notices_.record(listed, notice, now);
+    if (notice.stay_away_)
+    {
+        with_.metrics_.count(
+            "poplarroute_endpoint_notices_total", {{"kind", "stay_away"}});
+        log_event(
+            log_level::info,
+            "endpoint_turned_away",
+            {{"endpoint", from},
+             {"service", service},
+             {"stay_away_ms", notice.stay_away_->ms_}});
+    }
+    if (!newly_leaving)
+    {
+        return;
+    }
+    with_.metrics_.count(
+        "poplarroute_endpoint_notices_total", {{"kind", "leaving"}});
+    log_event(
+        log_level::info,
+        "endpoint_leaving",
+        {{"endpoint", from},
+         {"service", service},
+         {"listed", listed.leaving_ ? "leaving" : "ready"},
+         {"list_age_ms", (now - section.read_at_).ms_}});
+    const core::host_id leader = with_.board_.section<group_section>().leader_;
+    if (!leader.empty())
+    {
+        engine_event_message event;
+        event.service_ = service;
+        event.host_ = with_.identity().host_;
+        event.leaving_ = from;
+        drivers::spawn(with_.io_, tell_leader(with_, leader, std::move(event)));
+    }
+}
+
+awaitable<core::result<drivers::http_response>> endpoint_client::request(
+    core::endpoint_id to, policy::call_purpose purpose, drivers::http_call call)
+{
+    if (auto objection = find_objection(to, purpose))
+    {
+        co_return std::move(*objection);
+    }
+    core::result<drivers::http_response> reply =
+        co_await with_.http_.request(std::move(call));
+    if (core::is_ok(reply))
+    {
+        const drivers::http_response& response = core::value(reply);
+        record_notice(
+            to, codec_.notice_of(response.status_, response.headers_));
+    }
+    co_return std::move(reply);
+}
+
+awaitable<core::result<std::unique_ptr<drivers::http_stream>>>
+endpoint_client::open(
+    core::endpoint_id to, policy::call_purpose purpose, drivers::http_call call)
+{
+    if (auto objection = find_objection(to, purpose))
+    {
+        co_return std::move(*objection);
+    }
+    core::result<std::unique_ptr<drivers::http_stream>> opened =
+        co_await with_.http_.open(std::move(call));
+    if (core::is_ok(opened))
+    {
+        const drivers::http_stream& stream = *core::value(opened);
+        record_notice(to, codec_.notice_of(stream.status(), stream.headers()));
+    }
+    co_return std::move(opened);
+}
+
+} // namespace poplarroute::node
--- a/node/endpoint_list_poller.cpp
+++ b/node/endpoint_list_poller.cpp
@@ -79,6 +79,7 @@
             held.service_ == item.service_ && held.address_ == item.address_ &&
             held.zone_ == item.zone_ && held.leaving_ == item.leaving_ &&
             held.reads_prompts_ == item.reads_prompts_ &&
+            held.started_at_ms_ == item.started_at_ms_ &&
             (held.cold_time_left_.ms_ > 0) == (item.cold_time_left_.ms_ > 0);
         if (!same)
         {
@@ -96,6 +97,7 @@
     std::vector<listed_endpoint> list;
     std::string page;
     std::size_t unreadable = 0;
+    std::string first_unreadable;
     for (int pages = 0; pages < max_pages; ++pages)
     {
         drivers::http_call call = codec_.endpoint_list_call(address, page);
@@ -109,9 +111,18 @@
         auto read = codec_.decode_endpoint_page(core::value(reply).body_);
         if (!read)
         {
+            log_event(
+                log_level::warning,
+                "list_unreadable",
+                {{"page", pages}, {"bytes", core::value(reply).body_.size()}});
             co_return false;
         }
-        unreadable += read->unreadable_;
+        if (unreadable == 0 && !read->unreadable_.empty())
+        {
+            first_unreadable = std::to_string(pages) + ":" +
+                               std::to_string(read->unreadable_.front());
+        }
+        unreadable += read->unreadable_.size();
         for (listed_endpoint& item : read->endpoints_)
         {
             list.push_back(std::move(item));
@@ -122,7 +133,27 @@
             break;
         }
     }
+    if (unreadable != unreadable_entries_)
+    {
+        unreadable_entries_ = unreadable;
+        log_event(
+            log_level::warning,
+            "list_entries_unreadable",
+            {{"entries", unreadable},
+             {"first_page_and_byte", first_unreadable}});
+    }
+    with_.metrics_.set(
+        "poplarroute_list_entries_unreadable",
+        {},
+        static_cast<double>(unreadable));
     endpoint_section& section = with_.board_.section<endpoint_section>();
+    const core::time_point now = core::steady_now();
+    update_notices(section, list, now);
+    for (listed_endpoint& item : list)
+    {
+        item.leaving_ =
+            item.leaving_ || section.notices_.is_leaving(item.name_, now);
+    }
     if (!differs_from_known(list))
     {
         section.read_at_ = started_at;
--- a/node/endpoint_list_poller.hpp
+++ b/node/endpoint_list_poller.hpp
@@ -31,6 +31,7 @@
     const wire_codec& codec_;
     std::function<bool()> should_poll_;
     bool reachable_ = true;
+    std::size_t unreadable_entries_ = 0; ///< In the list read last.
 };
 
 } // namespace poplarroute::node
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -72,6 +72,8 @@
         settings_section& section = board_.section<settings_section>();
         section.settings_ = std::move(settings);
         section.epoch_ = core::random_hex(epoch_bytes);
+        board_.section<endpoint_section>().notices_ =
+            policy::endpoint_notices(core::stable_hash(identity.host_));
     }
 
     const fleet_settings& settings()
--- a/node/fleet_sections.cpp
+++ b/node/fleet_sections.cpp
@@ -36,9 +36,14 @@
     return std::max<std::int64_t>(share, 1);
 }
 
-bool is_usable(const catalog_section& catalog, const listed_endpoint& item)
+bool is_usable(
+    const catalog_section& catalog,
+    const endpoint_section& endpoints,
+    const listed_endpoint& item,
+    core::time_point now)
 {
-    return !item.leaving_ && catalog.zones_out_.count(item.zone_) == 0;
+    return !item.leaving_ && catalog.zones_out_.count(item.zone_) == 0 &&
+           !endpoints.notices_.is_leaving(item.name_, now);
 }
 
 } // namespace
@@ -66,7 +71,7 @@
         facts.name_ = name;
         facts.zone_ = item.listed_.zone_;
         facts.reads_prompts_ = item.listed_.reads_prompts_;
-        facts.usable_ = is_usable(catalog, item.listed_);
+        facts.usable_ = is_usable(catalog, endpoints, item.listed_, now);
         facts.slots_ = service->engine_->slots_;
         facts.memory_tokens_ = service->engine_->memory_tokens_;
         facts.starts_per_second_ =
@@ -98,7 +103,9 @@
                 {name,
                  item.listed_.zone_,
                  item.listed_.slots_,
-                 is_usable(catalog, item.listed_),
+                 is_usable(catalog, endpoints, item.listed_, now) &&
+                     endpoints.notices_.may_send(
+                         name, policy::call_purpose::request, now),
                  cold_starts_per_second(*known, item, hosts, now)});
         }
     }
@@ -134,6 +141,77 @@
     return {bounds.retry_ratio_, bounds.retry_slack_, bounds.retry_window_};
 }
 
+policy::listed_state to_listed_state(const listed_endpoint& item)
+{
+    return {item.name_, item.leaving_, item.started_at_ms_};
+}
+
+void update_notices(
+    endpoint_section& section,
+    std::span<const listed_endpoint> list,
+    core::time_point now)
+{
+    std::vector<policy::listed_state> states;
+    states.reserve(list.size());
+    for (const listed_endpoint& item : list)
+    {
+        states.push_back(to_listed_state(item));
+    }
+    section.notices_.update(states, now);
+}
+
+bool mark_leaving(
+    endpoint_section& section,
+    const core::endpoint_id& name,
+    core::time_point now)
+{
+    const auto found = section.endpoints_.find(name);
+    if (found == section.endpoints_.end())
+    {
+        return false;
+    }
+    listed_endpoint& listed = found->second.listed_;
+    const policy::endpoint_notice notice{true, std::nullopt};
+    const bool is_new =
+        section.notices_.record(to_listed_state(listed), notice, now);
+    if (!is_new || listed.leaving_)
+    {
+        return is_new;
+    }
+    listed.leaving_ = true;
+    ++section.revision_;
+    for (const auto& call : section.on_change_)
+    {
+        call();
+    }
+    return true;
+}
+
+std::optional<core::duration> time_until_return(
+    const catalog_section& catalog,
+    const endpoint_section& endpoints,
+    const core::service_id& service,
+    core::time_point now)
+{
+    std::optional<core::duration> earliest;
+    for (const auto& [name, item] : endpoints.endpoints_)
+    {
+        if (item.listed_.service_ != service ||
+            !is_usable(catalog, endpoints, item.listed_, now))
+        {
+            continue;
+        }
+        const auto until = endpoints.notices_.turned_away_until(name, now);
+        if (!until)
+        {
+            return std::nullopt;
+        }
+        const core::duration left = *until - now;
+        earliest = earliest ? std::min(*earliest, left) : left;
+    }
+    return earliest;
+}
+
 void replace_endpoints(
     endpoint_section& section,
     std::span<const listed_endpoint> list,
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -13,6 +13,7 @@
 #include "core/clock.hpp"
 #include "node/fleet_settings.hpp"
 #include "node/wire_codec.hpp"
+#include "policy/endpoint_notices.hpp"
 #include "policy/plain_balancer.hpp"
 #include "policy/retry_allowance.hpp"
 #include "policy/stream_scheduler.hpp"
@@ -55,6 +56,10 @@
     std::uint64_t revision_ = 0;
     core::time_point read_at_; ///< 0: not read yet.
     std::vector<std::function<void()>> on_change_;
+
+    /// What endpoints said of themselves. Written by endpoint_client, and by
+    /// catalog_controller for what hosts report.
+    policy::endpoint_notices notices_;
 };
 
 /// What an entry host knows of the group. Written by catalog_watcher.
@@ -96,6 +101,31 @@
 /// \return the bound on retries, for the policies.
 policy::retry_bound retry_bound_of(const fleet_bounds& bounds);
 
+/// \return an endpoint's entry as the notices of endpoints compare it.
+policy::listed_state to_listed_state(const listed_endpoint& item);
+
+/// Compares a list, as its source states it, with what endpoints have said.
+void update_notices(
+    endpoint_section& section,
+    std::span<const listed_endpoint> list,
+    core::time_point now);
+
+/// Marks an endpoint as leaving that a host reports as such, until the list
+/// shows it again as another or a restarted one.
+/// \return whether it was not marked before.
+bool mark_leaving(
+    endpoint_section& section,
+    const core::endpoint_id& name,
+    core::time_point now);
+
+/// \return when the first of a service's endpoints that turned this host away
+/// takes calls again; nothing if one takes calls now, or none ever will.
+std::optional<core::duration> time_until_return(
+    const catalog_section& catalog,
+    const endpoint_section& endpoints,
+    const core::service_id& service,
+    core::time_point now);
+
 /// Replaces the endpoint list.
 /// \param read_at time at which it was read, on this host's clock.
 void replace_endpoints(
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "node/context.hpp"
+#include "node/endpoint_client.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/wire_codec.hpp"
 #include "policy/prompt_part_quarantine.hpp"
@@ -56,6 +57,7 @@
     const wire_codec& codec_;
     std::map<core::service_id, policy::retry_allowance> retry_allowances_;
     std::map<core::service_id, policy::plain_balancer> balancers_;
+    endpoint_client endpoints_;
 
     /// Takes one retry from the service's allowance.
     /// \return whether there was one.
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -65,6 +65,16 @@
     context& with, std::string address, crash_message report)
 {
     co_await drivers::sleep_for(crash_probe_delay);
+    const bool may_probe =
+        with.board_.section<endpoint_section>().notices_.may_send(
+            report.crash_,
+            policy::call_purpose::housekeeping,
+            core::steady_now());
+    if (!may_probe)
+    {
+        // It has turned this host away a moment ago, so it is up.
+        co_return;
+    }
     const bool accepts_connections =
         co_await with.http_.accepts_connections(address, crash_probe_timeout);
     const core::host_id leader = with.board_.section<group_section>().leader_;
@@ -150,7 +160,7 @@
 
 ingress_controller::ingress_controller(context& with, const wire_codec& codec)
     : with_(with),
-      ingress_{with, codec, {}, {}},
+      ingress_{with, codec, {}, {}, endpoint_client(with, codec)},
       local_placements_(with, placement_controller::scope::own_host),
       placements_(with, local_placements_)
 {
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -90,8 +90,10 @@
     out.timeout_ = retry_state_.patience(plan.deadline_);
     out.connect_timeout_ = std::min(max_connect_timeout, out.timeout_);
     ++result_.sends_;
+    const core::endpoint_id to = endpoint_;
     const core::result<drivers::http_response> reply =
-        co_await ingress_.with_.http_.request(std::move(out));
+        co_await ingress_.endpoints_.request(
+            to, policy::call_purpose::request, std::move(out));
     co_return classify_reply(reply);
 }
 
@@ -103,10 +105,14 @@
     {
         const core::error& error = core::failure(reply);
         result_.detail_ = error.message_;
-        if (error.code_ == core::errc::unreachable)
+        if (error.code_ == core::errc::unreachable ||
+            error.code_ == core::errc::withheld)
         {
             --result_.sends_;
-            finish_attempt(call_outcome::unreachable);
+            finish_attempt(
+                error.code_ == core::errc::withheld
+                    ? call_outcome::shed
+                    : call_outcome::unreachable);
             return send_result::nothing_sent;
         }
         if (error.code_ == core::errc::broken)
@@ -198,7 +204,14 @@
     case policy::call_failure::not_run:
         result_.status_ = status_unavailable;
         result_.outcome_ = "refused_no_endpoint";
-        retry_after = no_endpoint_retry_after;
+        retry_after = std::max(
+            no_endpoint_retry_after,
+            time_until_return(
+                ingress_.with_.board_.section<catalog_section>(),
+                ingress_.with_.board_.section<endpoint_section>(),
+                call_.service_,
+                core::steady_now())
+                .value_or(core::duration{0}));
         break;
     case policy::call_failure::lost:
         result_.status_ = status_bad_gateway;
--- a/node/stage_controller.cpp
+++ b/node/stage_controller.cpp
@@ -26,6 +26,7 @@
 constexpr int status_ok = 200;
 constexpr int status_accepted = 202;
 constexpr int status_no_response = 0;
+constexpr int status_not_sent = -1;
 
 std::vector<policy::staged_engine> to_staged_engines(
     const std::vector<policy::engine_info>& engines)
@@ -47,7 +48,11 @@
     catalog_replica& group,
     const wire_codec& codec,
     placement_controller& placements)
-    : with_(with), group_(group), codec_(codec), placements_(placements)
+    : with_(with),
+      group_(group),
+      codec_(codec),
+      endpoints_(with, codec),
+      placements_(placements)
 {
 }
 
@@ -146,7 +151,10 @@
         engine.listed_.address_, engine.listed_.name_);
     call.timeout_ = report_timeout;
     const core::result<drivers::http_response> reply =
-        co_await with_.http_.request(std::move(call));
+        co_await endpoints_.request(
+            engine.listed_.name_,
+            policy::call_purpose::housekeeping,
+            std::move(call));
     if (!core::is_ok(reply) || core::value(reply).status_ != status_ok)
     {
         co_return std::nullopt;
@@ -154,8 +162,8 @@
     co_return codec_.decode_engine_report(core::value(reply).body_);
 }
 
-/// \return the status of the engine's response; 0 when there was none and the
-/// order may still be carried out.
+/// \return the status of the engine's response; status_no_response when the
+/// order may still be carried out, status_not_sent when it never will be.
 awaitable<int> stage_controller::send_order(
     const known_endpoint& engine,
     policy::stage_change change,
@@ -170,9 +178,18 @@
         engine.listed_.address_, engine.listed_.name_, order);
     call.timeout_ = order_timeout;
     const core::result<drivers::http_response> reply =
-        co_await with_.http_.request(std::move(call));
-    co_return core::is_ok(reply) ? core::value(reply).status_
-                                 : status_no_response;
+        co_await endpoints_.request(
+            engine.listed_.name_,
+            policy::call_purpose::housekeeping,
+            std::move(call));
+    if (core::is_ok(reply))
+    {
+        co_return core::value(reply).status_;
+    }
+    const core::errc code = core::failure(reply).code_;
+    const bool is_unsent =
+        code == core::errc::withheld || code == core::errc::unreachable;
+    co_return is_unsent ? status_not_sent : status_no_response;
 }
 
 awaitable<void> stage_controller::order_change(
--- a/node/stage_controller.hpp
+++ b/node/stage_controller.hpp
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "node/context.hpp"
+#include "node/endpoint_client.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/placement_controller.hpp"
 #include "node/replica.hpp"
@@ -44,6 +45,7 @@
     context& with_;
     catalog_replica& group_;
     const wire_codec& codec_;
+    endpoint_client endpoints_;
     placement_controller& placements_;
     std::map<core::service_id, policy::stage_planner> planners_;
     std::uint64_t term_ = 0; ///< Term that the planners' state belongs to.
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -121,15 +121,18 @@
     drivers::http_call call =
         ingress_.codec_.release_kv_handle_call(kv_handle_address_, *kv_handle_);
     kv_handle_.reset();
-    context& with = ingress_.with_;
     drivers::spawn(
-        with.io_,
-        [](drivers::http_client& http,
+        ingress_.with_.io_,
+        [](endpoint_client& endpoints,
+           core::endpoint_id reader,
            drivers::http_call out) -> awaitable<void>
         {
             // A handle that is not released expires by itself.
-            co_await http.request(std::move(out));
-        }(with.http_, std::move(call)));
+            co_await endpoints.request(
+                std::move(reader),
+                policy::call_purpose::housekeeping,
+                std::move(out));
+        }(ingress_.endpoints_, result_.reader_, std::move(call)));
 }
 
 void stream_forwarder::report_failure(const core::endpoint_id& engine)
@@ -149,6 +152,27 @@
     placements_.record_engine_event(std::move(event));
 }
 
+/// \return the engines that failed this stream, and those that take no requests
+/// from this host now.
+std::set<core::endpoint_id> stream_forwarder::engines_to_avoid() const
+{
+    std::set<core::endpoint_id> out = avoid_;
+    const endpoint_section& list =
+        ingress_.with_.board_.section<endpoint_section>();
+    const core::time_point now = core::steady_now();
+    for (const auto& [name, item] : list.endpoints_)
+    {
+        const bool is_withheld =
+            item.listed_.service_ == call_.service_ &&
+            !list.notices_.may_send(name, policy::call_purpose::request, now);
+        if (is_withheld)
+        {
+            out.insert(name);
+        }
+    }
+    return out;
+}
+
 placement_request stream_forwarder::make_placement_request() const
 {
     const ingress_request& request = call_.request_;
@@ -172,7 +196,8 @@
         std::min(longest_wait - waited, time_left(call_) - min_retry_time).ms_;
     out.prompt_is_read_ = kv_handle_.has_value();
     out.decode_reads_prompt_ = decode_reads_prompt_;
-    out.avoid_.assign(avoid_.begin(), avoid_.end());
+    const std::set<core::endpoint_id> avoided = engines_to_avoid();
+    out.avoid_.assign(avoided.begin(), avoided.end());
     const bool prefills_again =
         prefills_sent_ > 0 && !kv_handle_ && !decode_reads_prompt_;
     out.resends_ = (prefills_again ? 1 : 0) + (result_.sends_ > 0 ? 1 : 0);
@@ -247,11 +272,19 @@
     }
     ++prefills_sent_;
     const core::time_point started_at = core::steady_now();
+    const core::endpoint_id reader = placement_.reader_;
     const core::result<drivers::http_response> reply =
-        co_await ingress_.with_.http_.request(std::move(out));
+        co_await ingress_.endpoints_.request(
+            reader, policy::call_purpose::request, std::move(out));
     if (!core::is_ok(reply))
     {
         result_.detail_ = "prefill: " + core::failure(reply).message_;
+        if (core::failure(reply).code_ == errc::withheld)
+        {
+            --prefills_sent_;
+            avoid_.insert(reader);
+            co_return step_result::retry;
+        }
         prefills_sent_ -=
             core::failure(reply).code_ == errc::unreachable ? 1 : 0;
         report_failure(placement_.reader_);
@@ -321,11 +354,19 @@
         co_return step_result::refused;
     }
     ++result_.sends_;
+    const core::endpoint_id decoder = placement_.decoder_;
     core::result<std::unique_ptr<drivers::http_stream>> opened =
-        co_await ingress_.with_.http_.open(std::move(out));
+        co_await ingress_.endpoints_.open(
+            decoder, policy::call_purpose::request, std::move(out));
     if (!core::is_ok(opened))
     {
         result_.detail_ = "decode: " + core::failure(opened).message_;
+        if (core::failure(opened).code_ == errc::withheld)
+        {
+            --result_.sends_;
+            avoid_.insert(decoder);
+            co_return step_result::retry;
+        }
         report_failure(placement_.decoder_);
         if (core::failure(opened).code_ == errc::unreachable)
         {
@@ -440,15 +481,25 @@
     std::int64_t events_read = 0;
     parser_ = event_stream_parser();
     events_from_engine_ = 0;
+    // Only whole events are progress: a stalled engine may still send a byte
+    // now and then.
+    core::time_point progress_at = core::steady_now();
     for (;;)
     {
-        const core::duration timeout =
-            std::min(event_timeout, time_left(call_));
-        if (timeout.ms_ == 0)
+        if (time_left(call_).ms_ == 0)
         {
             result_.detail_ = "the time limit passed";
             co_return step_result::failed;
         }
+        const core::duration event_time_left =
+            progress_at + event_timeout - core::steady_now();
+        if (event_time_left.ms_ <= 0)
+        {
+            result_.detail_ = "the engine completes no event";
+            co_return step_result::retry;
+        }
+        const core::duration timeout =
+            std::min(event_time_left, time_left(call_));
         core::result<std::optional<std::string>> piece =
             co_await stream_->read_some(timeout);
         if (!core::is_ok(piece))
@@ -485,6 +536,7 @@
             ++events_read;
             const bool written =
                 co_await forward_event(exchange, std::move(*event));
+            progress_at = core::steady_now();
             if (!written)
             {
                 result_.detail_ = "the caller has stopped reading";
@@ -659,7 +711,15 @@
             placement_.over_rate_ ? status_too_many : status_unavailable;
         result_.outcome_ =
             placement_.over_rate_ ? "over_rate" : "refused_no_room";
-        retry_after = std::max(retry_after_, min_retry_after);
+        retry_after = std::max(
+            {retry_after_,
+             min_retry_after,
+             time_until_return(
+                 ingress_.with_.board_.section<catalog_section>(),
+                 ingress_.with_.board_.section<endpoint_section>(),
+                 call_.service_,
+                 core::steady_now())
+                 .value_or(core::duration{0})});
     }
     else
     {
--- a/node/stream_forwarder.hpp
+++ b/node/stream_forwarder.hpp
@@ -34,6 +34,7 @@
         failed,  ///< It may have run.
     };
 
+    std::set<core::endpoint_id> engines_to_avoid() const;
     placement_request make_placement_request() const;
     awaitable<step_result> acquire_placement();
     awaitable<step_result> prefill_prompt();
--- a/node/wire_codec.hpp
+++ b/node/wire_codec.hpp
@@ -9,6 +9,7 @@
 #include "core/finding.hpp"
 #include "drivers/http_client.hpp"
 #include "drivers/http_server.hpp"
+#include "policy/endpoint_notices.hpp"
 
 namespace poplarroute::node
 {
@@ -83,6 +84,7 @@
     core::zone_id zone_;
     std::int64_t slots_ = 1;
     bool leaving_ = false;
+    std::int64_t started_at_ms_ = 0; ///< Unix time of its start; 0: unknown.
     core::duration cold_time_left_;
     bool reads_prompts_ = false; ///< It prefills; other engines decode.
 };
@@ -91,8 +93,9 @@
 struct endpoint_page
 {
     std::vector<listed_endpoint> endpoints_;
-    std::size_t unreadable_ = 0; ///< Number of entries skipped as invalid.
-    std::string next_;           ///< Page token; empty: the last page.
+    /// Offsets in the page's text of the entries that were skipped as invalid.
+    std::vector<std::size_t> unreadable_;
+    std::string next_; ///< Page token; empty: the last page.
 };
 
 /// An engine's report of its state.
@@ -137,6 +140,11 @@
         int status,
         const drivers::header_list& headers) const = 0;
 
+    /// \return what an endpoint's response to any call says about further
+    /// calls.
+    virtual policy::endpoint_notice notice_of(
+        int status, const drivers::header_list& headers) const = 0;
+
     /// \return the headers of an endpoint's response that are sent to the
     /// caller.
     virtual drivers::header_list caller_response_headers(
--- a/policy/stream_scheduler.cpp
+++ b/policy/stream_scheduler.cpp
@@ -478,6 +478,7 @@
         [&](const auto& item)
         {
             return item.second.info_.reads_prompts_ &&
+                   request.avoid_.count(item.first) == 0 &&
                    is_available_to(item.second, request.host_, now);
         });
 }
@@ -635,7 +636,8 @@
     bool has_large_enough_engine = false;
     for (const auto& [name, engine] : engines_)
     {
-        if (engine.info_.reads_prompts_ || !engine.info_.usable_)
+        if (engine.info_.reads_prompts_ || !engine.info_.usable_ ||
+            item.request_.avoid_.count(name) != 0)
         {
             continue;
         }
--- a/policy/stream_scheduler.hpp
+++ b/policy/stream_scheduler.hpp
@@ -62,7 +62,7 @@
 
 enum class stream_refusal_reason
 {
-    no_engine,    ///< The service has no usable decode engine.
+    no_engine,    ///< It has no usable decode engine, or avoids them all.
     too_large,    ///< It does not fit into any engine's memory.
     no_room_soon, ///< The expected queueing delay exceeds its queue deadline.
     overtaken,    ///< Its first-event deadline has passed, others' have not.
--- a/tests/policy/stream_scheduler_test.cpp
+++ b/tests/policy/stream_scheduler_test.cpp
@@ -64,6 +64,37 @@
     EXPECT_TRUE(placement->decoder_.starts_with("decode"));
 }
 
+// A stream that has failed at every decode engine, or whose host all of them
+// turned away, would only wait for its caller's patience to end.
+TEST(stream_scheduler, refuses_at_once_streams_that_avoid_all_decode_engines)
+{
+    stream_scheduler scheduler;
+    scheduler.set_engines(small_fleet());
+    const time_point now{1'000};
+    stream_request request = make_request("a", now);
+    request.avoid_ = {"decode-1", "decode-2"};
+    scheduler.ask(request, now);
+    const auto decisions = scheduler.decide(now);
+    ASSERT_EQ(decisions.size(), 1U);
+    const auto* refusal = std::get_if<stream_refusal>(&decisions[0]);
+    ASSERT_NE(refusal, nullptr);
+    EXPECT_EQ(refusal->reason_, stream_refusal_reason::no_engine);
+}
+
+TEST(stream_scheduler, decode_engines_prefill_when_all_prefill_engines_failed)
+{
+    stream_scheduler scheduler;
+    scheduler.set_engines(small_fleet());
+    const time_point now{1'000};
+    stream_request request = make_request("a", now);
+    request.avoid_ = {"prefill-1", "prefill-2"};
+    scheduler.ask(request, now);
+    const auto decisions = scheduler.decide(now);
+    const stream_placement* placement = only_placement(decisions);
+    ASSERT_NE(placement, nullptr);
+    EXPECT_TRUE(placement->reader_.empty());
+}
+
 TEST(stream_scheduler, refuses_at_once_streams_that_fit_no_engine)
 {
     stream_scheduler scheduler;
