Read lists entry by entry; attribute answers on reused connections; bound trickles

One list entry with a number beyond a double, 200,000 levels deep, or with broken syntax made the whole page unreadable, or overflowed the stack where it was copied. core/json_text splits the array into texts first; each entry is parsed alone, at most 64 levels deep, and what cannot be read is counted and logged with its place. A second copy of an answer without the id of its request was taken for the answer to the next request on a kept connection, also an earlier refusal. A stalled stream that sent a byte now and then lasted until its route's time limit: only whole events, whole lines and own frames count as progress now.

Tests fail on the code before: platform_codec.one_odd_entry_*, numbers_out_of_range_*, a_deep_configuration_*; http_client.refuses_an_unnamed_*, skips_the_named_copy_*, a_line_that_trickles_*; endpoint_answers.a_stalled_*.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -319,12 +319,17 @@
             }
             if (!is_informational())
             {
-                if (!is_mismatched(echo_header, echo_value))
+                const attribution belongs = attribute(echo_header, echo_value);
+                if (belongs == attribution::this_request)
                 {
                     co_return failed;
                 }
                 ++pool_->counts_.mismatched_responses_;
                 skipped_mismatched_ = true;
+                if (belongs == attribution::unknown)
+                {
+                    break;
+                }
             }
             failed = co_await skip_body();
             if (failed)
@@ -354,14 +359,16 @@
     asio::awaitable<core::result<std::optional<std::string>>> next_line(
         core::duration timeout) override
     {
+        const core::time_point deadline = core::steady_now() + timeout;
         for (;;)
         {
             if (std::optional<std::string> line = take_line())
             {
                 co_return std::move(line);
             }
+            const core::duration remaining = deadline - core::steady_now();
             core::result<std::optional<std::string>> piece =
-                co_await read_some(timeout);
+                co_await read_some(std::max(remaining, core::duration{1}));
             if (!core::is_ok(piece) || !core::value(piece))
             {
                 co_return std::move(piece);
@@ -463,15 +470,31 @@
         return parser_->get().result_int() < min_final_status;
     }
 
-    bool is_mismatched(
+    /// Which request a response answers.
+    enum class attribution
+    {
+        this_request,
+        another_request,
+        unknown, ///< It may repeat the answer to an earlier request.
+    };
+
+    attribution attribute(
         const std::string& echo_header, const std::string& echo_value) const
     {
         if (echo_header.empty())
         {
-            return false;
+            return attribution::this_request;
         }
         const auto found = parser_->get().find(echo_header);
-        return found != parser_->get().end() && found->value() != echo_value;
+        if (found != parser_->get().end())
+        {
+            return found->value() == echo_value ? attribution::this_request
+                                                : attribution::another_request;
+        }
+        // On a new connection there is no earlier request.
+        return echo_value.empty() || !connection_->reused_
+                   ? attribution::this_request
+                   : attribution::unknown;
     }
 
     std::optional<std::string> take_line()
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -34,8 +34,10 @@
     /// Connections that have been idle for longer are not reused.
     core::duration max_idle_time_{60'000};
 
-    /// A header that responses repeat, and its value. A response with another
-    /// value belongs to an earlier request and is skipped.
+    /// A header that responses repeat, and its value; empty: the request has
+    /// none. A response with another value belongs to an earlier request and is
+    /// skipped. One without the header is refused on a connection that has been
+    /// used before, since it may be a second copy of an earlier answer.
     std::string echo_header_;
     std::string echo_value_;
 };
@@ -52,7 +54,7 @@
     virtual header_list headers() const = 0;
 
     /// Reads the next line.
-    /// \param timeout how long to wait for each part of the line.
+    /// \param timeout how long to wait for the whole line.
     /// \return the line without its line break; nothing when the body is
     /// complete; an error of kind broken or timeout otherwise.
     virtual asio::awaitable<core::result<std::optional<std::string>>> next_line(
--- a/node/caller_api.cpp
+++ b/node/caller_api.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/digest.hpp"
+#include "core/json_text.hpp"
 
 namespace poplarroute::node
 {
@@ -116,7 +117,7 @@
 core::result<completion_request> parse_completion(
     std::string_view body, bool chat)
 {
-    const json document = json::parse(body, nullptr, false);
+    const json document = core::parse_json(body).value_or(json());
     if (!document.is_object())
     {
         return core::error{
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
+
 namespace poplarroute::node
 {
 
@@ -57,7 +59,7 @@
 template <class Value, class Reader>
 core::result<Value> read_json(const std::string& text, Reader reader)
 {
-    const json document = json::parse(text, nullptr, false);
+    const json document = core::parse_json(text).value_or(json());
     if (!document.is_object())
     {
         return error{errc::invalid, "the engine's answer is no object"};
@@ -86,7 +88,7 @@
 
 std::optional<decode_frame> decode_stream::parse_line(const std::string& line)
 {
-    const json document = json::parse(line, nullptr, false);
+    const json document = core::parse_json(line).value_or(json());
     const bool is_own = document.is_object() &&
                         document.value("attempt", "") == to_string(attempt_);
     if (!is_own)
@@ -115,9 +117,13 @@
 awaitable<core::result<decode_frame>> decode_stream::next(
     core::duration timeout)
 {
+    // Frames of other attempts are no progress.
+    const core::time_point deadline = core::steady_now() + timeout;
     for (;;)
     {
-        auto line = co_await lines_->next_line(timeout);
+        const core::duration remaining = deadline - core::steady_now();
+        auto line =
+            co_await lines_->next_line(std::max(remaining, core::duration{1}));
         if (!core::is_ok(line))
         {
             co_return core::failure(line);
--- a/node/platform_monitor.cpp
+++ b/node/platform_monitor.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
 #include "drivers/log.hpp"
 
 namespace poplarroute::node
@@ -15,6 +16,33 @@
 constexpr core::duration command_timeout{3'000};
 constexpr int status_ok = 200;
 
+/// An entry of the platform's list.
+struct platform_entry
+{
+    std::string name_;
+    std::string state_;
+};
+
+/// \return nothing when the entry cannot be read; the others hold.
+std::optional<platform_entry> parse_entry(std::string_view text)
+{
+    const std::optional<nlohmann::json> document = core::parse_json(text);
+    if (!document || !document->is_object())
+    {
+        return std::nullopt;
+    }
+    try
+    {
+        return platform_entry{
+            document->at("name").get<std::string>(),
+            document->value("state", "live")};
+    }
+    catch (const nlohmann::json::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 platform_monitor::platform_monitor(
@@ -51,36 +79,53 @@
     {
         co_return;
     }
-    const auto document =
-        nlohmann::json::parse(core::value(reply).body_, nullptr, false);
-    if (!document.is_object())
+    const std::string& body = core::value(reply).body_;
+    const auto endpoints = core::split_json_array(body, "endpoints");
+    const auto listed_hosts = core::split_json_array(body, "hosts");
+    if (!endpoints && !listed_hosts)
     {
+        drivers::log_event(
+            drivers::log_level::warning,
+            "list_unreadable",
+            {{"bytes", body.size()}});
         co_return;
     }
     std::set<core::endpoint_id> leaving;
     std::set<core::host_id> hosts;
-    try
+    std::size_t unreadable = 0;
+    const std::vector<std::string_view> none;
+    for (const std::string_view text : endpoints.value_or(none))
     {
-        for (const auto& item :
-             document.value("endpoints", nlohmann::json::array()))
+        const std::optional<platform_entry> entry = parse_entry(text);
+        unreadable += entry ? 0 : 1;
+        if (entry && entry->state_ == "leaving")
         {
-            if (item.value("state", "live") == "leaving")
-            {
-                leaving.insert(item.at("name").get<std::string>());
-            }
+            leaving.insert(entry->name_);
         }
-        for (const auto& item :
-             document.value("hosts", nlohmann::json::array()))
+    }
+    bool all_hosts_readable = true;
+    for (const std::string_view text : listed_hosts.value_or(none))
+    {
+        const std::optional<platform_entry> entry = parse_entry(text);
+        unreadable += entry ? 0 : 1;
+        all_hosts_readable = all_hosts_readable && entry;
+        if (entry)
         {
-            hosts.insert(item.at("name").get<std::string>());
+            hosts.insert(entry->name_);
         }
     }
-    catch (const nlohmann::json::exception&)
+    if (unreadable != unreadable_entries_)
     {
-        co_return;
+        unreadable_entries_ = unreadable;
+        drivers::log_event(
+            drivers::log_level::warning,
+            "list_entries_unreadable",
+            {{"entries", unreadable}});
     }
     with_.board_.section<platform_section>().leaving_ = std::move(leaving);
-    if (local_replica_ != nullptr && local_replica_->leads())
+    // An entry that cannot be read may be that of a host that seems missing.
+    if (all_hosts_readable && local_replica_ != nullptr &&
+        local_replica_->leads())
     {
         co_await retire_missing(std::move(hosts));
     }
--- a/node/platform_monitor.hpp
+++ b/node/platform_monitor.hpp
@@ -29,6 +29,7 @@
     context& with_;
     replica* local_replica_;
     control_client& control_client_;
+    std::size_t unreadable_entries_ = 0; ///< In the list read last.
     std::map<core::host_id, core::time_point> missing_since_;
 };
 
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -105,6 +105,126 @@
         });
 }
 
+// A faulty endpoint writes an earlier answer once more on a kept connection. If
+// it does not say which request it answers, the next caller must not get it.
+TEST(http_client, refuses_an_unnamed_response_on_a_reused_connection)
+{
+    asio::io_context io;
+    const std::string refusal =
+        "HTTP/1.1 503 Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    raw_endpoint endpoint(
+        io, {make_response("a", "one"), refusal + make_response("b", "two")});
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call first = make_call("a");
+            const auto answered = co_await client.request(std::move(first));
+            EXPECT_TRUE(core::is_ok(answered));
+            http_call second = make_call("b");
+            const auto reply = co_await client.request(std::move(second));
+            EXPECT_FALSE(core::is_ok(reply));
+            EXPECT_EQ(client.counts().reused_, 1U);
+            EXPECT_EQ(client.counts().mismatched_responses_, 1U);
+        });
+}
+
+TEST(http_client, skips_the_named_copy_of_an_answer_before_an_unnamed_one)
+{
+    asio::io_context io;
+    const std::string report =
+        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nreport";
+    raw_endpoint endpoint(io, {make_response("a", "one") + report});
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            // A call without an id of its own.
+            http_call call = make_call("");
+            const auto reply = co_await client.request(std::move(call));
+            EXPECT_TRUE(core::is_ok(reply));
+            EXPECT_EQ(core::value(reply).body_, "report");
+        });
+}
+
+/// Endpoint that answers each connection's request and repeats the answer once
+/// the next request could have been sent.
+asio::awaitable<void> serve_twice(tcp::acceptor& acceptor)
+{
+    for (int served = 1;; ++served)
+    {
+        tcp::socket socket =
+            co_await acceptor.async_accept(asio::use_awaitable);
+        std::array<char, 4096> buffer{};
+        co_await socket.async_read_some(
+            asio::buffer(buffer), asio::use_awaitable);
+        const std::string answer = make_response("a", std::to_string(served));
+        co_await asio::async_write(
+            socket, asio::buffer(answer), asio::use_awaitable);
+        co_await sleep_for(core::duration{20});
+        co_await asio::async_write(
+            socket, asio::buffer(answer), asio::use_awaitable);
+        co_await sleep_for(core::duration{100});
+    }
+}
+
+TEST(http_client, a_second_copy_between_two_requests_closes_the_connection)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, parse_endpoint(address));
+    spawn(io, serve_twice(acceptor));
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call first = make_call("a");
+            co_await client.request(std::move(first));
+            co_await sleep_for(core::duration{50});
+            http_call second = make_call("a");
+            const auto reply = co_await client.request(std::move(second));
+            EXPECT_TRUE(core::is_ok(reply));
+            EXPECT_EQ(core::value(reply).body_, "2");
+            EXPECT_EQ(client.counts().opened_, 2U);
+        });
+}
+
+/// Endpoint that sends a line without end, a character at a time.
+asio::awaitable<void> serve_trickle(tcp::acceptor& acceptor)
+{
+    tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\n";
+    co_await asio::async_write(socket, asio::buffer(head), asio::use_awaitable);
+    error_code failed;
+    while (!failed)
+    {
+        co_await asio::async_write(
+            socket,
+            asio::buffer("x", 1),
+            asio::redirect_error(asio::use_awaitable, failed));
+        co_await sleep_for(core::duration{50});
+    }
+}
+
+TEST(http_client, a_line_that_trickles_in_times_out)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, parse_endpoint(address));
+    spawn(io, serve_trickle(acceptor));
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call call = make_call("a");
+            auto opened = co_await client.open(std::move(call));
+            EXPECT_TRUE(core::is_ok(opened));
+            const core::time_point asked_at = core::steady_now();
+            const auto line =
+                co_await core::value(opened)->next_line(core::duration{300});
+            EXPECT_FALSE(core::is_ok(line));
+            EXPECT_LT((core::steady_now() - asked_at).ms_, 600);
+        });
+}
+
 TEST(http_client, closes_a_connection_with_extra_bytes)
 {
     asio::io_context io;
--- a/tests/platform/endpoint_answers_test.cpp
+++ b/tests/platform/endpoint_answers_test.cpp
@@ -41,7 +41,8 @@
 {
     close,
     reset,
-    repeat, ///< It sends the same bytes until the host closes.
+    repeat,  ///< It sends the same bytes until the host closes.
+    trickle, ///< It sends the same bytes every 200 ms, a number of times.
 };
 
 struct engine_script
@@ -49,6 +50,7 @@
     std::string answer_;
     ending ending_ = ending::close;
     std::string repeated_;
+    int times_ = 1'000;
 };
 
 class endpoint_answers : public ::testing::Test
@@ -134,6 +136,16 @@
                 asio::buffer(script.repeated_),
                 asio::redirect_error(asio::use_awaitable, failed));
         }
+        for (int sent = 0; script.ending_ == ending::trickle &&
+                           sent < script.times_ && !failed;
+             ++sent)
+        {
+            co_await drivers::sleep_for(core::duration{200});
+            co_await asio::async_write(
+                socket,
+                asio::buffer(script.repeated_),
+                asio::redirect_error(asio::use_awaitable, failed));
+        }
         if (script.ending_ == ending::reset)
         {
             co_await drivers::sleep_for(core::duration{50});
@@ -204,6 +216,24 @@
     EXPECT_FALSE(core::is_ok(response));
 }
 
+// The route's callers leave after two seconds without an event; its time limit
+// is three.
+TEST_F(endpoint_answers, a_stalled_stream_that_sends_single_bytes_is_given_up)
+{
+    const core::time_point asked_at = core::steady_now();
+    const auto response =
+        call({"id: 1\ndata: a\n\nid: 2\ndata: ", ending::trickle, "x"});
+    EXPECT_FALSE(core::is_ok(response));
+    EXPECT_LT((core::steady_now() - asked_at).ms_, 2'700);
+}
+
+TEST_F(endpoint_answers, a_slow_stream_of_whole_events_is_not_cut)
+{
+    const auto response = call({"", ending::trickle, "data: a\n\n", 12});
+    ASSERT_TRUE(core::is_ok(response));
+    EXPECT_EQ(core::value(response).body_.size(), 12 * 9U);
+}
+
 TEST_F(endpoint_answers, an_event_without_end_is_given_up)
 {
     const auto response =
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -178,7 +178,7 @@
       "next":"p-50"})");
     ASSERT_TRUE(page);
     ASSERT_EQ(page->endpoints_.size(), 2U);
-    EXPECT_EQ(page->unreadable_, 5U);
+    EXPECT_EQ(page->unreadable_.size(), 5U);
     EXPECT_EQ(page->next_, "p-50");
     EXPECT_FALSE(page->endpoints_[0].leaving_);
     EXPECT_TRUE(page->endpoints_[1].leaving_);
@@ -186,6 +186,83 @@
     EXPECT_EQ(page->endpoints_[1].cold_time_left_.ms_, 12);
 }
 
+/// \return a page with one odd entry between two sound ones.
+std::string page_with_entry(const std::string& odd)
+{
+    const auto entry = [](const std::string& name)
+    {
+        return R"({"id":")" + name + R"(","service":"s","zone":"z",)" +
+               R"("address":"10.0.0.1:80","slots":4,"state":"ready",)" +
+               R"("coldLeftMs":0})";
+    };
+    return R"({"instances":[)" + entry("i-1") + "," + odd + "," + entry("i-2") +
+           R"(],"next":null})";
+}
+
+// Another program may write one entry that breaks the reader of the whole list.
+TEST(platform_codec, one_odd_entry_does_not_hide_the_others)
+{
+    const platform_codec wire;
+    constexpr std::size_t deep = 200'000;
+    const std::string nested = R"({"id":"i-3","x":)" + std::string(deep, '[') +
+                               std::string(deep, ']') + "}";
+    const std::string ready =
+        R"({"id":"i-3","service":"s","zone":"z","state":"ready",)";
+    const std::vector<std::string> odd_entries{
+        nested,
+        std::string(deep, '[') + std::string(deep, ']'),
+        ready + R"("address":"10.0.0.3:80","slots":1e999,"coldLeftMs":0})",
+        ready + R"("address":"10.0.0.3:80","slots":4,"coldLeftMs":-1e999})",
+        ready + R"("address":"10.0.0.3:99999","slots":4,"coldLeftMs":0})",
+        ready + R"("address":"10.0.0.3:-1","slots":4,"coldLeftMs":0})",
+        R"({"id": })",
+        "{\"id\":\"\xff\xfe\x01\"}",
+        "\xc3\x28",
+        R"({"id":"i-3"])",
+        R"("a \" quoted ] text")",
+        "",
+        "null"};
+    for (const std::string& odd : odd_entries)
+    {
+        const auto page = wire.decode_endpoint_page(page_with_entry(odd));
+        ASSERT_TRUE(page) << odd.substr(0, 80);
+        ASSERT_EQ(page->endpoints_.size(), 2U) << odd.substr(0, 80);
+        EXPECT_EQ(page->endpoints_[0].name_, "i-1");
+        EXPECT_EQ(page->endpoints_[1].name_, "i-2");
+        EXPECT_EQ(page->unreadable_.size(), 1U);
+    }
+}
+
+TEST(platform_codec, numbers_out_of_range_are_limited)
+{
+    const platform_codec wire;
+    const auto page = wire.decode_endpoint_page(page_with_entry(
+        R"({"id":"i-3","service":"s","zone":"z","address":"10.0.0.3:80",)"
+        R"("slots":1e300,"state":"ready","coldLeftMs":1e300,)"
+        R"("born":18446744073709551615})"));
+    ASSERT_TRUE(page);
+    ASSERT_EQ(page->endpoints_.size(), 3U);
+    EXPECT_GT(page->endpoints_[1].slots_, 0);
+    EXPECT_EQ(page->endpoints_[1].cold_time_left_.ms_, 3'600'000);
+    EXPECT_GT(page->endpoints_[1].started_at_ms_, 0);
+    EXPECT_FALSE(wire.decode_kv_handle(R"({"kvHandle":5})"));
+    EXPECT_TRUE(wire.decode_kv_handle(R"({"kvHandle":"h","tokens":"ten"})"));
+    EXPECT_FALSE(wire.decode_engine_report(
+        std::string(100'000, '[') + std::string(100'000, ']')));
+}
+
+TEST(platform_codec, a_deep_configuration_is_refused)
+{
+    const platform_codec wire;
+    core::finding_list findings;
+    const std::string deep =
+        std::string(200'000, '[') + std::string(200'000, ']');
+    EXPECT_FALSE(wire.decode_catalog(
+        R"({"version":1,"routes":[],"services":[],"x":)" + deep + "}",
+        findings));
+    EXPECT_FALSE(findings.all().empty());
+}
+
 RC_GTEST_PROP(platform_codec, survives_any_bytes, (std::string bytes))
 {
     const platform_codec wire;
