Check permissions at the moment of the act; answer what a stopping host has accepted

- A leader that was paused acted on a leadership that had run out: leads() now looks at the time of the last answers of a majority, not only at each tick, and orders are not sent later than 700 ms after their leadership was asked for, also when the connection took that long.
The clock counts the time for which a machine is suspended, so leases and deadlines pass meanwhile.
- A host that restarted took its first catalog from any member, also from one that is cut off and still holds a withdrawn key.
It now waits up to 3 s for a member whose catalog is current.
- A stop reset connections that waited in the kernel's queue, and closed idle connections with a request that had arrived.
Both are answered now.

Tests: raft.a_leader_that_was_paused_*, http_client.sends_nothing_after_*, http.a_stop_*, which fail before.

--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -200,15 +200,21 @@
 
 void raft::check_quorum(core::time_point now)
 {
-    const core::duration limit = times_.min_election_timeout_;
-    if (now - leadership_started_at_ > limit &&
-        !has_reply_from_majority(now - limit))
+    if (!is_followed(now))
     {
         become_follower(state_.term_, "");
         reset_election_timer(now);
     }
 }
 
+bool raft::is_followed(core::time_point now) const
+{
+    const core::duration limit = times_.min_election_timeout_;
+    return role_ == raft_role::leader &&
+           (now - leadership_started_at_ <= limit ||
+            has_reply_from_majority(now - limit));
+}
+
 bool raft::has_reply_from_majority(core::time_point since) const
 {
     std::size_t count = 0;
--- a/control/raft.hpp
+++ b/control/raft.hpp
@@ -146,6 +146,11 @@
     /// member leads, of its last contact to a majority.
     core::time_point last_contact(core::time_point now) const;
 
+    /// \return whether this member leads and a majority has answered it within
+    /// the shortest election timeout. A process that was paused may lead no
+    /// longer, although it has not heard of a successor.
+    bool is_followed(core::time_point now) const;
+
     /// \return the time of the last reply that this leader received from a
     /// member; nothing if it received none or this member does not lead.
     std::optional<core::time_point> last_reply_from(
--- a/core/clock.hpp
+++ b/core/clock.hpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <ctime>
 
 namespace poplarroute::core
 {
@@ -21,7 +22,8 @@
     }
 };
 
-/// A point on the monotonic clock of one host, in milliseconds.
+/// A point on the monotonic clock of one host, in milliseconds. The clock also
+/// counts the time for which the host is suspended.
 ///
 /// Code without input or output takes the time as a parameter and never reads
 /// a clock itself, so that a run can be repeated from its seed.
@@ -63,13 +65,16 @@
 }
 
 /// Reads the monotonic clock of this host, which does not follow changes of
-/// the wall clock.
+/// the wall clock. It counts suspended time, so that a lease or a deadline that
+/// passed meanwhile has passed for this process, too.
 /// \return milliseconds since an arbitrary start.
 inline time_point steady_now()
 {
-    const auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return {
-        std::chrono::duration_cast<std::chrono::milliseconds>(since).count()};
+    constexpr std::int64_t ms_per_second = 1'000;
+    constexpr std::int64_t ns_per_ms = 1'000'000;
+    timespec now{};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return {now.tv_sec * ms_per_second + now.tv_nsec / ns_per_ms};
 }
 
 /// Reads the wall clock, for records that people read and for retention
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -588,6 +588,11 @@
         co_return core::failure(connected);
     }
     const connection_ptr used = core::value(connected);
+    if (call.send_before_ && core::steady_now() > *call.send_before_)
+    {
+        used->stream_.close();
+        co_return error{errc::withheld, "it is too late to send it"};
+    }
     auto message =
         std::make_shared<http::request<http::string_body>>(make_request(call));
     used->stream_.expires_after(call.timeout_.chrono());
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -31,6 +31,8 @@
     std::string body_;
     core::duration timeout_{5'000}; ///< For the whole response, or its header.
     core::duration connect_timeout_{1'000};
+    /// The call is not sent after this time, since what permits it ends then.
+    std::optional<core::time_point> send_before_;
     /// Connections that have been idle for longer are not reused.
     core::duration max_idle_time_{60'000};
 
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <stdexcept>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -47,6 +49,10 @@
 namespace
 {
 
+/// How long a connection that is accepted while the server stops may take to
+/// begin its request.
+constexpr core::duration stopping_request_wait{500};
+
 std::string encode_chunk(std::string_view piece)
 {
     static constexpr char digits[] = "0123456789abcdef";
@@ -245,6 +251,30 @@
            failed != http::error::partial_message;
 }
 
+/// Waits until a request begins to arrive on an idle connection.
+/// \return whether one does.
+asio::awaitable<bool> wait_for_request(
+    http_server::state& shared, beast::tcp_stream& stream)
+{
+    using namespace asio::experimental::awaitable_operators;
+    if (shared.stopping_)
+    {
+        const auto woken = co_await (
+            stream.socket().async_wait(
+                tcp::socket::wait_read, asio::as_tuple(asio::use_awaitable)) ||
+            sleep_for(stopping_request_wait));
+        co_return woken.index() == 0 && !std::get<0>(std::get<0>(woken));
+    }
+    shared.idle_streams_.insert(&stream);
+    stream.expires_after(shared.limits_.idle_timeout_.chrono());
+    error_code failed;
+    co_await stream.socket().async_wait(
+        tcp::socket::wait_read,
+        asio::redirect_error(asio::use_awaitable, failed));
+    shared.idle_streams_.erase(&stream);
+    co_return !failed;
+}
+
 /// Reads the next request of a connection.
 /// \return whether a request was read.
 asio::awaitable<bool> read_request(
@@ -259,13 +289,8 @@
     error_code failed;
     if (buffer.size() == 0)
     {
-        shared.idle_streams_.insert(&stream);
-        stream.expires_after(shared.limits_.idle_timeout_.chrono());
-        co_await stream.socket().async_wait(
-            tcp::socket::wait_read,
-            asio::redirect_error(asio::use_awaitable, failed));
-        shared.idle_streams_.erase(&stream);
-        if (failed)
+        const bool arrives = co_await wait_for_request(shared, stream);
+        if (!arrives)
         {
             co_return false;
         }
@@ -311,9 +336,13 @@
     socket.set_option(tcp::no_delay(true), ignored);
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
+    // A connection that is accepted while the server stops may still send one
+    // request.
     bool keep_open = true;
-    while (keep_open && !shared->stopping_)
+    bool is_first = true;
+    while (keep_open && (is_first || !shared->stopping_))
     {
+        is_first = false;
         http::request_parser<http::string_body> parser;
         const bool is_complete =
             co_await read_request(*shared, stream, buffer, parser);
@@ -332,6 +361,25 @@
     co_await lingering_close(stream);
 }
 
+/// Accepts the connections that wait in the kernel's queue. Closing the
+/// listening socket would reset them, although their requests may have been
+/// sent.
+void accept_pending(const std::shared_ptr<http_server::state>& shared)
+{
+    error_code failed;
+    shared->acceptor_.non_blocking(true, failed);
+    while (!failed &&
+           shared->open_connections_ < shared->limits_.max_connections_)
+    {
+        tcp::socket socket(shared->context_);
+        shared->acceptor_.accept(socket, failed);
+        if (!failed)
+        {
+            spawn(shared->context_, serve(shared, std::move(socket)));
+        }
+    }
+}
+
 asio::awaitable<void> accept_loop(std::shared_ptr<http_server::state> shared)
 {
     static constexpr core::duration accept_retry_delay{20};
@@ -408,11 +456,17 @@
 void http_server::stop_accepting()
 {
     state_->stopping_ = true;
+    accept_pending(state_);
     error_code ignored;
     state_->acceptor_.close(ignored);
     for (beast::tcp_stream* stream : state_->idle_streams_)
     {
-        stream->close();
+        // A request that has arrived, but is not read yet, is still answered.
+        const bool has_request = stream->socket().available(ignored) > 0;
+        if (!has_request)
+        {
+            stream->close();
+        }
     }
 }
 
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -44,6 +44,10 @@
 /// How long a request that crashes engines is refused.
 constexpr core::duration quarantine_duration{60'000};
 
+/// A member that has heard of its group within this time holds what is in
+/// force.
+constexpr core::duration current_member_silence{1'000};
+
 /// Time after its election in which a leader takes over what hosts refuse.
 constexpr core::duration adoption_period{4'000};
 
@@ -532,6 +536,10 @@
     const control::catalog_state_machine& state = group_.state();
     out.revision_ = state.revision();
     out.version_ = state.version();
+    const std::optional<core::time_point> current_as_of =
+        group_.current_as_of();
+    out.current_ = current_as_of && core::steady_now() - *current_as_of <=
+                                        current_member_silence;
     if (state.revision() > request.revision_ && !request.fetches_parts_)
     {
         out.text_ = core::binary(state.text());
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -93,6 +93,9 @@
     std::uint64_t term_ = 0; ///< Raft term of the member.
     std::vector<core::host_id> members_;
     std::uint64_t revision_ = 0;
+    /// Whether the member's catalog is known to be current. A member that is
+    /// cut off may hold an older one.
+    bool current_ = false;
     std::uint64_t version_ = 0; ///< Version of the catalog; 0: not stated.
     /// For hosts that do not fetch parts: the catalog as a binary value if it
     /// is newer than the host's; else null.
@@ -299,6 +302,7 @@
     term_,
     members_,
     revision_,
+    current_,
     version_,
     text_,
     zones_out_,
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -39,6 +39,11 @@
 /// of leader. The new leader takes them over meanwhile.
 constexpr core::duration previous_quarantines_validity{6'000};
 
+/// Time after its start in which a host accepts its first catalog only from a
+/// member whose catalog is current. Keys may have been withdrawn since; but a
+/// host that reaches no such member has to serve at last.
+constexpr core::duration outdated_catalog_wait{3'000};
+
 /// Interval and timeout of the settlement of accounts' usage.
 constexpr core::duration settle_interval{100};
 constexpr core::duration settle_timeout{500};
@@ -55,6 +60,7 @@
 
 void catalog_watcher::start()
 {
+    started_at_ = core::steady_now();
     with_.board_.section<meter_section>().meter_ =
         policy::account_meter(core::stable_hash(with_.identity().host_));
     drivers::spawn(with_.io_, watch_loop());
@@ -217,7 +223,10 @@
     {
         group.members_ = reply.members_;
     }
-    apply_catalog(reply);
+    if (!may_be_outdated(reply))
+    {
+        apply_catalog(reply);
+    }
     const core::host_id leader = reply.leads_ ? from : reply.leader_;
     // If a member names itself as the leader but does not lead, no leader is
     // known.
@@ -244,6 +253,16 @@
     apply_endpoints(reply);
 }
 
+/// \return whether a member may state an older catalog than this host had
+/// before it restarted. A host that has one takes only newer ones.
+bool catalog_watcher::may_be_outdated(const watch_reply& reply) const
+{
+    const bool has_catalog =
+        with_.board_.section<catalog_section>().view_ != nullptr;
+    return !has_catalog && !reply.leads_ && !reply.current_ &&
+           core::steady_now() - started_at_ < outdated_catalog_wait;
+}
+
 void catalog_watcher::apply_quarantines(const watch_reply& reply)
 {
     group_section& group = with_.board_.section<group_section>();
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -57,6 +57,7 @@
     void apply(const watch_reply& reply, const core::host_id& from);
     void apply_quarantines(const watch_reply& reply);
     void apply_catalog(const watch_reply& reply);
+    bool may_be_outdated(const watch_reply& reply) const;
     bool needs_catalog() const;
     bool needs_list() const;
     void put_list_in_force(std::string_view content);
@@ -75,6 +76,7 @@
 
     context& with_;
     const wire_codec& codec_;
+    core::time_point started_at_;
     std::size_t next_member_index_ = 0;
     std::uint64_t crash_revision_ = 0;
 
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -310,11 +310,13 @@
     std::string address,
     std::uint64_t fence,
     std::string name,
-    std::string value)
+    std::string value,
+    core::time_point send_before)
 {
     const json body{{"fence", fence}, {"order", name}, {"value", value}};
     drivers::http_call call = post(std::move(address), "/order", body);
     call.timeout_ = order_timeout;
+    call.send_before_ = send_before;
     const auto reply = co_await http_.request(std::move(call));
     if (!core::is_ok(reply))
     {
--- a/node/engine.hpp
+++ b/node/engine.hpp
@@ -135,7 +135,8 @@
         std::string address,
         std::uint64_t fence,
         std::string name,
-        std::string value);
+        std::string value,
+        core::time_point send_before);
 
     /// One change of an engine's prefix cache.
     struct cache_event
--- a/node/order_controller.cpp
+++ b/node/order_controller.cpp
@@ -67,7 +67,11 @@
         co_return error{errc::timeout, "the order's turn is over"};
     }
     const auto sent = co_await engines_.order(
-        address, fence_reply.version_, request.name_, request.value_);
+        address,
+        fence_reply.version_,
+        request.name_,
+        request.value_,
+        submitted_at + wait + control::order_lifetime);
     if (!core::is_ok(sent))
     {
         co_return core::failure(sent);
--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -141,7 +141,7 @@
 template <class Machine>
 bool raft_replica<Machine>::leads() const
 {
-    return !suspended_ && raft_->role() == control::raft_role::leader;
+    return !suspended_ && raft_->is_followed(core::steady_now());
 }
 
 template <class Machine>
--- a/node/stage_controller.cpp
+++ b/node/stage_controller.cpp
@@ -19,6 +19,10 @@
 
 constexpr core::duration report_timeout{400};
 
+/// Time after the confirmation of the leadership was requested in which an
+/// order may be sent. A paused process must not act on an older confirmation.
+constexpr core::duration order_validity{700};
+
 /// Timeout of an order. It is sent right after leadership was confirmed, and
 /// abandoned long before a successor may give orders.
 constexpr core::duration order_timeout{700};
@@ -167,7 +171,8 @@
 awaitable<int> stage_controller::send_order(
     const known_endpoint& engine,
     policy::stage_change change,
-    std::int64_t sequence)
+    std::int64_t sequence,
+    core::time_point send_before)
 {
     stage_order order;
     order.reads_prompts_ = change.reads_prompts_;
@@ -177,6 +182,7 @@
     drivers::http_call call = codec_.stage_order_call(
         engine.listed_.address_, engine.listed_.name_, order);
     call.timeout_ = order_timeout;
+    call.send_before_ = send_before;
     const core::result<drivers::http_response> reply =
         co_await endpoints_.request(
             engine.listed_.name_,
@@ -208,13 +214,18 @@
     const bool ready = report && !report->changing_ &&
                        report->reads_prompts_ != change.reads_prompts_;
     // Only a leader that a majority still follows may give orders.
+    const core::time_point confirmed_from = core::steady_now();
     const core::result<core::done> leading = co_await group_.read_barrier();
     int status = status_no_response;
     const bool may_order = ready && core::is_ok(leading) && group_.leads() &&
                            group_.member()->term() == term_;
     if (may_order)
     {
-        status = co_await send_order(engine, change, report->accepted_orders_);
+        status = co_await send_order(
+            engine,
+            change,
+            report->accepted_orders_,
+            confirmed_from + order_validity);
     }
     const core::time_point now = core::steady_now();
     const bool taken = status == status_ok || status == status_accepted ||
--- a/node/stage_controller.hpp
+++ b/node/stage_controller.hpp
@@ -39,7 +39,8 @@
     awaitable<int> send_order(
         const known_endpoint& engine,
         policy::stage_change change,
-        std::int64_t sequence);
+        std::int64_t sequence,
+        core::time_point send_before);
     policy::stage_planner& planner_of(const core::service_id& service);
 
     context& with_;
--- a/tests/control/raft_test.cpp
+++ b/tests/control/raft_test.cpp
@@ -83,6 +83,23 @@
 // Guards against a slow election after a restart of the whole group. The first
 // member's pre-vote reached nobody and its next one came a full election
 // timeout later, so that entry hosts were without a catalog for 1.4 s.
+// A leader that was paused must not act before it has looked at the time: a
+// successor may have been elected meanwhile.
+TEST(raft, a_leader_that_was_paused_is_not_followed)
+{
+    raft leader = make_raft("a", "sa", false);
+    leader.tick({5'000});
+    leader.receive({"b", "sb", "a", "sa", vote_reply{1, true, true}}, {5'001});
+    const vote_reply granted{leader.term(), true, false};
+    leader.receive({"b", "sb", "a", "sa", granted}, {5'002});
+    ASSERT_EQ(leader.role(), raft_role::leader);
+    EXPECT_TRUE(leader.is_followed({5'100}));
+    EXPECT_FALSE(leader.is_followed({15'000}));
+    EXPECT_EQ(leader.role(), raft_role::leader);
+    leader.tick({15'000});
+    EXPECT_NE(leader.role(), raft_role::leader);
+}
+
 TEST(raft, a_restarted_group_elects_soon_after_its_majority_started)
 {
     constexpr core::duration majority_start_time{300};
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -330,6 +330,24 @@
         });
 }
 
+// A process may be paused while it connects; what permits the call may have
+// ended meanwhile.
+TEST(http_client, sends_nothing_after_the_permission_has_ended)
+{
+    asio::io_context io;
+    raw_endpoint endpoint(io, {make_response("a", "one")});
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call call = make_call("a");
+            call.send_before_ = core::steady_now() - core::duration{1};
+            const auto reply = co_await client.request(std::move(call));
+            EXPECT_FALSE(core::is_ok(reply));
+            EXPECT_EQ(core::failure(reply).code_, core::errc::withheld);
+        });
+}
+
 TEST(http_client, says_unreachable_only_when_nothing_was_sent)
 {
     asio::io_context io;
--- a/tests/drivers/ports_test.cpp
+++ b/tests/drivers/ports_test.cpp
@@ -1,3 +1,6 @@
+#include <array>
+
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -120,6 +123,81 @@
         std::string::npos);
 }
 
+constexpr const char* request_bytes = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+/// Connects and sends a request without letting the server run.
+tcp::socket send_request(asio::io_context& io)
+{
+    tcp::socket socket(io);
+    socket.connect(parse_endpoint(http_address));
+    asio::write(socket, asio::buffer(std::string_view(request_bytes)));
+    return socket;
+}
+
+/// \return whether a response has arrived.
+bool has_response(tcp::socket& socket)
+{
+    std::array<char, 256> buffer{};
+    error_code failed;
+    socket.non_blocking(true, failed);
+    const std::size_t size = socket.read_some(asio::buffer(buffer), failed);
+    return std::string_view(buffer.data(), size).starts_with("HTTP/1.1 200");
+}
+
+// A host that stops must answer requests that the kernel has accepted for it,
+// but that it has not read yet.
+TEST(http, a_stop_answers_connections_that_were_not_yet_accepted)
+{
+    asio::io_context io;
+    http_server server(io, http_address, http_limits(), echo);
+    server.start();
+    std::vector<tcp::socket> callers;
+    for (int count = 0; count < 5; ++count)
+    {
+        callers.push_back(send_request(io));
+    }
+    server.stop_accepting();
+    io.run_for(std::chrono::milliseconds(200));
+    for (tcp::socket& caller : callers)
+    {
+        EXPECT_TRUE(has_response(caller));
+    }
+}
+
+TEST(http, a_stop_answers_a_request_that_waits_on_an_idle_connection)
+{
+    asio::io_context io;
+    http_server server(io, http_address, http_limits(), echo);
+    server.start();
+    tcp::socket caller = send_request(io);
+    io.run_for(std::chrono::milliseconds(50));
+    ASSERT_TRUE(has_response(caller));
+    tcp::socket idle = send_request(io);
+    io.run_for(std::chrono::milliseconds(50));
+    ASSERT_TRUE(has_response(idle));
+    asio::write(caller, asio::buffer(std::string_view(request_bytes)));
+    server.stop_accepting();
+    io.run_for(std::chrono::milliseconds(100));
+    EXPECT_TRUE(has_response(caller));
+    caller.close();
+    io.run_for(std::chrono::milliseconds(800));
+    // A connection without a request is closed.
+    EXPECT_EQ(server.connections(), 0U);
+}
+
+TEST(http, a_stopping_server_does_not_wait_for_silent_connections)
+{
+    asio::io_context io;
+    http_server server(io, http_address, http_limits(), echo);
+    server.start();
+    tcp::socket silent(io);
+    silent.connect(parse_endpoint(http_address));
+    server.stop_accepting();
+    silent.shutdown(tcp::socket::shutdown_send);
+    io.run_for(std::chrono::milliseconds(1'500));
+    EXPECT_EQ(server.connections(), 0U);
+}
+
 TEST(http, a_closed_port_is_unreachable)
 {
     asio::io_context io;
