--- a/drivers/log.cpp
+++ b/drivers/log.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <utility>
 
 #include <fcntl.h>
 #include <nlohmann/json.hpp>
@@ -93,25 +94,49 @@
         filled_at_ = now;
         if (tokens_ < 1)
         {
+            ++suppressed_;
             return false;
         }
         tokens_ -= 1;
         return true;
     }
 
+    /// \return the number of lines suppressed since the last call that returned
+    /// any; 0 until that call is long enough ago.
+    std::uint64_t take_suppressed(core::time_point now)
+    {
+        if (suppressed_ == 0 || now - reported_at_ < report_interval)
+        {
+            return 0;
+        }
+        reported_at_ = now;
+        return std::exchange(suppressed_, 0);
+    }
+
 private:
+    static constexpr core::duration report_interval{500};
+
+    std::uint64_t suppressed_ = 0;
+    core::time_point reported_at_;
     double tokens_ = event_burst_lines;
     core::time_point filled_at_;
 };
 
-/// Takes a line of an event from its rate limit. Each level has its own limit,
-/// so that successes do not suppress failures of the same event.
-bool is_within_rate(log_level level, std::string_view event)
+/// The rate limits of the events' lines. Each level has its own, so that
+/// successes do not suppress failures of the same event.
+std::map<log_level, std::map<std::string, event_rate_limiter, std::less<>>>&
+rate_limiters()
 {
     static std::
         map<log_level, std::map<std::string, event_rate_limiter, std::less<>>>
             limiters;
-    auto& level_limiters = limiters[level];
+    return limiters;
+}
+
+/// Takes a line of an event from its rate limit.
+bool is_within_rate(log_level level, std::string_view event)
+{
+    auto& level_limiters = rate_limiters()[level];
     auto found = level_limiters.find(event);
     if (found == level_limiters.end())
     {
@@ -180,6 +205,15 @@
     return out.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+std::string format_line(
+    std::string_view event, std::initializer_list<log_field> fields)
+{
+    // The pattern opens the JSON object, so the first brace of the line is
+    // removed.
+    return json_format ? json_line(event, fields).substr(1)
+                       : key_value_line(event, fields);
+}
+
 } // namespace
 
 log_field::log_field(std::string_view key, std::string_view text)
@@ -210,8 +244,35 @@
     spdlog::set_default_logger(logger);
 }
 
+namespace
+{
+
+/// Writes how many lines of each event were suppressed, so that a reader of the
+/// log knows what it does not show.
+void report_suppressed_lines()
+{
+    const core::time_point now = core::steady_now();
+    for (auto& [level, limiters] : rate_limiters())
+    {
+        for (auto& [event, limiter] : limiters)
+        {
+            const std::uint64_t count = limiter.take_suppressed(now);
+            if (count > 0)
+            {
+                spdlog::warn(
+                    "{}",
+                    format_line(
+                        "lines_suppressed", {{"of", event}, {"lines", count}}));
+            }
+        }
+    }
+}
+
+} // namespace
+
 void flush_log()
 {
+    report_suppressed_lines();
     spdlog::default_logger_raw()->flush();
 }
 
@@ -235,11 +296,7 @@
         ++line_counts.suppressed_;
         return;
     }
-    // The pattern opens the JSON object, so the first brace of the line is
-    // removed.
-    const std::string line = json_format ? json_line(event, fields).substr(1)
-                                         : key_value_line(event, fields);
-    spdlog::log(spdlog_severity, "{}", line);
+    spdlog::log(spdlog_severity, "{}", format_line(event, fields));
 }
 
 } // namespace poplarroute::drivers
--- a/drivers/log.hpp
+++ b/drivers/log.hpp
@@ -44,7 +44,8 @@
 /// \param json whether lines are JSON instead of key=value.
 void open_log(std::string_view host, std::string_view level, bool json);
 
-/// Writes as many buffered lines as the reader accepts without waiting.
+/// Reports suppressed lines, and writes as many buffered lines as the reader
+/// accepts without waiting.
 void flush_log();
 
 /// Numbers of log lines since the process started.
--- a/tests/drivers/log_test.cpp
+++ b/tests/drivers/log_test.cpp
@@ -98,6 +98,23 @@
     EXPECT_EQ(log_line_counts().suppressed_ - suppressed + lines, events);
 }
 
+TEST_F(log_to_pipe, says_how_many_lines_of_an_event_it_does_not_show)
+{
+    const std::uint64_t before = log_line_counts().suppressed_;
+    for (int line = 0; line < 1'000; ++line)
+    {
+        log_event(log_level::info, "flood", {{"id", line}});
+    }
+    const std::uint64_t suppressed = log_line_counts().suppressed_ - before;
+    ASSERT_GT(suppressed, 0U);
+    flush_log();
+    EXPECT_NE(
+        read_all().find(
+            "event=lines_suppressed of=flood lines=" +
+            std::to_string(suppressed)),
+        std::string::npos);
+}
+
 TEST_F(log_to_pipe, successes_do_not_crowd_out_failures)
 {
     for (int line = 0; line < 1'000; ++line)
