Attribute answers on the product's own interface as well

Cause: calls of the product's own interface to engines and plain services did not have their answers' attempt checked in the header, so a second copy of an earlier answer, or of an earlier refusal, on a kept connection was taken for the next one's; only prefill bodies and stream frames were compared. Calls now carry their attempt in X-Attempt-Id, and a connection is kept only to an endpoint that repeats it. Ruled out: a change on the users' platform, whose endpoints repeat the id. Test: http_client.keeps_no_connection_to_an_endpoint_that_names_no_request, which fails before (one connection, reused).

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -322,6 +322,7 @@
                 const attribution belongs = attribute(echo_header, echo_value);
                 if (belongs == attribution::this_request)
                 {
+                    is_named_ = is_named(echo_header, echo_value);
                     co_return failed;
                 }
                 ++pool_->counts_.mismatched_responses_;
@@ -470,6 +471,14 @@
         return parser_->get().result_int() < min_final_status;
     }
 
+    /// \return whether the response names its request as far as it has a name.
+    bool is_named(
+        const std::string& echo_header, const std::string& echo_value) const
+    {
+        return echo_value.empty() ||
+               parser_->get().find(echo_header) != parser_->get().end();
+    }
+
     /// Which request a response answers.
     enum class attribution
     {
@@ -510,7 +519,8 @@
     }
 
     /// Returns the connection to the pool, or closes it. It cannot be reused
-    /// when bytes follow the response or the request is not yet written.
+    /// when bytes follow the response, the request is not yet written, or the
+    /// endpoint does not name the request that it answers.
     void release_connection()
     {
         if (!connection_)
@@ -518,10 +528,10 @@
             return;
         }
         const connection_ptr used = std::exchange(connection_, nullptr);
-        const bool is_reusable = parser_->keep_alive() &&
-                                 !parser_->need_eof() && !skipped_mismatched_ &&
-                                 !used->writing_ && !used->write_failed_ &&
-                                 used->buffer_.size() == 0;
+        const bool is_reusable =
+            parser_->keep_alive() && !parser_->need_eof() && is_named_ &&
+            !skipped_mismatched_ && !used->writing_ && !used->write_failed_ &&
+            used->buffer_.size() == 0;
         if (is_reusable)
         {
             pool_->release(address_, used, parser_->get());
@@ -537,6 +547,7 @@
     connection_ptr connection_;
     std::optional<parser_type> parser_;
     bool skipped_mismatched_ = false;
+    bool is_named_ = true;
     std::size_t wire_bytes_ = 0; ///< Read after the header.
     std::string partial_line_;
 };
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -38,8 +38,9 @@
 
     /// A header that responses repeat, and its value; empty: the request has
     /// none. A response with another value belongs to an earlier request and is
-    /// skipped. One without the header is refused on a connection that has been
-    /// used before, since it may be a second copy of an earlier answer.
+    /// skipped. A connection on which a response has no such header is not
+    /// kept, and such a response is refused on a connection that has been used
+    /// before: it may be a second copy of an earlier answer.
     std::string echo_header_;
     std::string echo_value_;
 };
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/json_text.hpp"
+#include "node/attempt_header.hpp"
 
 namespace poplarroute::node
 {
@@ -177,6 +178,7 @@
         {"priority", task.interactive_ ? 0 : 1}};
     drivers::http_call call = post(std::move(address), "/prefill", body);
     call.timeout_ = prefill_timeout;
+    name_attempt(call, to_string(task.attempt_));
     const auto reply = co_await http_.request(std::move(call));
     if (!core::is_ok(reply))
     {
@@ -216,6 +218,7 @@
         {"priority", task.interactive_ ? 0 : 1}};
     drivers::http_call call = post(std::move(address), "/decode", body);
     call.timeout_ = decode_open_timeout;
+    name_attempt(call, to_string(task.attempt_));
     auto opened = co_await http_.open(std::move(call));
     if (!core::is_ok(opened))
     {
--- a/node/plain_request.cpp
+++ b/node/plain_request.cpp
@@ -5,6 +5,7 @@
 #include "core/digest.hpp"
 #include "core/invariant.hpp"
 #include "drivers/log.hpp"
+#include "node/attempt_header.hpp"
 
 namespace poplarroute::node
 {
@@ -237,7 +238,7 @@
             call.headers_.emplace_back(key, text);
         }
     }
-    call.headers_.emplace_back("X-Attempt-Id", to_string(placement.attempt_));
+    name_attempt(call, to_string(placement.attempt_));
     return call;
 }
 
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -129,6 +129,26 @@
         });
 }
 
+TEST(http_client, keeps_no_connection_to_an_endpoint_that_names_no_request)
+{
+    asio::io_context io;
+    const std::string unnamed =
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+    raw_endpoint endpoint(io, {unnamed, unnamed});
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            for (int round = 0; round < 2; ++round)
+            {
+                http_call call = make_call("a");
+                const auto reply = co_await client.request(std::move(call));
+                EXPECT_TRUE(core::is_ok(reply));
+            }
+            EXPECT_EQ(client.counts().opened_, 2U);
+        });
+}
+
 TEST(http_client, skips_the_named_copy_of_an_answer_before_an_unnamed_one)
 {
     asio::io_context io;
--- a/tests/fakes/fake_common.cpp
+++ b/tests/fakes/fake_common.cpp
@@ -15,10 +15,18 @@
 
 } // namespace
 
+std::string attempt_of(const drivers::http_exchange& exchange)
+{
+    return std::string(
+        drivers::find_header(exchange.request().headers_, "X-Attempt-Id"));
+}
+
 drivers::asio::awaitable<void> send_json(
     drivers::http_exchange& exchange, int status, nlohmann::json body)
 {
-    drivers::header_list headers{{"Content-Type", "application/json"}};
+    drivers::header_list headers{
+        {"Content-Type", "application/json"},
+        {"X-Attempt-Id", attempt_of(exchange)}};
     co_await exchange.send(status, std::move(headers), body.dump());
 }
 
--- a/tests/fakes/fake_common.hpp
+++ b/tests/fakes/fake_common.hpp
@@ -10,7 +10,10 @@
 namespace poplarroute::tests::fakes
 {
 
-/// Sends a response with a JSON body.
+/// \return the attempt that a request names; empty if it names none.
+std::string attempt_of(const drivers::http_exchange& exchange);
+
+/// Sends a response with a JSON body, which names the request's attempt.
 drivers::asio::awaitable<void> send_json(
     drivers::http_exchange& exchange, int status, nlohmann::json body);
 
--- a/tests/fakes/fake_engine.cpp
+++ b/tests/fakes/fake_engine.cpp
@@ -482,7 +482,9 @@
     awaitable<void> stream(
         http_exchange& exchange, sequence_ptr item, std::int64_t offset)
     {
-        drivers::header_list headers{{"Content-Type", "application/x-ndjson"}};
+        drivers::header_list headers{
+            {"Content-Type", "application/x-ndjson"},
+            {"X-Attempt-Id", attempt_of(exchange)}};
         co_await exchange.start_stream(200, std::move(headers));
         std::int64_t at = offset;
         while (at < item->total_tokens_ && !item->cancelled_)
