--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -80,6 +80,19 @@
     /// \return whether the request or a part of its prompt is quarantined.
     bool is_quarantined(const ingress_call& call) const;
 
+    /// \return when the first of a service's endpoints that all turned this
+    /// host away takes calls again; 0 if one takes calls now, or none ever
+    /// will.
+    core::duration time_until_return(const core::service_id& service) const
+    {
+        return node::time_until_return(
+                   with_.board_.section<catalog_section>(),
+                   with_.board_.section<endpoint_section>(),
+                   service,
+                   core::steady_now())
+            .value_or(core::duration{0});
+    }
+
     /// \return an endpoint of the list, or null when it is no longer listed.
     const known_endpoint* find_endpoint(const core::endpoint_id& name) const
     {
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -206,12 +206,7 @@
         result_.outcome_ = "refused_no_endpoint";
         retry_after = std::max(
             no_endpoint_retry_after,
-            time_until_return(
-                ingress_.with_.board_.section<catalog_section>(),
-                ingress_.with_.board_.section<endpoint_section>(),
-                call_.service_,
-                core::steady_now())
-                .value_or(core::duration{0}));
+            ingress_.time_until_return(call_.service_));
         break;
     case policy::call_failure::lost:
         result_.status_ = status_bad_gateway;
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -714,12 +714,7 @@
         retry_after = std::max(
             {retry_after_,
              min_retry_after,
-             time_until_return(
-                 ingress_.with_.board_.section<catalog_section>(),
-                 ingress_.with_.board_.section<endpoint_section>(),
-                 call_.service_,
-                 core::steady_now())
-                 .value_or(core::duration{0})});
+             ingress_.time_until_return(call_.service_)});
     }
     else
     {
