--- a/tests/platform/catalog_transfer_test.cpp
+++ b/tests/platform/catalog_transfer_test.cpp
@@ -114,22 +114,10 @@
 };
 
 /// A group of one member, known to hosts by the address of the slow link.
-struct group_member : process
+struct group_member : listening_process
 {
     group_member(asio::io_context& io, const std::string& folder)
-        : process(io, link_address, link_address),
-          port_(
-              io,
-              member_address,
-              nullptr,
-              [this](
-                  drivers::peer_identity from,
-                  std::string name,
-                  std::string body)
-              {
-                  return calls_.answer(
-                      std::move(from), std::move(name), std::move(body));
-              })
+        : listening_process(io, link_address, member_address)
     {
         board_.section<node::identity_section>().settings_.data_folder_ =
             folder;
@@ -142,7 +130,6 @@
         port_.start();
     }
 
-    drivers::peer_server port_;
     std::unique_ptr<node::catalog_replica> replica_;
     std::unique_ptr<node::catalog_controller> controller_;
 };
--- a/tests/platform/first_catalog_test.cpp
+++ b/tests/platform/first_catalog_test.cpp
@@ -20,22 +20,10 @@
   "services":[]})";
 
 /// A member that does not lead and answers watches with its catalog.
-struct lone_member : process
+struct lone_member : listening_process
 {
     lone_member(drivers::asio::io_context& io, bool current)
-        : process(io, member_address, member_address),
-          port_(
-              io,
-              member_address,
-              nullptr,
-              [this](
-                  drivers::peer_identity from,
-                  std::string name,
-                  std::string body)
-              {
-                  return calls_.answer(
-                      std::move(from), std::move(name), std::move(body));
-              })
+        : listening_process(io, member_address, member_address)
     {
         calls_.add_typed<node::watch_request, node::watch_reply>(
             node::method::catalog_watch,
@@ -52,8 +40,6 @@
             });
         port_.start();
     }
-
-    drivers::peer_server port_;
 };
 
 struct starting_host : process
--- a/tests/platform/process.hpp
+++ b/tests/platform/process.hpp
@@ -42,4 +42,32 @@
     platform_codec codec_;
 };
 
+/// A process that other processes call on its peer port.
+struct listening_process : process
+{
+    /// \param address of the process as others know it.
+    /// \param listen where the peer port listens.
+    listening_process(
+        drivers::asio::io_context& io,
+        const std::string& address,
+        const std::string& listen)
+        : process(io, address, address),
+          port_(
+              io,
+              listen,
+              nullptr,
+              [this](
+                  drivers::peer_identity from,
+                  std::string name,
+                  std::string body)
+              {
+                  return calls_.answer(
+                      std::move(from), std::move(name), std::move(body));
+              })
+    {
+    }
+
+    drivers::peer_server port_;
+};
+
 } // namespace poplarroute::platform
