--- a/drivers/log.cpp
+++ b/drivers/log.cpp
@@ -105,7 +105,7 @@
     /// any; 0 until that call is long enough ago.
     std::uint64_t take_suppressed(core::time_point now)
     {
-        if (suppressed_ == 0 || now - reported_at_ < report_interval)
+        if (suppressed_ == 0 || now - reported_at_ < report_interval_)
         {
             return 0;
         }
@@ -114,7 +114,7 @@
     }
 
 private:
-    static constexpr core::duration report_interval{500};
+    static constexpr core::duration report_interval_{500};
 
     std::uint64_t suppressed_ = 0;
     core::time_point reported_at_;
--- a/tests/drivers/ports_test.cpp
+++ b/tests/drivers/ports_test.cpp
@@ -151,8 +151,10 @@
     asio::io_context io;
     http_server server(io, http_address, http_limits(), echo);
     server.start();
+    constexpr int caller_count = 5;
     std::vector<tcp::socket> callers;
-    for (int count = 0; count < 5; ++count)
+    callers.reserve(caller_count);
+    for (int count = 0; count < caller_count; ++count)
     {
         callers.push_back(send_request(io));
     }
--- a/tests/platform/ingress_fixture.hpp
+++ b/tests/platform/ingress_fixture.hpp
@@ -87,8 +87,8 @@
 class ingress_fixture : public ::testing::Test
 {
 protected:
-    static constexpr const char* host_address = "127.0.0.1:19510";
-    static constexpr const char* configuration = R"({"version":1,
+    static constexpr const char* host_address_ = "127.0.0.1:19510";
+    static constexpr const char* configuration_ = R"({"version":1,
       "routes":[
         {"name":"s","host":"a.example","pathPrefix":"/llm/","kind":"stream",
          "timeoutMs":3000,"targetLatencyMs":300,"gapAimMs":200,
@@ -104,7 +104,7 @@
           ingress_(host_.with_, host_.codec_),
           port_(
               io_,
-              host_address,
+              host_address_,
               drivers::http_limits(),
               [this](drivers::http_exchange& exchange)
               {
@@ -121,7 +121,7 @@
         node::catalog_section& catalog =
             host_.board_.section<node::catalog_section>();
         catalog.view_ = std::make_shared<control::catalog_view>(
-            *decode_catalog_json(configuration, findings));
+            *decode_catalog_json(configuration_, findings));
         for (const auto& changed : catalog.on_change_)
         {
             changed();
@@ -189,7 +189,7 @@
                drivers::http_response& out) -> drivers::asio::awaitable<void>
             {
                 drivers::http_call request;
-                request.address_ = host_address;
+                request.address_ = host_address_;
                 request.method_ = "POST";
                 request.target_ = std::move(target);
                 request.headers_ = {
