--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -291,8 +291,8 @@
     }
 }
 
-/// Leaves an endpoint out for all hosts that told one of them that it is
-/// leaving.
+/// Leaves an endpoint out for all hosts, once it has told one of them that it
+/// is leaving.
 void catalog_controller::record_leaving(
     const core::endpoint_id& name, const core::host_id& told_by)
 {
