Retire no host when the list's hosts cannot be read at all

Found on reading the diff; the fake list of the harness always has both arrays. Ruled out: single entries that cannot be read, which already stopped retirement. Change: a list without both arrays is logged as unreadable and changes nothing. No test of its own yet: the monitor has no unit test with a stand-in list.

--- a/node/platform_monitor.cpp
+++ b/node/platform_monitor.cpp
@@ -82,8 +82,9 @@
     const std::string& body = core::value(reply).body_;
     const auto endpoints = core::split_json_array(body, "endpoints");
     const auto listed_hosts = core::split_json_array(body, "hosts");
-    if (!endpoints && !listed_hosts)
+    if (!endpoints || !listed_hosts)
     {
+        // Hosts must not be retired because the list of them cannot be read.
         drivers::log_event(
             drivers::log_level::warning,
             "list_unreadable",
@@ -93,8 +94,7 @@
     std::set<core::endpoint_id> leaving;
     std::set<core::host_id> hosts;
     std::size_t unreadable = 0;
-    const std::vector<std::string_view> none;
-    for (const std::string_view text : endpoints.value_or(none))
+    for (const std::string_view text : *endpoints)
     {
         const std::optional<platform_entry> entry = parse_entry(text);
         unreadable += entry ? 0 : 1;
@@ -104,7 +104,7 @@
         }
     }
     bool all_hosts_readable = true;
-    for (const std::string_view text : listed_hosts.value_or(none))
+    for (const std::string_view text : *listed_hosts)
     {
         const std::optional<platform_entry> entry = parse_entry(text);
         unreadable += entry ? 0 : 1;
