--- a/review/common/case.py
+++ b/review/common/case.py
@@ -315,8 +315,20 @@
                 shutil.rmtree(self.folder, ignore_errors=True)
 
 
+async def run_until_stopped(case):
+    """Runs a case; a signal that stops the script ends its processes too."""
+    task = asyncio.create_task(case.run())
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        case.record.add("stopped")
+        return EXIT_NOT_RUN
+
+
 def main(case):
-    result = asyncio.run(case.run())
+    result = asyncio.run(run_until_stopped(case))
     case.record.add("result", exit=result)
     print({EXIT_HELD: "the rule held", EXIT_BROKEN: "the rule was broken",
            EXIT_NOT_RUN: "the case could not run"}[result])
