Refuse an order that was decided before a newer one of its zone

Cause: a member that had been paused for 4 s took an old order from its socket and submitted it. An order carried nothing by which the group could tell its age, and its caller had left. Ruled out: entries out of order, an order sent twice.

An order now carries the revision of the zone's last change that the member knew; the state machine refuses it if the zone has changed since. Configurations carry their version already.

--- a/control/catalog_state_machine.cpp
+++ b/control/catalog_state_machine.cpp
@@ -23,17 +23,22 @@
 {
     const nlohmann::json out = std::visit(
         core::overloaded{
-            [](const submit_catalog& item)
+            [](const submit_catalog& item) -> nlohmann::json
             {
                 return nlohmann::json::array(
                     {command_kind::submit,
                      item.version_,
                      core::binary(item.text_)});
             },
-            [](const set_zone_out_of_service& item)
+            [](const set_zone_out_of_service& item) -> nlohmann::json
             {
-                return nlohmann::json::array(
+                nlohmann::json out = nlohmann::json::array(
                     {command_kind::zone, item.zone_, item.out_});
+                if (item.base_)
+                {
+                    out.push_back(*item.base_);
+                }
+                return out;
             }},
         command);
     return core::encode_cbor(out);
@@ -45,7 +50,7 @@
     const auto command = core::parse_cbor(bytes);
     if (!command || !command->is_array() || command->empty())
     {
-        return {false, version_};
+        return {false, false, version_};
     }
     reply out;
     switch (command->at(0).get<command_kind>())
@@ -64,11 +69,14 @@
     }
     case command_kind::zone:
     {
-        const auto zone = command->at(1).get<core::zone_id>();
-        out.changed_ = command->at(2).get<bool>()
-                           ? zones_out_.insert(zone).second
-                           : zones_out_.erase(zone) > 0;
-        out.number_ = version_;
+        set_zone_out_of_service request;
+        request.zone_ = command->at(1).get<core::zone_id>();
+        request.out_ = command->at(2).get<bool>();
+        if (command->size() > 3)
+        {
+            request.base_ = command->at(3).get<std::uint64_t>();
+        }
+        out = apply_zone(request);
         break;
     }
     }
@@ -76,10 +84,43 @@
     return out;
 }
 
+catalog_state_machine::reply catalog_state_machine::apply_zone(
+    const set_zone_out_of_service& request)
+{
+    const bool changes = (zones_out_.count(request.zone_) != 0) != request.out_;
+    const bool is_outdated =
+        request.base_ && *request.base_ != zone_revision(request.zone_);
+    if (!changes || is_outdated)
+    {
+        return {false, changes, version_};
+    }
+    if (request.out_)
+    {
+        zones_out_.insert(request.zone_);
+    }
+    else
+    {
+        zones_out_.erase(request.zone_);
+    }
+    zone_revisions_[request.zone_] = revision_ + 1;
+    return {true, false, version_};
+}
+
+std::uint64_t catalog_state_machine::zone_revision(
+    const core::zone_id& zone) const
+{
+    const auto found = zone_revisions_.find(zone);
+    return found == zone_revisions_.end() ? 0 : found->second;
+}
+
 std::string catalog_state_machine::encode() const
 {
     return core::encode_cbor(nlohmann::json::array(
-        {revision_, version_, core::binary(text_), zones_out_}));
+        {revision_,
+         version_,
+         core::binary(text_),
+         zones_out_,
+         zone_revisions_}));
 }
 
 std::optional<catalog_state_machine> catalog_state_machine::decode(
@@ -99,6 +140,10 @@
         out.version_ = document->at(1).get<std::uint64_t>();
         out.text_ = core::text_of(document->at(2));
         out.zones_out_ = document->at(3).get<std::set<core::zone_id>>();
+        if (document->size() > 4)
+        {
+            document->at(4).get_to(out.zone_revisions_);
+        }
         return out;
     }
     catch (const nlohmann::json::exception&)
--- a/control/catalog_state_machine.hpp
+++ b/control/catalog_state_machine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -25,6 +26,11 @@
 {
     core::zone_id zone_;
     bool out_ = false; ///< Whether the zone is taken out of service.
+
+    /// Revision of the zone's last change when the command was decided. The
+    /// command is refused if the zone has changed since. Absent in commands of
+    /// older programs, which always apply.
+    std::optional<std::uint64_t> base_ = std::nullopt;
 };
 
 using catalog_command = std::variant<submit_catalog, set_zone_out_of_service>;
@@ -33,6 +39,7 @@
 struct catalog_reply
 {
     bool changed_ = false;     ///< Whether the command changed the state.
+    bool conflicts_ = false;   ///< A newer change came first; it is refused.
     std::uint64_t number_ = 0; ///< Version of the catalog in force.
 };
 
@@ -77,6 +84,10 @@
         return zones_out_;
     }
 
+    /// \return the revision at which a zone was last taken out of service or
+    /// put back; 0 if never.
+    std::uint64_t zone_revision(const core::zone_id& zone) const;
+
     /// \return the state as bytes for a snapshot.
     std::string encode() const;
 
@@ -85,10 +96,16 @@
     static std::optional<catalog_state_machine> decode(std::string_view bytes);
 
 private:
+    reply apply_zone(const set_zone_out_of_service& request);
+
     std::uint64_t revision_ = 0;
     std::uint64_t version_ = 0;
     std::string text_;
     std::set<core::zone_id> zones_out_;
+
+    /// Revision of each zone's last change. A set zone may lack one, if an
+    /// older program wrote the snapshot.
+    std::map<core::zone_id, std::uint64_t> zone_revisions_;
 };
 
 } // namespace poplarroute::control
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -157,6 +157,16 @@
         }
     }
 
+    bool is_abandoned() override
+    {
+        char byte = 0;
+        error_code failed;
+        stream_.socket().non_blocking(true, failed);
+        const std::size_t size = stream_.socket().receive(
+            asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
+        return failed ? failed != asio::error::would_block : size == 0;
+    }
+
     bool keep_alive() const
     {
         return keep_alive_ && !connection_broken_;
--- a/drivers/http_server.hpp
+++ b/drivers/http_server.hpp
@@ -68,6 +68,11 @@
     /// Completes when the caller closes the connection.
     virtual asio::awaitable<void> gone() = 0;
 
+    /// \return whether the caller has closed the connection, as far as this
+    /// process has received. A request that waited in a process that was paused
+    /// may have been given up and sent elsewhere.
+    virtual bool is_abandoned() = 0;
+
     /// \return whether the response has been started.
     bool opened() const
     {
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -361,7 +361,9 @@
         co_return core::failure(reply);
     }
     co_return submit_reply{
-        core::value(reply).changed_, core::value(reply).number_};
+        core::value(reply).changed_,
+        core::value(reply).number_,
+        core::value(reply).conflicts_};
 }
 
 awaitable<core::result<submit_reply>> catalog_controller::submit(
@@ -448,23 +450,34 @@
         co_return operator_call_result{
             false, true, "there is no availability zone " + zone};
     }
-    std::string command = control::encode(
-        control::catalog_command(control::set_zone_out_of_service{zone, out}));
+    const std::uint64_t base = group_.state().zone_revision(zone);
+    std::string command = control::encode(control::catalog_command(
+        control::set_zone_out_of_service{zone, out, base}));
     const core::result<submit_reply> reply =
         co_await submit(std::move(command));
-    const bool accepted = core::is_ok(reply);
+    const bool decided = core::is_ok(reply);
+    const bool conflicts = decided && core::value(reply).conflicts_;
+    std::string problem;
+    if (conflicts)
+    {
+        problem = "the zone has changed since the order was received";
+    }
+    else if (!decided)
+    {
+        problem = core::failure(reply).message_;
+    }
+    const bool accepted = decided && !conflicts;
     log_event(
         accepted ? log_level::info : log_level::warning,
-        accepted ? "zone_set" : "zone_undecided",
+        accepted    ? "zone_set"
+        : conflicts ? "zone_conflict"
+                    : "zone_undecided",
         {{"zone", zone},
          {"out", out ? 1 : 0},
-         {"problem", accepted ? "" : core::failure(reply).message_}});
-    if (!accepted)
-    {
-        co_return operator_call_result{
-            false, false, core::failure(reply).message_};
-    }
-    co_return operator_call_result{true, false, ""};
+         {"base", base},
+         {"changed", decided && core::value(reply).changed_ ? 1 : 0},
+         {"problem", problem}});
+    co_return operator_call_result{accepted, false, std::move(problem)};
 }
 
 awaitable<core::result<catalog_contents>> catalog_controller::read()
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -50,7 +50,8 @@
     /// Submits a catalog, forwarding it to the leader if necessary.
     awaitable<operator_call_result> submit_text(std::string text);
 
-    /// Takes an availability zone out of service or puts it back.
+    /// Takes an availability zone out of service or puts it back, unless the
+    /// zone changes between this call and the decision of the group.
     /// \param out whether the zone is out of service.
     awaitable<operator_call_result> set_zone(core::zone_id zone, bool out);
 
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -154,6 +154,7 @@
 {
     bool changed_ = false;
     std::uint64_t number_ = 0;
+    bool conflicts_ = false; ///< Refused, since a newer change came first.
 };
 
 /// Asks the leader to add a member to the group.
@@ -322,7 +323,8 @@
     document_part_reply, id_, size_, checksum_, offset_, bytes_, age_ms_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     catalog_read_reply, version_, text_)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(submit_reply, changed_, number_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    submit_reply, changed_, number_, conflicts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(join_request, host_, store_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     placement_request,
--- a/tests/control/catalog_test.cpp
+++ b/tests/control/catalog_test.cpp
@@ -34,6 +34,45 @@
     EXPECT_TRUE(machine.out_of_service_zones().empty());
 }
 
+// Guards against an order that waits in a paused member and undoes a newer one.
+TEST(catalog_state_machine, an_order_decided_before_a_newer_one_is_refused)
+{
+    catalog_state_machine machine;
+    machine.apply(encode(submit_catalog{1, "one"}));
+    machine.apply(encode(set_zone_out_of_service{"a", true, 0}));
+    const std::uint64_t base = machine.zone_revision("a");
+    machine.apply(encode(set_zone_out_of_service{"a", false, base}));
+    machine.apply(
+        encode(set_zone_out_of_service{"a", true, machine.zone_revision("a")}));
+    const catalog_reply late =
+        machine.apply(encode(set_zone_out_of_service{"a", false, base}));
+    EXPECT_TRUE(late.conflicts_);
+    EXPECT_FALSE(late.changed_);
+    EXPECT_EQ(machine.out_of_service_zones().count("a"), 1U);
+}
+
+TEST(catalog_state_machine, an_order_sent_again_is_acknowledged_again)
+{
+    catalog_state_machine machine;
+    EXPECT_TRUE(
+        machine.apply(encode(set_zone_out_of_service{"a", true, 0})).changed_);
+    const catalog_reply again =
+        machine.apply(encode(set_zone_out_of_service{"a", true, 0}));
+    EXPECT_FALSE(again.conflicts_);
+    EXPECT_FALSE(again.changed_);
+}
+
+TEST(catalog_state_machine, the_revisions_of_zones_survive_a_snapshot)
+{
+    catalog_state_machine machine;
+    machine.apply(encode(set_zone_out_of_service{"a", true, 0}));
+    auto decoded = catalog_state_machine::decode(machine.encode());
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->zone_revision("a"), machine.zone_revision("a"));
+    EXPECT_TRUE(decoded->apply(encode(set_zone_out_of_service{"a", false, 0}))
+                    .conflicts_);
+}
+
 RC_GTEST_PROP(
     catalog_state_machine,
     its_version_never_decreases_and_survives_a_snapshot,
