Give a host no share of a limit before it knows the number of hosts

Cause: hosts that start without a leader took one as the number of hosts, and a whole burst as their level for 350 ms.

The number is unknown until a member tells it. Hosts tell members what they were told, so that a member without a leader can pass it on, and a new leader uses the larger of that and its own count at first. A host that restarts begins without tokens. A report that there is no ledger needs a known group.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -33,6 +33,10 @@
 /// alive.
 constexpr core::duration host_timeout{3'500};
 
+/// Time after its election in which a leader hears from each host that runs and
+/// reaches it; hosts look for a leader several times per second.
+constexpr core::duration host_discovery_time{1'000};
+
 /// Longest time for which a watch request is held before the reply.
 constexpr core::duration max_watch_wait{2'000};
 
@@ -333,10 +337,27 @@
     publish_quarantines(changed);
 }
 
+/// \return the number of live entry hosts; 0 if it is unknown. A member that
+/// does not lead knows what hosts were told last, and so does a leader at first:
+/// it has not heard from all of them yet.
 std::int64_t catalog_controller::live_hosts() const
 {
-    return std::max<std::int64_t>(
-        static_cast<std::int64_t>(watching_hosts_.size()), 1);
+    std::int64_t told = 0;
+    for (const auto& [host, item] : watching_hosts_)
+    {
+        told = std::max(told, item.told_hosts_);
+    }
+    if (!group_.leads())
+    {
+        return told;
+    }
+    const core::duration led = core::steady_now() - leading_since_;
+    const auto watching = static_cast<std::int64_t>(watching_hosts_.size());
+    if (led < host_discovery_time && told == 0)
+    {
+        return 0;
+    }
+    return led < host_timeout ? std::max(told, watching) : watching;
 }
 
 std::int64_t catalog_controller::hosts_behind() const
@@ -631,7 +652,9 @@
 
 awaitable<watch_reply> catalog_controller::answer_watch(watch_request request)
 {
-    watching_hosts_[request.host_] = {core::steady_now(), request.revision_};
+    track_leadership();
+    watching_hosts_[request.host_] = {
+        core::steady_now(), request.revision_, request.hosts_};
     if (group_.leads())
     {
         placements_.reconcile(request.host_, request.places_);
@@ -654,7 +677,9 @@
             asio::redirect_error(asio::use_awaitable, woken));
     }
     std::erase(watchers_, timer);
-    watching_hosts_[request.host_] = {core::steady_now(), request.revision_};
+    track_leadership();
+    watching_hosts_[request.host_] = {
+        core::steady_now(), request.revision_, request.hosts_};
     co_return make_watch_reply(request);
 }
 
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -73,6 +73,7 @@
     {
         core::time_point seen_at_;
         std::uint64_t revision_ = 0;
+        std::int64_t told_hosts_ = 0; ///< Number of hosts that it was told.
     };
 
     void register_calls();
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -69,6 +69,9 @@
     /// Endpoints that told the host that they are leaving, and that no list has
     /// shown as such.
     std::vector<core::endpoint_id> leaving_;
+
+    /// Number of live entry hosts, as last told to the host; 0: unknown.
+    std::int64_t hosts_ = 0;
 };
 
 /// An endpoint of the platform's list.
@@ -106,7 +109,7 @@
     bool list_sent_ = false; ///< Whether list_ replaces the host's.
     std::vector<endpoint_message> list_;
     std::int64_t list_age_ms_ = 0;
-    std::int64_t hosts_ = 1; ///< Number of live entry hosts.
+    std::int64_t hosts_ = 0; ///< Number of live entry hosts; 0: unknown.
     std::uint64_t crash_revision_ = 0;
     /// Digests of quarantined requests and keys of quarantined prompt parts.
     std::vector<std::string> crashers_;
@@ -284,7 +287,8 @@
     known_list_revision_,
     fetches_parts_,
     crashers_,
-    leaving_)
+    leaving_,
+    hosts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     endpoint_message,
     name_,
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -61,8 +61,12 @@
 void catalog_watcher::start()
 {
     started_at_ = core::steady_now();
-    with_.board_.section<meter_section>().meter_ =
-        policy::account_meter(core::stable_hash(with_.identity().host_));
+    policy::account_meter& meter = with_.board_.section<meter_section>().meter_;
+    meter = policy::account_meter(core::stable_hash(with_.identity().host_));
+    if (!with_.board_.section<settings_section>().settings_.first_start_)
+    {
+        meter.start_empty();
+    }
     drivers::spawn(with_.io_, watch_loop());
     drivers::spawn(with_.io_, download_loop());
     drivers::spawn(with_.io_, settle_loop());
@@ -107,6 +111,8 @@
     out.fetches_parts_ = true;
     const auto& crashers = with_.board_.section<group_section>().crashers_;
     out.crashers_.assign(crashers.begin(), crashers.end());
+    out.hosts_ =
+        with_.board_.section<group_section>().hosts_.value_or(out.hosts_);
     out.leaving_ = list.notices_.unlisted_leaving(core::steady_now());
     out.wait_ms_ = wait ? max_watch_wait.ms_ : 0;
     out.places_ = running_placements(
@@ -171,8 +177,9 @@
         });
     const std::size_t members =
         with_.board_.section<group_section>().members_.size();
+    // Before a member has told the group, a single report decides nothing.
     with_.board_.section<meter_section>().meter_.set_no_ledger(
-        leaderless_members_.size() * 2 > members);
+        members > 0 && leaderless_members_.size() * 2 > members);
 }
 
 awaitable<void> catalog_watcher::watch_loop()
@@ -239,20 +246,35 @@
             {{"leader", next}, {"told_by", from}});
         group.leader_ = next;
     }
+    apply_host_count(reply);
     if (!reply.leads_)
     {
         return;
     }
     group.leader_contact_at_ = core::steady_now();
-    if (group.hosts_ != reply.hosts_)
-    {
-        group.hosts_ = reply.hosts_;
-        refresh_limits();
-    }
     apply_quarantines(reply);
     apply_endpoints(reply);
 }
 
+/// Takes the number of entry hosts from the leader; from another member, which
+/// has it from hosts, only while none is known.
+void catalog_watcher::apply_host_count(const watch_reply& reply)
+{
+    group_section& group = with_.board_.section<group_section>();
+    const bool is_news = reply.hosts_ > 0 && group.hosts_ != reply.hosts_ &&
+                         (reply.leads_ || !group.hosts_);
+    if (!is_news)
+    {
+        return;
+    }
+    group.hosts_ = reply.hosts_;
+    log_event(
+        log_level::info,
+        "host_count_known",
+        {{"hosts", reply.hosts_}, {"by_leader", reply.leads_ ? 1 : 0}});
+    refresh_limits();
+}
+
 /// \return whether a member may state an older catalog than this host had
 /// before it restarted. A host that has one takes only newer ones.
 bool catalog_watcher::may_be_outdated(const watch_reply& reply) const
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -55,6 +55,7 @@
     awaitable<void> settle_once(core::host_id leader);
     core::host_id next_member();
     void apply(const watch_reply& reply, const core::host_id& from);
+    void apply_host_count(const watch_reply& reply);
     void apply_quarantines(const watch_reply& reply);
     void apply_catalog(const watch_reply& reply);
     bool may_be_outdated(const watch_reply& reply) const;
--- a/node/fleet_sections.cpp
+++ b/node/fleet_sections.cpp
@@ -18,21 +18,25 @@
 constexpr double rate_slack_fraction = 0.4;
 
 /// \return the calls per second that one host may send to a cold endpoint; 0:
-/// any number.
+/// any number. A host that does not know how many share the capacity sends one.
 std::int64_t cold_starts_per_second(
     const control::catalog_service& service,
     const known_endpoint& item,
-    std::int64_t hosts,
+    std::optional<std::int64_t> hosts,
     core::time_point now)
 {
     if (now >= item.cold_until_ || service.max_cold_calls_per_second_ == 0)
     {
         return 0;
     }
+    if (!hosts)
+    {
+        return 1;
+    }
     const auto share = static_cast<std::int64_t>(
         cold_capacity_fraction *
         static_cast<double>(service.max_cold_calls_per_second_) /
-        static_cast<double>(std::max<std::int64_t>(hosts, 1)));
+        static_cast<double>(std::max<std::int64_t>(*hosts, 1)));
     return std::max<std::int64_t>(share, 1);
 }
 
@@ -51,7 +55,7 @@
 std::map<core::service_id, std::vector<policy::engine_info>> engines_of(
     const catalog_section& catalog,
     const endpoint_section& endpoints,
-    std::int64_t hosts,
+    std::optional<std::int64_t> hosts,
     core::time_point now)
 {
     std::map<core::service_id, std::vector<policy::engine_info>> out;
@@ -85,7 +89,7 @@
     const catalog_section& catalog,
     const endpoint_section& endpoints,
     const core::service_id& service,
-    std::int64_t hosts,
+    std::optional<std::int64_t> hosts,
     core::time_point now)
 {
     std::vector<policy::plain_endpoint> out;
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -67,7 +68,9 @@
 {
     core::host_id leader_; ///< Peer address; empty: none is known.
     std::vector<core::host_id> members_;
-    std::int64_t hosts_ = 1;             ///< Number of live entry hosts.
+    /// Number of live entry hosts; nothing before a member has told it. A host
+    /// that does not know it must not use a share of what all hosts may do.
+    std::optional<std::int64_t> hosts_;
     core::time_point leader_contact_at_; ///< Time of the leader's last reply.
     /// Digests of requests and keys of prompt parts that are refused.
     std::set<std::string> crashers_;
@@ -77,21 +80,23 @@
 };
 
 /// \return the engines of each engine service, for the policies.
-/// \param hosts number of hosts that share the capacity of a cold engine.
+/// \param hosts number of hosts that share the capacity of a cold engine;
+/// nothing when unknown.
 /// \param now decides which engines are still cold.
 std::map<core::service_id, std::vector<policy::engine_info>> engines_of(
     const catalog_section& catalog,
     const endpoint_section& endpoints,
-    std::int64_t hosts,
+    std::optional<std::int64_t> hosts,
     core::time_point now);
 
 /// \return the endpoints of a plain service, for the policies.
-/// \param hosts number of hosts that share the capacity of a cold endpoint.
+/// \param hosts number of hosts that share the capacity of a cold endpoint;
+/// nothing when unknown.
 std::vector<policy::plain_endpoint> plain_endpoints_of(
     const catalog_section& catalog,
     const endpoint_section& endpoints,
     const core::service_id& service,
-    std::int64_t hosts,
+    std::optional<std::int64_t> hosts,
     core::time_point now);
 
 /// \return the accounts' limits, raised by the excess that the fleet allows.
--- a/node/placement_controller.cpp
+++ b/node/placement_controller.cpp
@@ -57,7 +57,7 @@
         policy::stream_scheduler& scheduler =
             schedulers_.try_emplace(service, seed).first->second;
         scheduler.set_engines(service_engines);
-        scheduler.set_scheduling_hosts(scheduling_hosts());
+        scheduler.set_scheduling_hosts(scheduling_hosts().value_or(1));
     }
     for (auto& [service, scheduler] : schedulers_)
     {
@@ -91,7 +91,9 @@
     refresh();
 }
 
-std::int64_t placement_controller::scheduling_hosts() const
+/// \return the number of hosts that place streams independently; nothing when
+/// unknown.
+std::optional<std::int64_t> placement_controller::scheduling_hosts() const
 {
     return scope_ == scope::fleet
                ? 1
--- a/node/placement_controller.hpp
+++ b/node/placement_controller.hpp
@@ -68,7 +68,7 @@
 
     awaitable<void> run();
     void decide_all();
-    std::int64_t scheduling_hosts() const;
+    std::optional<std::int64_t> scheduling_hosts() const;
     void reconcile_local_placements();
     policy::stream_scheduler* find(const core::service_id& service);
 
--- a/policy/account_meter.cpp
+++ b/policy/account_meter.cpp
@@ -39,6 +39,10 @@
 /// request each, when the share is smaller than such a request.
 constexpr double ticket_fraction = 0.8;
 
+/// How long a caller waits if the host does not know its share. It learns it
+/// with the first reply of a member that knows.
+constexpr core::duration unknown_hosts_wait{400};
+
 /// Time during which a new ledger adds up the shares that hosts report.
 constexpr core::duration report_collection_time{1'500};
 
@@ -178,10 +182,12 @@
 
 void account_meter::set_limits(
     const std::map<core::account_id, rate_limit>& limits,
-    std::int64_t hosts,
+    std::optional<std::int64_t> hosts,
     core::time_point now)
 {
-    hosts_ = std::max<std::int64_t>(hosts, 1);
+    hosts_ = hosts;
+    const bool empty = starts_empty_ && !has_limits_;
+    has_limits_ = true;
     std::erase_if(
         entries_,
         [&](const auto& item)
@@ -195,7 +201,8 @@
         if (is_new)
         {
             item.limit_ = limit;
-            item.level_ = static_cast<double>(limit.burst_);
+            item.level_ =
+                empty ? 0 : static_cast<double>(limit.burst_) * own_fraction();
             item.filled_at_ = now;
             item.settled_at_ = now;
         }
@@ -205,12 +212,24 @@
     }
 }
 
-/// \return a host's share of the last settled level, minus its usage since
-/// then.
-double account_meter::share_of(const entry& item, double hosts)
+/// \return the fraction of each limit that is this host's own; 0 while the
+/// number of hosts is unknown.
+double account_meter::own_fraction() const
+{
+    return hosts_ ? 1 / static_cast<double>(std::max<std::int64_t>(*hosts_, 1))
+                  : 0;
+}
+
+/// \return the host's share of the last settled level, minus its usage since
+/// then. A level that no ledger has told is its own already.
+double account_meter::share_of(const entry& item) const
 {
+    if (item.isolated_ || !item.was_settled_)
+    {
+        return item.level_;
+    }
     const auto used = static_cast<double>(item.unsettled_);
-    return (item.level_ + used) / hosts - used;
+    return (item.level_ + used) * own_fraction() - used;
 }
 
 bool account_meter::draw_with_probability(double probability)
@@ -239,17 +258,18 @@
 void account_meter::refill(entry& item, core::time_point now)
 {
     const bool isolated = now - item.settled_at_ > settlement_validity;
-    const auto hosts = static_cast<double>(hosts_);
-    const double share = !isolated    ? 1
-                         : no_ledger_ ? 1 / hosts
-                                      : partitioned_fraction / hosts;
+    double share = item.was_settled_ ? 1 : own_fraction();
+    if (isolated)
+    {
+        share = own_fraction() * (no_ledger_ ? 1 : partitioned_fraction);
+    }
     const double burst = static_cast<double>(item.limit_.burst_) * share;
     const auto elapsed_ms = static_cast<double>((now - item.filled_at_).ms_);
     double gain = elapsed_ms * static_cast<double>(item.limit_.rate_) * share /
                   ms_per_second;
     if (isolated && !item.isolated_)
     {
-        const double own_share = std::min(share_of(item, hosts), burst);
+        const double own_share = std::min(share_of(item), burst);
         item.level_ = std::min(own_share, 0.0);
         gain += std::max(own_share, 0.0);
         item.ticket_expires_at_ = {};
@@ -279,9 +299,8 @@
     {
         return true;
     }
-    const double probability = item.level_ * overbooking_factor /
-                               (static_cast<double>(hosts_) * tokens);
-    return draw_with_probability(probability);
+    return draw_with_probability(
+        item.level_ * overbooking_factor * own_fraction() / tokens);
 }
 
 bool account_meter::admit(
@@ -332,12 +351,14 @@
     }
     entry& item = found->second;
     refill(item, now);
+    if (!hosts_)
+    {
+        return unknown_hosts_wait;
+    }
     const double lacking = static_cast<double>(tokens) - item.level_;
-    const auto sharing_hosts = static_cast<double>(item.isolated_ ? hosts_ : 1);
+    const double share = item.isolated_ ? own_fraction() : 1;
     return wait_with_jitter(
-        lacking * sharing_hosts,
-        static_cast<double>(item.limit_.rate_),
-        random_);
+        lacking, static_cast<double>(item.limit_.rate_) * share, random_);
 }
 
 std::vector<unsettled_usage> account_meter::take_unsettled(core::time_point now)
@@ -350,11 +371,10 @@
             continue;
         }
         refill(item, now);
-        const double share = item.isolated_
-                                 ? item.level_
-                                 : share_of(item, static_cast<double>(hosts_));
         out.push_back(
-            {account, item.unsettled_, static_cast<std::int64_t>(share)});
+            {account,
+             item.unsettled_,
+             static_cast<std::int64_t>(share_of(item))});
         item.unsettled_ = 0;
     }
     return out;
@@ -372,6 +392,7 @@
     item.level_ = static_cast<double>(level - item.unsettled_);
     item.filled_at_ = now;
     item.settled_at_ = now;
+    item.was_settled_ = true;
     item.isolated_ = false;
 }
 
@@ -411,7 +432,8 @@
     refill(item, now);
     return describe(tokens, item.level_, item.limit_) + ", last settled " +
            std::to_string((now - item.settled_at_).ms_) + " ms ago, hosts " +
-           std::to_string(hosts_) + (item.isolated_ ? ", alone" : "");
+           (hosts_ ? std::to_string(*hosts_) : "unknown") +
+           (item.isolated_ ? ", alone" : "");
 }
 
 } // namespace poplarroute::policy
--- a/policy/account_meter.hpp
+++ b/policy/account_meter.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <span>
@@ -102,11 +103,18 @@
     /// \param seed seeds the random admissions; it must differ between hosts.
     explicit account_meter(std::uint64_t seed) : random_(seed) {}
 
+    /// Lets the accounts of the first limits start without tokens: a host that
+    /// has restarted does not know what it used before.
+    void start_empty()
+    {
+        starts_empty_ = true;
+    }
+
     /// \param hosts number of hosts that share the limits when there are no
-    /// settlements.
+    /// settlements; nothing when unknown. The host then has no share.
     void set_limits(
         const std::map<core::account_id, rate_limit>& limits,
-        std::int64_t hosts,
+        std::optional<std::int64_t> hosts,
         core::time_point now);
 
     /// Charges a request against the level as this host knows it.
@@ -163,6 +171,7 @@
         std::int64_t unsettled_ = 0;
         core::time_point filled_at_;
         core::time_point settled_at_;
+        bool was_settled_ = false;       ///< Whether a ledger has told a level.
         bool isolated_ = false;          ///< Without recent settlements.
         std::int64_t largest_price_ = 0; ///< Of all requests so far, in tokens.
         /// Until then, an isolated host may admit one large request.
@@ -174,11 +183,14 @@
         entry& item, double burst, double gain, core::time_point now);
     bool passes_random_admission(
         const entry& item, double tokens, core::time_point now);
-    static double share_of(const entry& item, double hosts);
+    double own_fraction() const;
+    double share_of(const entry& item) const;
     void refill(entry& item, core::time_point now);
 
     std::map<core::account_id, entry> entries_;
-    std::int64_t hosts_ = 1;
+    std::optional<std::int64_t> hosts_;
+    bool starts_empty_ = false;
+    bool has_limits_ = false;
     bool no_ledger_ = false;
     std::mt19937_64 random_;
 };
--- a/policy/retry_allowance.cpp
+++ b/policy/retry_allowance.cpp
@@ -6,10 +6,10 @@
 {
 
 void retry_allowance::set_bound(
-    retry_bound bound, std::int64_t hosts, double share)
+    retry_bound bound, std::optional<std::int64_t> hosts, double share)
 {
     bound_ = bound;
-    hosts_ = std::max<std::int64_t>(hosts, 1);
+    hosts_ = hosts;
     share_ = share;
 }
 
@@ -35,10 +35,13 @@
 bool retry_allowance::take(std::int64_t retries, core::time_point now)
 {
     expire_old(now);
+    const double slack =
+        hosts_ ? static_cast<double>(bound_.slack_) /
+                     static_cast<double>(std::max<std::int64_t>(*hosts_, 1))
+               : 0;
     const double max_retries =
         share_ *
-        (bound_.ratio_ * static_cast<double>(requests_.size()) +
-         static_cast<double>(bound_.slack_) / static_cast<double>(hosts_));
+        (bound_.ratio_ * static_cast<double>(requests_.size()) + slack);
     if (static_cast<double>(retries_.size()) + static_cast<double>(retries) >
         max_retries)
     {
--- a/policy/retry_allowance.hpp
+++ b/policy/retry_allowance.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "core/clock.hpp"
 
@@ -21,9 +22,11 @@
 class retry_allowance
 {
 public:
-    /// \param hosts number of processes that share the bound evenly.
+    /// \param hosts number of processes that share the slack evenly; nothing
+    /// when unknown. The process then has no part of it.
     /// \param share fraction of the bound that they may use together.
-    void set_bound(retry_bound bound, std::int64_t hosts, double share);
+    void set_bound(
+        retry_bound bound, std::optional<std::int64_t> hosts, double share);
 
     /// Records a request.
     void request(core::time_point now);
@@ -36,7 +39,7 @@
     void expire_old(core::time_point now);
 
     retry_bound bound_;
-    std::int64_t hosts_ = 1;
+    std::optional<std::int64_t> hosts_;
     double share_ = 0;
     std::deque<core::time_point> requests_;
     std::deque<core::time_point> retries_;
--- /dev/null
+++ b/tests/platform/new_leader_test.cpp
@@ -0,0 +1,143 @@
+// What a member that has just been elected may grant: it does not know yet how
+// many hosts there are, or what they have used.
+
+#include <filesystem>
+#include <functional>
+#include <optional>
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "node/catalog_controller.hpp"
+#include "tests/platform/process.hpp"
+
+namespace poplarroute::platform
+{
+namespace
+{
+
+namespace asio = drivers::asio;
+
+constexpr const char* member_address = "127.0.0.1:19543";
+constexpr const char* host_address = "127.0.0.1:19544";
+constexpr std::int64_t rate = 100'000;
+
+constexpr const char* configuration = R"({"version":1,"routes":[],
+  "services":[],"tenants":[
+    {"name":"acme","apiKeys":["k"],"ratePerS":100000,"burst":100000}]})";
+
+/// A group of one member.
+struct lone_member : listening_process
+{
+    lone_member(asio::io_context& io, const std::string& folder)
+        : listening_process(io, member_address, member_address)
+    {
+        board_.section<node::identity_section>().settings_.data_folder_ =
+            folder;
+        replica_ = std::make_unique<node::catalog_replica>(with_);
+        EXPECT_TRUE(core::is_ok(replica_->open()));
+        controller_ = std::make_unique<node::catalog_controller>(
+            with_, *replica_, codec_);
+        replica_->start();
+        controller_->start();
+        port_.start();
+    }
+
+    std::unique_ptr<node::catalog_replica> replica_;
+    std::unique_ptr<node::catalog_controller> controller_;
+};
+
+class new_leader : public ::testing::Test
+{
+protected:
+    new_leader()
+        : folder_(
+              std::filesystem::temp_directory_path() /
+              ("poplarroute-leader-" + std::to_string(::getpid())))
+    {
+        std::filesystem::remove_all(folder_);
+    }
+
+    ~new_leader() override
+    {
+        std::filesystem::remove_all(folder_);
+    }
+
+    /// Runs the processes in short steps until a condition holds.
+    static void run_until(
+        asio::io_context& io, const std::function<bool()>& condition)
+    {
+        constexpr int max_steps = 5'000;
+        for (int step = 0; step < max_steps && !condition(); ++step)
+        {
+            io.restart();
+            io.run_for(std::chrono::milliseconds(1));
+        }
+        ASSERT_TRUE(condition());
+    }
+
+    template <class Reply, class Request>
+    static Reply call(
+        asio::io_context& io,
+        process& from,
+        const char* method,
+        const Request& request)
+    {
+        std::optional<Reply> out;
+        drivers::spawn(
+            io,
+            [](process& from,
+               const char* method,
+               Request request,
+               std::optional<Reply>& out) -> asio::awaitable<void>
+            {
+                const core::result<Reply> reply = co_await node::ask<Reply>(
+                    from.with_.peers_,
+                    member_address,
+                    method,
+                    request,
+                    core::duration{1'000});
+                out = core::is_ok(reply) ? core::value(reply) : Reply();
+            }(from, method, request, out));
+        run_until(
+            io,
+            [&out]()
+            {
+                return out.has_value();
+            });
+        return *out;
+    }
+
+    static node::watch_reply watch(
+        asio::io_context& io, process& from, std::int64_t told_hosts)
+    {
+        node::watch_request request;
+        request.host_ = host_address;
+        request.hosts_ = told_hosts;
+        return call<node::watch_reply>(
+            io, from, node::method::catalog_watch, request);
+    }
+
+    std::filesystem::path folder_;
+};
+
+TEST_F(new_leader, does_not_state_a_number_of_hosts_that_it_cannot_know)
+{
+    asio::io_context io{1};
+    lone_member member(io, folder_.string());
+    process host(io, host_address, member_address);
+    run_until(
+        io,
+        [&member]()
+        {
+            return member.replica_->leads();
+        });
+    EXPECT_EQ(watch(io, host, 0).hosts_, 0);
+    EXPECT_EQ(watch(io, host, 7).hosts_, 7);
+    io.restart();
+    io.run_for(std::chrono::milliseconds(4'000));
+    EXPECT_EQ(watch(io, host, 7).hosts_, 1);
+}
+
+} // namespace
+} // namespace poplarroute::platform
