Start a leader's ledger anew before its first decision

Cause: a member answered as the leader for up to 250 ms with the ledger that it had filled up as a follower, where nobody charged it.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -794,6 +794,7 @@
         [this](drivers::peer_identity, placement_request request)
             -> awaitable<core::result<placement_reply>>
         {
+            track_leadership();
             if (!group_.leads())
             {
                 co_return error{errc::not_leader, group_.leader()};
@@ -836,6 +837,7 @@
         [this](drivers::peer_identity, settle_request request)
             -> awaitable<core::result<settle_reply>>
         {
+            track_leadership();
             if (!group_.leads())
             {
                 co_return error{errc::not_leader, group_.leader()};
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -92,7 +92,11 @@
     settle_reply settle(const settle_request& request);
     void apply_catalog();
     void wake_watchers();
+
+    /// Starts anew what a leader decides with, when this member has become one.
+    /// It comes before each decision: what a follower kept counts nothing.
     void track_leadership();
+
     void lift_expired_quarantines(core::time_point now);
     void record_crash(const crash_message& report);
     void record_answer(
--- a/tests/platform/new_leader_test.cpp
+++ b/tests/platform/new_leader_test.cpp
@@ -139,5 +139,53 @@
     EXPECT_EQ(watch(io, host, 7).hosts_, 1);
 }
 
+// Guards against a new leader that grants an account a burst which it has
+// accrued as a follower, where nobody charged it.
+TEST_F(new_leader, has_no_tokens_but_those_that_hosts_report)
+{
+    {
+        asio::io_context io{1};
+        lone_member member(io, folder_.string());
+        run_until(
+            io,
+            [&member]()
+            {
+                return member.replica_->leads();
+            });
+        bool accepted = false;
+        drivers::spawn(
+            io,
+            [](node::catalog_controller& controller,
+               bool& accepted) -> asio::awaitable<void>
+            {
+                const node::operator_call_result result =
+                    co_await controller.submit_text(configuration);
+                accepted = result.accepted_;
+            }(*member.controller_, accepted));
+        run_until(
+            io,
+            [&accepted]()
+            {
+                return accepted;
+            });
+    }
+    asio::io_context io{1};
+    lone_member member(io, folder_.string());
+    process host(io, host_address, member_address);
+    run_until(
+        io,
+        [&member]()
+        {
+            return member.replica_->leads();
+        });
+    node::settle_request request;
+    request.host_ = host_address;
+    request.uses_.push_back({"acme", 0, 0});
+    const auto reply = call<node::settle_reply>(
+        io, host, node::method::meters_settle, request);
+    ASSERT_EQ(reply.levels_.size(), 1U);
+    EXPECT_LT(reply.levels_[0].level_, rate / 10);
+}
+
 } // namespace
 } // namespace poplarroute::platform
