Set a host's part of the retry slack when the number of hosts is known

Cause: the part was set when a catalog came into force, mostly before a leader had told the number of hosts, and not again; one host was assumed.

It is set again when the number changes and is nothing while that is unknown.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -153,8 +153,9 @@
         limits_of(section.view_->whole(), bounds), core::steady_now());
     for (const auto& [name, service] : section.view_->whole().services_)
     {
-        retry_allowances_[name].set_bound(
-            retry_bound_of(bounds), 1, stream_retry_fraction);
+        policy::retry_allowance& allowance = retry_allowances_[name];
+        allowance.accrue_from(leading_since_);
+        allowance.set_bound(retry_bound_of(bounds), 1, stream_retry_fraction);
     }
 }
 
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -273,6 +273,10 @@
         "host_count_known",
         {{"hosts", reply.hosts_}, {"by_leader", reply.leads_ ? 1 : 0}});
     refresh_limits();
+    for (const auto& call : group.on_hosts_change_)
+    {
+        call();
+    }
 }
 
 /// \return whether a member may state an older catalog than this host had
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -71,6 +71,7 @@
     /// Number of live entry hosts; nothing before a member has told it. A host
     /// that does not know it must not use a share of what all hosts may do.
     std::optional<std::int64_t> hosts_;
+    std::vector<std::function<void()>> on_hosts_change_;
     core::time_point leader_contact_at_; ///< Time of the leader's last reply.
     /// Digests of requests and keys of prompt parts that are refused.
     std::set<std::string> crashers_;
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -169,21 +169,33 @@
 void ingress_controller::start()
 {
     local_placements_.start();
-    with_.board_.section<catalog_section>().on_change_.emplace_back(
-        [this]()
-        {
-            update_retry_allowances();
-        });
+    started_at_ = core::steady_now();
+    const auto update = [this]()
+    {
+        update_retry_allowances();
+    };
+    with_.board_.section<catalog_section>().on_change_.emplace_back(update);
+    with_.board_.section<group_section>().on_hosts_change_.emplace_back(update);
 }
 
 void ingress_controller::update_retry_allowances()
 {
     const catalog_section& section = with_.board_.section<catalog_section>();
-    const fleet_bounds& bounds =
-        with_.board_.section<settings_section>().settings_.bounds_;
+    if (!section.view_)
+    {
+        return;
+    }
+    const fleet_settings& settings =
+        with_.board_.section<settings_section>().settings_;
+    const fleet_bounds& bounds = settings.bounds_;
     for (const auto& [name, service] : section.view_->whole().services_)
     {
-        ingress_.retry_allowances_[name].set_bound(
+        policy::retry_allowance& allowance = ingress_.retry_allowances_[name];
+        if (!settings.first_start_)
+        {
+            allowance.accrue_from(started_at_);
+        }
+        allowance.set_bound(
             retry_bound_of(bounds),
             with_.board_.section<group_section>().hosts_,
             service.engine_ ? isolated_stream_retry_fraction
--- a/node/ingress_controller.hpp
+++ b/node/ingress_controller.hpp
@@ -56,6 +56,7 @@
     ingress_context ingress_;
     placement_controller local_placements_;
     placement_client placements_;
+    core::time_point started_at_;
     std::size_t active_ = 0;
 };
 
--- a/policy/retry_allowance.hpp
+++ b/policy/retry_allowance.hpp
@@ -28,6 +28,14 @@
     void set_bound(
         retry_bound bound, std::optional<std::int64_t> hosts, double share);
 
+    /// Lets the slack accrue evenly over one window. What an earlier process or
+    /// leader took of it within the window is not known here.
+    /// \param begin when this process began to grant retries.
+    void accrue_from(core::time_point begin)
+    {
+        accrues_from_ = begin;
+    }
+
     /// Records a request.
     void request(core::time_point now);
 
@@ -37,10 +45,12 @@
 
 private:
     void expire_old(core::time_point now);
+    double own_slack(core::time_point now) const;
 
     retry_bound bound_;
     std::optional<std::int64_t> hosts_;
     double share_ = 0;
+    std::optional<core::time_point> accrues_from_;
     std::deque<core::time_point> requests_;
     std::deque<core::time_point> retries_;
 };
--- a/tests/platform/ingress_fixture.hpp
+++ b/tests/platform/ingress_fixture.hpp
@@ -115,6 +115,7 @@
         node::fleet_bounds& bounds =
             host_.board_.section<node::settings_section>().settings_.bounds_;
         bounds.retry_slack_ = 100;
+        host_.board_.section<node::group_section>().hosts_ = 1;
         ingress_.start();
         port_.start();
         core::finding_list findings;
--- a/tests/policy/plain_balancer_test.cpp
+++ b/tests/policy/plain_balancer_test.cpp
@@ -180,5 +180,30 @@
             static_cast<double>(bound.slack_));
 }
 
+// Guards against restarted hosts that each take the whole slack, since they do
+// not know how many hosts share it.
+TEST(retry_allowance, has_no_slack_while_the_number_of_hosts_is_unknown)
+{
+    const time_point now{100'000};
+    retry_allowance host;
+    host.set_bound({0.2, 50, duration{10'000}}, std::nullopt, 1);
+    EXPECT_FALSE(host.take(1, now));
+    host.set_bound({0.2, 50, duration{10'000}}, 5, 1);
+    EXPECT_TRUE(host.take(10, now));
+    EXPECT_FALSE(host.take(1, now));
+}
+
+TEST(retry_allowance, accrues_its_slack_after_a_restart)
+{
+    const time_point begin{100'000};
+    retry_allowance host;
+    host.set_bound({0.2, 50, duration{10'000}}, 1, 1);
+    host.accrue_from(begin);
+    EXPECT_FALSE(host.take(1, begin));
+    EXPECT_TRUE(host.take(25, begin + duration{5'000}));
+    EXPECT_FALSE(host.take(1, begin + duration{5'000}));
+    EXPECT_TRUE(host.take(25, begin + duration{10'000}));
+}
+
 } // namespace
 } // namespace poplarroute::policy
