Count each crash of an endpoint that keeps its name

Cause: a crash was known by the endpoint's name, so that three engines which start again under their names never added up to a quarantine. A stream that broke right after its first event weighed as one that had run for long, and a quarantine ended after a minute.

The leader counts the crashes of a name by when the reporting request was sent. A stream that has just begun weighs as such.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -45,8 +45,12 @@
 /// granted.
 constexpr double stream_retry_fraction = 0.5;
 
-/// How long a request that crashes engines is refused.
-constexpr core::duration quarantine_duration{60'000};
+/// How long a request is under suspicion after an endpoint that ran it crashed.
+constexpr core::duration suspicion_duration{60'000};
+
+/// How long a request that crashes endpoints is refused. Each time that it is
+/// let through again costs an endpoint.
+constexpr core::duration quarantine_duration{24LL * 3'600'000};
 
 /// A member that has heard of its group within this time holds what is in
 /// force.
@@ -222,6 +226,7 @@
 
 void catalog_controller::lift_expired_quarantines(core::time_point now)
 {
+    crashes_.expire(now);
     crashers_.expire(now);
     const std::size_t ended = std::erase_if(
         refused_digests_,
@@ -255,10 +260,11 @@
              {"suspects", suspects.size()}});
         quarantined_parts_ = std::move(parts);
     }
-    const bool suspects_changed = has_suspects_ != !suspects.empty();
-    if (requests_changed || parts_changed || suspects_changed)
+    const bool has_suspects =
+        !suspects.empty() || crashers_.has_suspects(core::steady_now());
+    if (requests_changed || parts_changed || has_suspects_ != has_suspects)
     {
-        has_suspects_ = !suspects.empty();
+        has_suspects_ = has_suspects;
         ++crash_revision_;
         wake_watchers();
     }
@@ -267,15 +273,31 @@
 void catalog_controller::record_crash(const crash_message& report)
 {
     const core::time_point now = core::steady_now();
-    crashers_.crashed(
+    const core::time_point began_at = now - core::duration{report.ran_ms_};
+    const std::string crash = crashes_.record(report.crash_, began_at, now);
+    const bool is_new = crashers_.crashed(
         report.digest_,
-        report.crash_,
+        crash,
         static_cast<policy::evidence>(report.weight_),
-        quarantine_duration,
+        suspicion_duration,
         now);
-    const bool refused = crashers_.look_up(report.digest_, now) ==
-                             policy::suspicion::quarantined &&
-                         refused_digests_.insert(report.digest_).second;
+    const bool is_quarantined = crashers_.look_up(report.digest_, now) ==
+                                policy::suspicion::quarantined;
+    log_event(
+        log_level::warning,
+        "crash_recorded",
+        {{"digest", report.digest_},
+         {"crash", crash},
+         {"weight", report.weight_},
+         {"ran_ms", report.ran_ms_},
+         {"new", is_new ? 1 : 0},
+         {"quarantined", is_quarantined ? 1 : 0}});
+    bool refused = false;
+    if (is_quarantined)
+    {
+        crashers_.keep_until(report.digest_, now + quarantine_duration);
+        refused = refused_digests_.insert(report.digest_).second;
+    }
     if (refused)
     {
         log_event(
@@ -288,9 +310,14 @@
 }
 
 void catalog_controller::record_answer(
-    const core::service_id& service, std::span<const std::string> parts)
+    const core::service_id& service,
+    std::span<const std::string> parts,
+    const std::string& digest)
 {
-    if (prompt_parts_.answered(service, parts, core::steady_now()))
+    const core::time_point now = core::steady_now();
+    const bool parts_changed = prompt_parts_.answered(service, parts, now);
+    const bool request_cleared = crashers_.answered(digest, now);
+    if (parts_changed || request_cleared)
     {
         publish_quarantines(false);
     }
@@ -811,7 +838,7 @@
             placements_.end_stream(ending);
             if (ending.complete_)
             {
-                record_answer(ending.service_, ending.parts_);
+                record_answer(ending.service_, ending.parts_, ending.digest_);
             }
             co_return empty_reply();
         });
@@ -828,7 +855,10 @@
             }
             if (event.answered_)
             {
-                record_answer(event.service_, event.answered_parts_);
+                record_answer(
+                    event.service_,
+                    event.answered_parts_,
+                    event.answered_digest_);
             }
             co_return empty_reply();
         });
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -15,6 +15,7 @@
 #include "node/replica.hpp"
 #include "node/stage_controller.hpp"
 #include "policy/account_meter.hpp"
+#include "policy/crash_counter.hpp"
 #include "policy/prompt_part_quarantine.hpp"
 #include "policy/quarantine.hpp"
 
@@ -100,7 +101,9 @@
     void lift_expired_quarantines(core::time_point now);
     void record_crash(const crash_message& report);
     void record_answer(
-        const core::service_id& service, std::span<const std::string> parts);
+        const core::service_id& service,
+        std::span<const std::string> parts,
+        const std::string& digest);
     void record_leaving(
         const core::endpoint_id& name, const core::host_id& told_by);
     void adopt_quarantines(const watch_request& request);
@@ -115,6 +118,7 @@
     group_manager group_manager_;
     policy::meter_ledger ledger_;
     std::map<core::service_id, policy::retry_allowance> retry_allowances_;
+    policy::crash_counter crashes_;
     policy::quarantine crashers_;
     std::uint64_t crash_revision_ = 0;
     std::set<std::string> refused_digests_;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -113,7 +113,7 @@
     std::uint64_t crash_revision_ = 0;
     /// Digests of quarantined requests and keys of quarantined prompt parts.
     std::vector<std::string> crashers_;
-    /// Whether hosts report the parts of prompts that are answered.
+    /// Whether hosts report the requests and prompts that are answered.
     bool suspects_parts_ = false;
 };
 
@@ -214,6 +214,7 @@
     std::int64_t output_tokens_ = 0;
     std::int64_t decode_ms_ = 0;     ///< From the first to the last event.
     std::vector<std::string> parts_; ///< Shared parts of its prompt.
+    std::string digest_;             ///< Digest of the request.
 };
 
 /// Reports an event at an engine. Empty fields are not reported.
@@ -230,6 +231,7 @@
     core::endpoint_id leaving_; ///< Endpoint that said that it is leaving.
     bool answered_ = false;     ///< A stream has been answered for a while.
     std::vector<std::string> answered_parts_; ///< Shared parts of its prompt.
+    std::string answered_digest_; ///< Of a request that is wholly answered.
 };
 
 /// An account's usage and level, in tokens. A request contains the usage and
@@ -258,11 +260,12 @@
 struct crash_message
 {
     std::string digest_; ///< Digest of the request.
-    std::string crash_;  ///< Id of the crash: the endpoint's name.
+    std::string crash_;  ///< Name of the endpoint.
     int weight_ = 1;     ///< How strongly it implicates the request.
     core::service_id service_;
     /// Shared parts of its prompt; empty when it had answered for a while.
     std::vector<std::string> parts_;
+    std::int64_t ran_ms_ = 0; ///< Since the request was sent there.
 };
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
@@ -368,7 +371,8 @@
     read_ms_,
     output_tokens_,
     decode_ms_,
-    parts_)
+    parts_,
+    digest_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     engine_event_message,
     service_,
@@ -380,13 +384,14 @@
     replaced_,
     leaving_,
     answered_,
-    answered_parts_)
+    answered_parts_,
+    answered_digest_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     account_usage_message, account_, used_, level_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(settle_request, host_, uses_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(settle_reply, levels_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    crash_message, digest_, crash_, weight_, service_, parts_)
+    crash_message, digest_, crash_, weight_, service_, parts_, ran_ms_)
 
 endpoint_message to_message(const listed_endpoint& item);
 listed_endpoint from_message(const endpoint_message& item);
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -75,8 +75,8 @@
     core::time_point leader_contact_at_; ///< Time of the leader's last reply.
     /// Digests of requests and keys of prompt parts that are refused.
     std::set<std::string> crashers_;
-    /// Whether hosts report answered prompts, since the leader suspects some of
-    /// their parts.
+    /// Whether hosts report answered requests, since the leader suspects some,
+    /// or parts of their prompts.
     bool suspects_parts_ = false;
 };
 
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -71,11 +71,17 @@
     /// \param weight how strongly the crash implicates the request.
     /// \param has_just_begun whether the endpoint had only begun to answer,
     /// which implicates the parts of the prompt.
+    /// \param sent_at when the request was sent to the endpoint.
     void check_for_crash(
         const ingress_call& call,
         const core::endpoint_id& endpoint,
         policy::evidence weight,
-        bool has_just_begun);
+        bool has_just_begun,
+        core::time_point sent_at);
+
+    /// Reports a request that is wholly answered to the group, while the leader
+    /// suspects any: it cannot be one that crashes endpoints.
+    void report_answered(const ingress_call& call);
 
     /// \return whether the request or a part of its prompt is quarantined.
     bool is_quarantined(const ingress_call& call) const;
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -62,7 +62,10 @@
 
 /// Reports to the leader that an endpoint crashed, if it refuses connections.
 awaitable<void> report_if_crashed(
-    context& with, std::string address, crash_message report)
+    context& with,
+    std::string address,
+    crash_message report,
+    core::time_point sent_at)
 {
     co_await drivers::sleep_for(crash_probe_delay);
     const bool may_probe =
@@ -82,12 +85,14 @@
     {
         co_return;
     }
+    report.ran_ms_ = (core::steady_now() - sent_at).ms_;
     log_event(
         log_level::warning,
         "endpoint_crashed",
         {{"endpoint", report.crash_},
          {"digest", report.digest_},
          {"weight", report.weight_},
+         {"ran_ms", report.ran_ms_},
          {"parts", core::join_list(report.parts_, ',')}});
     co_await ask<empty_reply>(
         with.peers_,
@@ -116,7 +121,8 @@
     const ingress_call& call,
     const core::endpoint_id& endpoint,
     policy::evidence weight,
-    bool has_just_begun)
+    bool has_just_begun,
+    core::time_point sent_at)
 {
     const known_endpoint* known = find_endpoint(endpoint);
     if (known == nullptr)
@@ -135,7 +141,35 @@
     std::string address = known->listed_.address_;
     drivers::spawn(
         with_.io_,
-        report_if_crashed(with_, std::move(address), std::move(report)));
+        report_if_crashed(
+            with_, std::move(address), std::move(report), sent_at));
+}
+
+void ingress_context::report_answered(const ingress_call& call)
+{
+    const group_section& group = with_.board_.section<group_section>();
+    if (!group.suspects_parts_ || group.leader_.empty())
+    {
+        return;
+    }
+    engine_event_message event;
+    event.service_ = call.service_;
+    event.host_ = with_.identity().host_;
+    event.answered_ = true;
+    event.answered_digest_ = call.digest_;
+    drivers::spawn(
+        with_.io_,
+        [](context& with,
+           core::host_id leader,
+           engine_event_message event) -> awaitable<void>
+        {
+            co_await ask<empty_reply>(
+                with.peers_,
+                leader,
+                method::streams_note,
+                event,
+                crash_report_timeout);
+        }(with_, group.leader_, std::move(event)));
 }
 
 bool ingress_context::is_quarantined(const ingress_call& call) const
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -118,7 +118,11 @@
         if (error.code_ == core::errc::broken)
         {
             ingress_.check_for_crash(
-                call_, endpoint_, policy::evidence::just_started, true);
+                call_,
+                endpoint_,
+                policy::evidence::just_started,
+                true,
+                attempt_started_at_);
         }
         finish_attempt(call_outcome::broken);
         return send_result::may_have_run;
@@ -149,6 +153,7 @@
         finish_attempt(call_outcome::broken);
         return send_result::may_have_run;
     }
+    ingress_.report_answered(call_);
     const bool is_error = response.status_ >= min_error_status;
     finish_attempt(is_error ? call_outcome::errored : call_outcome::answered);
     reply_ = response;
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -109,6 +109,7 @@
         ending.decode_ms_ = (last_event_at_ - first_event_at_).ms_;
     }
     ending.parts_ = call_.request_.shared_parts_;
+    ending.digest_ = call_.digest_;
     placements_.end_stream(std::move(ending));
 }
 
@@ -354,6 +355,7 @@
         co_return step_result::refused;
     }
     ++result_.sends_;
+    sent_at_ = core::steady_now();
     const core::endpoint_id decoder = placement_.decoder_;
     core::result<std::unique_ptr<drivers::http_stream>> opened =
         co_await ingress_.endpoints_.open(
@@ -380,7 +382,8 @@
                 call_,
                 placement_.decoder_,
                 policy::evidence::just_started,
-                true);
+                true,
+                sent_at_);
         }
         co_return may_resume() ? step_result::retry : step_result::failed;
     }
@@ -507,11 +510,7 @@
             result_.detail_ = "stream: " + core::failure(piece).message_;
             if (core::failure(piece).code_ == errc::broken)
             {
-                ingress_.check_for_crash(
-                    call_,
-                    placement_.decoder_,
-                    policy::evidence::long_running,
-                    has_just_begun());
+                check_for_crash();
             }
             co_return step_result::retry;
         }
@@ -522,11 +521,7 @@
                 complete ? "" : "the stream ended within an event";
             if (!complete)
             {
-                ingress_.check_for_crash(
-                    call_,
-                    placement_.decoder_,
-                    policy::evidence::long_running,
-                    has_just_begun());
+                check_for_crash();
             }
             co_return complete ? step_result::done : step_result::retry;
         }
@@ -551,6 +546,19 @@
     }
 }
 
+/// Checks whether the engine whose stream broke has crashed.
+void stream_forwarder::check_for_crash()
+{
+    const bool just_begun = has_just_begun();
+    ingress_.check_for_crash(
+        call_,
+        placement_.decoder_,
+        just_begun ? policy::evidence::just_started
+                   : policy::evidence::long_running,
+        just_begun,
+        sent_at_);
+}
+
 bool stream_forwarder::has_just_begun() const
 {
     return events_from_engine_ == 0 ||
--- a/node/stream_forwarder.hpp
+++ b/node/stream_forwarder.hpp
@@ -46,6 +46,7 @@
     awaitable<step_result> run_once(drivers::http_exchange& exchange);
     bool may_place_again();
     bool refuse_if_quarantined();
+    void check_for_crash();
     bool has_just_begun() const;
     void report_answered_parts();
     bool may_resume() const;
@@ -79,6 +80,7 @@
     /// Events from the engine that answers now, and the time of the first.
     std::int64_t events_from_engine_ = 0;
     core::time_point engine_began_at_;
+    core::time_point sent_at_; ///< To the decode engine.
     core::duration retry_after_;
     int prefills_sent_ = 0;
     bool may_have_run_ = false; ///< An engine that failed may have run it.
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -13,6 +13,8 @@
 constexpr int min_suspect_weight = 2;
 constexpr int min_quarantined_weight = 4;
 
+constexpr std::size_t max_records = 4'096;
+
 } // namespace
 
 bool quarantine::crashed(
@@ -22,6 +24,10 @@
     core::duration span,
     core::time_point now)
 {
+    if (records_.size() >= max_records && records_.count(digest) == 0)
+    {
+        return false;
+    }
     record& entry = records_[digest];
     if (!entry.crashes_.emplace(crash, weight).second)
     {
@@ -51,6 +57,34 @@
     return weight >= min_suspect_weight ? suspicion::suspect : suspicion::none;
 }
 
+void quarantine::keep_until(
+    const std::string& digest, core::time_point until)
+{
+    const auto found = records_.find(digest);
+    if (found != records_.end())
+    {
+        found->second.expires_at_ = std::max(found->second.expires_at_, until);
+    }
+}
+
+bool quarantine::answered(const std::string& digest, core::time_point now)
+{
+    return look_up(digest, now) != suspicion::quarantined &&
+           records_.erase(digest) > 0;
+}
+
+bool quarantine::has_suspects(core::time_point now) const
+{
+    return std::any_of(
+        records_.begin(),
+        records_.end(),
+        [&](const auto& item)
+        {
+            return now < item.second.expires_at_ &&
+                   look_up(item.first, now) != suspicion::quarantined;
+        });
+}
+
 void quarantine::expire(core::time_point now)
 {
     std::erase_if(
--- a/policy/quarantine.hpp
+++ b/policy/quarantine.hpp
@@ -46,6 +46,18 @@
     /// \return the suspicion against a request, by its digest.
     suspicion look_up(const std::string& digest, core::time_point now) const;
 
+    /// Keeps the record of a request at least until a time.
+    void keep_until(const std::string& digest, core::time_point until);
+
+    /// Records that an endpoint answered a request with this digest, which
+    /// clears it of suspicion unless it is quarantined.
+    /// \return whether there was a suspicion.
+    bool answered(const std::string& digest, core::time_point now);
+
+    /// \return whether any request is under suspicion without being
+    /// quarantined.
+    bool has_suspects(core::time_point now) const;
+
     /// Removes the records that have expired.
     void expire(core::time_point now);
 
--- a/tests/platform/new_leader_test.cpp
+++ b/tests/platform/new_leader_test.cpp
@@ -1,6 +1,7 @@
 // What a member that has just been elected may grant: it does not know yet how
 // many hosts there are, or what they have used.
 
+#include <algorithm>
 #include <filesystem>
 #include <functional>
 #include <optional>
@@ -121,6 +122,36 @@
     std::filesystem::path folder_;
 };
 
+// Guards against a request that crashes engines which keep their names: it was
+// never refused in a fleet of a few engines.
+TEST_F(new_leader, refuses_a_request_that_crashed_one_endpoint_three_times)
+{
+    constexpr const char* digest = "d";
+    asio::io_context io{1};
+    lone_member member(io, folder_.string());
+    process host(io, host_address, member_address);
+    run_until(
+        io,
+        [&member]()
+        {
+            return member.replica_->leads();
+        });
+    for (int crash = 0; crash < 3; ++crash)
+    {
+        io.restart();
+        io.run_for(std::chrono::milliseconds(50));
+        node::crash_message report;
+        report.digest_ = digest;
+        report.crash_ = "i-1";
+        report.weight_ = static_cast<int>(policy::evidence::just_started);
+        report.ran_ms_ = 10;
+        call<node::empty_reply>(
+            io, host, node::method::crash_report, report);
+    }
+    const std::vector<std::string> refused = watch(io, host, 0).crashers_;
+    EXPECT_EQ(std::count(refused.begin(), refused.end(), digest), 1);
+}
+
 TEST_F(new_leader, does_not_state_a_number_of_hosts_that_it_cannot_know)
 {
     asio::io_context io{1};
