Bound the memory of requests and responses by what has arrived

An answer with a large Content-Length ended the process that read it: the parser reserved the announced length. Complete answers did not count towards the limit while a slow caller took them, and requests, lines and unfinished events never did.

Bodies now grow with what arrives. One budget per process, a sixth of its memory on the platform, counts requests, responses, lines and events while they are kept. An exception in a handler ends its connection only.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -10,6 +10,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "drivers/appended_body.hpp"
+
 namespace poplarroute::drivers
 {
 
@@ -22,11 +24,15 @@
 {
 
 constexpr std::size_t max_idle_connections_per_address = 64;
-constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
 
-/// Limit on the bodies that all pending responses together hold in memory. A
-/// faulty endpoint may send without end, on several connections.
-constexpr std::size_t max_buffered_bytes = 24 * 1024 * 1024;
+/// Budget of a client that is given none.
+constexpr std::size_t default_budget_bytes = 24 * 1024 * 1024;
+
+/// Longest line that next_line() reads.
+constexpr std::size_t max_line_bytes = 1024 * 1024;
+
+/// Longest idle time of a server that is believed.
+constexpr std::int64_t max_keep_alive_seconds = 3'600;
 
 /// Limit on what is read ahead of the parser, which bounds headers, chunk
 /// extensions and trailers.
@@ -73,7 +79,7 @@
 };
 
 using connection_ptr = std::shared_ptr<connection>;
-using parser_type = http::response_parser<http::string_body>;
+using parser_type = http::response_parser<appended_body>;
 
 error error_from(const error_code& failed)
 {
@@ -102,14 +108,19 @@
     {
         return default_idle_limit;
     }
-    return core::duration{seconds * 1'000} - idle_margin;
+    const core::duration stated{
+        std::clamp<std::int64_t>(seconds, 0, max_keep_alive_seconds) * 1'000};
+    return stated - idle_margin;
 }
 
 } // namespace
 
 struct http_client::pool
 {
-    explicit pool(asio::io_context& context) : context_(context) {}
+    pool(asio::io_context& context, byte_budget_ptr budget)
+        : context_(context), budget_(std::move(budget))
+    {
+    }
 
     void release(
         const std::string& address,
@@ -158,7 +169,7 @@
     asio::io_context& context_;
     std::map<std::string, std::deque<connection_ptr>> idle_connections_;
     http_client_counts counts_;
-    std::size_t buffered_bytes_ = 0; ///< Of all bodies in read_rest().
+    byte_budget_ptr budget_;
 
 private:
     static bool is_open(connection& idle_connection)
@@ -204,7 +215,7 @@
     co_return std::move(connected);
 }
 
-http::request<http::string_body> make_request(const http_call& call)
+http::request<http::string_body> make_request(http_call& call)
 {
     http::request<http::string_body> message;
     message.version(11);
@@ -222,9 +233,9 @@
             message.insert(key, text);
         }
     }
-    message.body() = call.body_;
-    const bool omit_body =
-        call.body_.empty() && call.method_ != "POST" && call.method_ != "PUT";
+    message.body() = std::move(call.body_);
+    const bool omit_body = message.body().empty() && call.method_ != "POST" &&
+                           call.method_ != "PUT";
     if (!omit_body)
     {
         message.prepare_payload();
@@ -245,37 +256,6 @@
     target->write_failed_ = static_cast<bool>(failed);
 }
 
-/// Counts the bytes of one body towards the limit of all bodies.
-class buffered_body
-{
-public:
-    explicit buffered_body(http_client::pool& pool) : pool_(pool) {}
-
-    ~buffered_body()
-    {
-        pool_.buffered_bytes_ -= counted_;
-    }
-
-    buffered_body(const buffered_body&) = delete;
-    buffered_body& operator=(const buffered_body&) = delete;
-
-    /// \return whether the body may grow by this many bytes.
-    bool add(std::size_t bytes)
-    {
-        if (pool_.buffered_bytes_ + bytes > max_buffered_bytes)
-        {
-            return false;
-        }
-        pool_.buffered_bytes_ += bytes;
-        counted_ += bytes;
-        return true;
-    }
-
-private:
-    http_client::pool& pool_;
-    std::size_t counted_ = 0;
-};
-
 class beast_stream final : public http_stream
 {
 public:
@@ -285,7 +265,8 @@
         connection_ptr used)
         : pool_(std::move(pool)),
           address_(std::move(address)),
-          connection_(std::move(used))
+          connection_(std::move(used)),
+          line_held_(pool_->budget_)
     {
         reset_parser();
     }
@@ -374,7 +355,14 @@
             {
                 co_return std::move(piece);
             }
-            partial_line_ += *core::value(piece);
+            const std::string& bytes = *core::value(piece);
+            const std::size_t size = partial_line_.size() + bytes.size();
+            if (size > max_line_bytes + max_read_ahead_bytes ||
+                !line_held_.resize(size))
+            {
+                co_return error{errc::invalid, "the line is too long"};
+            }
+            partial_line_ += bytes;
         }
     }
 
@@ -406,10 +394,9 @@
     }
 
     asio::awaitable<core::result<std::string>> read_rest(
-        core::duration timeout, std::size_t max_bytes) override
+        core::duration timeout, std::size_t max_bytes, byte_hold& held) override
     {
         const core::time_point deadline = core::steady_now() + timeout;
-        buffered_body counted(*pool_);
         std::string out;
         for (;;)
         {
@@ -426,7 +413,7 @@
             }
             const std::string& bytes = *core::value(piece);
             const std::size_t size = out.size() + bytes.size();
-            if (size > max_bytes || !counted.add(bytes.size()))
+            if (size > max_bytes || !held.resize(size))
             {
                 co_return error{errc::invalid, "the answer is too large"};
             }
@@ -515,6 +502,7 @@
         }
         std::string line = partial_line_.substr(0, end);
         partial_line_.erase(0, end + 1);
+        line_held_.resize(partial_line_.size());
         return line;
     }
 
@@ -550,13 +538,22 @@
     bool is_named_ = true;
     std::size_t wire_bytes_ = 0; ///< Read after the header.
     std::string partial_line_;
+    byte_hold line_held_; ///< Of partial_line_.
 };
 
 } // namespace
 
-http_client::http_client(asio::io_context& context)
-    : pool_(std::make_shared<pool>(context))
+http_client::http_client(asio::io_context& context, byte_budget_ptr budget)
+    : pool_(std::make_shared<pool>(
+          context,
+          budget ? std::move(budget)
+                 : std::make_shared<byte_budget>(default_budget_bytes)))
+{
+}
+
+const byte_budget_ptr& http_client::budget() const
 {
+    return pool_->budget_;
 }
 
 const http_client_counts& http_client::counts() const
@@ -568,6 +565,7 @@
     http_call call)
 {
     const core::time_point deadline = core::steady_now() + call.timeout_;
+    const std::size_t max_bytes = call.max_response_bytes_;
     core::result<std::unique_ptr<http_stream>> opened =
         co_await open(std::move(call));
     if (!core::is_ok(opened))
@@ -579,13 +577,15 @@
     reply.status_ = stream->status();
     reply.headers_ = stream->headers();
     const core::duration remaining = deadline - core::steady_now();
+    const auto held = std::make_shared<byte_hold>(pool_->budget_);
     core::result<std::string> body = co_await stream->read_rest(
-        std::max(remaining, core::duration{1}), max_response_bytes);
+        std::max(remaining, core::duration{1}), max_bytes, *held);
     if (!core::is_ok(body))
     {
         co_return core::failure(body);
     }
     reply.body_ = std::move(core::value(body));
+    reply.held_ = held;
     co_return std::move(reply);
 }
 
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -8,6 +8,7 @@
 
 #include "core/result.hpp"
 #include "drivers/asio.hpp"
+#include "drivers/byte_budget.hpp"
 #include "drivers/http_server.hpp"
 
 namespace poplarroute::drivers
@@ -19,8 +20,18 @@
     int status_ = 0;
     header_list headers_;
     std::string body_;
+
+    /// Keeps the body counted towards the client's budget while it exists.
+    std::shared_ptr<const byte_hold> held_;
 };
 
+/// Largest response body that request() reads, unless the call states a limit.
+inline constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
+
+/// Limit on the responses of the protocol with endpoints, besides those that
+/// are for callers. Parsing one takes a multiple of its size.
+inline constexpr std::size_t max_protocol_response_bytes = 64 * 1024;
+
 /// A request to an endpoint.
 struct http_call
 {
@@ -33,6 +44,8 @@
     core::duration connect_timeout_{1'000};
     /// The call is not sent after this time, since what permits it ends then.
     std::optional<core::time_point> send_before_;
+    /// Larger response bodies are refused as invalid.
+    std::size_t max_response_bytes_ = max_response_bytes;
     /// Connections that have been idle for longer are not reused.
     core::duration max_idle_time_{60'000};
 
@@ -59,7 +72,8 @@
     /// Reads the next line.
     /// \param timeout how long to wait for the whole line.
     /// \return the line without its line break; nothing when the body is
-    /// complete; an error of kind broken or timeout otherwise.
+    /// complete; an error of kind broken or timeout otherwise, or invalid when
+    /// the line does not fit into the budget.
     virtual asio::awaitable<core::result<std::optional<std::string>>> next_line(
         core::duration timeout) = 0;
 
@@ -73,8 +87,10 @@
     /// Reads the rest of the body.
     /// \param timeout for the whole rest.
     /// \param max_bytes size above which the body is refused as invalid.
+    /// \param held counts the body towards the budget, for as long as the
+    /// caller keeps both. A body that does not fit is refused as invalid.
     virtual asio::awaitable<core::result<std::string>> read_rest(
-        core::duration timeout, std::size_t max_bytes) = 0;
+        core::duration timeout, std::size_t max_bytes, byte_hold& held) = 0;
 };
 
 /// Counters of a client's connections, for metrics.
@@ -92,7 +108,13 @@
 class http_client
 {
 public:
-    explicit http_client(asio::io_context& context);
+    /// \param budget limits the responses that are held in memory together;
+    /// null: a budget of the client's own.
+    explicit http_client(
+        asio::io_context& context, byte_budget_ptr budget = nullptr);
+
+    /// \return the budget of responses, for what callers keep of streams.
+    const byte_budget_ptr& budget() const;
 
     /// Sends a request and reads the whole response.
     asio::awaitable<core::result<http_response>> request(http_call call);
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -14,6 +14,8 @@
 
 #include "core/counted.hpp"
 #include "core/invariant.hpp"
+#include "drivers/appended_body.hpp"
+#include "drivers/log.hpp"
 
 namespace poplarroute::drivers
 {
@@ -27,11 +29,13 @@
         asio::io_context& context,
         const tcp::endpoint& at,
         http_limits limits,
-        http_handler handler)
+        http_handler handler,
+        byte_budget_ptr budget)
         : context_(context),
           acceptor_(context, at),
           limits_(limits),
-          handler_(std::move(handler))
+          handler_(std::move(handler)),
+          budget_(std::move(budget))
     {
     }
 
@@ -39,6 +43,7 @@
     tcp::acceptor acceptor_;
     http_limits limits_;
     http_handler handler_;
+    byte_budget_ptr budget_;
     bool stopping_ = false;
     bool keep_alive_disabled_ = false; ///< Each response closes its connection.
     std::size_t active_requests_ = 0;
@@ -53,6 +58,11 @@
 /// begin its request.
 constexpr core::duration stopping_request_wait{500};
 
+/// Budget of a server that is given none.
+constexpr std::size_t default_budget_bytes = 64 * 1024 * 1024;
+
+constexpr int status_unavailable = 503;
+
 std::string encode_chunk(std::string_view piece)
 {
     static constexpr char digits[] = "0123456789abcdef";
@@ -212,7 +222,7 @@
 };
 
 http_request to_http_request(
-    http::request<http::string_body>& message, std::string remote)
+    http::request<appended_body>& message, std::string remote)
 {
     http_request request;
     request.method_ = std::string(message.method_string());
@@ -235,18 +245,24 @@
     return failed == http::error::header_limit ? 431 : 400;
 }
 
-/// Sends an error response to bytes that are not a valid request, and states
-/// that nothing was run.
-asio::awaitable<void> reject_malformed_request(
-    beast::tcp_stream& stream, const error_code& failed)
+/// Sends an error response to a request that is not read, and states that
+/// nothing was run.
+/// \param error JSON members that say what is wrong.
+asio::awaitable<void> reject_unread_request(
+    beast::tcp_stream& stream, int status, std::string_view error)
 {
     http::response<http::string_body> response;
     response.version(11);
-    response.result(static_cast<unsigned>(status_of_read_error(failed)));
+    response.result(static_cast<unsigned>(status));
     response.set("Content-Type", "application/json");
+    if (status == status_unavailable)
+    {
+        response.set("Retry-After", "1");
+    }
     response.keep_alive(false);
-    response.body() = R"({"error":{"code":"bad_request","message":"The request)"
-                      R"( could not be read.","not_run":true}})";
+    response.body() = "{\"error\":{";
+    response.body() += error;
+    response.body() += ",\"not_run\":true}}";
     response.prepare_payload();
     error_code ignored;
     co_await http::async_write(
@@ -286,12 +302,14 @@
 }
 
 /// Reads the next request of a connection.
+/// \param held counts its body towards the budget.
 /// \return whether a request was read.
 asio::awaitable<bool> read_request(
     http_server::state& shared,
     beast::tcp_stream& stream,
     beast::flat_buffer& buffer,
-    http::request_parser<http::string_body>& parser)
+    http::request_parser<appended_body>& parser,
+    byte_hold& held)
 {
     parser.header_limit(
         static_cast<std::uint32_t>(shared.limits_.header_bytes_));
@@ -306,18 +324,59 @@
         }
     }
     stream.expires_after(shared.limits_.read_timeout_.chrono());
-    co_await http::async_read(
+    co_await http::async_read_header(
         stream,
         buffer,
         parser,
         asio::redirect_error(asio::use_awaitable, failed));
+    while (!failed && !parser.is_done())
+    {
+        co_await http::async_read_some(
+            stream,
+            buffer,
+            parser,
+            asio::redirect_error(asio::use_awaitable, failed));
+        if (!failed && !held.resize(parser.get().body().size()))
+        {
+            co_await reject_unread_request(
+                stream,
+                status_unavailable,
+                R"("code":"overloaded","message":"Too many large requests.")");
+            co_return false;
+        }
+    }
     if (failed && is_malformed_request(failed))
     {
-        co_await reject_malformed_request(stream, failed);
+        co_await reject_unread_request(
+            stream,
+            status_of_read_error(failed),
+            R"("code":"bad_request","message":"The request could not be read.")");
     }
     co_return !failed;
 }
 
+/// Runs the handler of a request. An exception, such as one for lack of memory,
+/// ends this connection only.
+asio::awaitable<void> handle(
+    http_server::state& shared, http_exchange& exchange)
+{
+    std::string problem;
+    try
+    {
+        co_await shared.handler_(exchange);
+        co_return;
+    }
+    catch (const std::exception& thrown)
+    {
+        problem = thrown.what();
+    }
+    log_event(
+        log_level::error,
+        "handler_failed",
+        {{"target", exchange.request().target_}, {"problem", problem}});
+    exchange.abort_response();
+}
+
 /// Closes a connection after its unread bytes have been discarded. Closing with
 /// unread bytes would reset the connection, and the last response could be
 /// lost.
@@ -353,9 +412,10 @@
     while (keep_open && (is_first || !shared->stopping_))
     {
         is_first = false;
-        http::request_parser<http::string_body> parser;
+        http::request_parser<appended_body> parser;
+        byte_hold held(shared->budget_);
         const bool is_complete =
-            co_await read_request(*shared, stream, buffer, parser);
+            co_await read_request(*shared, stream, buffer, parser, held);
         if (!is_complete)
         {
             break;
@@ -365,7 +425,7 @@
         beast_exchange exchange(
             stream, *shared, to_http_request(parser.get(), remote), keep_alive);
         const core::counted active(shared->active_requests_);
-        co_await shared->handler_(exchange);
+        co_await handle(*shared, exchange);
         keep_open = exchange.keep_alive();
     }
     co_await lingering_close(stream);
@@ -452,9 +512,15 @@
     asio::io_context& context,
     const std::string& address,
     http_limits limits,
-    http_handler handler)
+    http_handler handler,
+    byte_budget_ptr budget)
     : state_(std::make_shared<state>(
-          context, parse_endpoint(address), limits, std::move(handler)))
+          context,
+          parse_endpoint(address),
+          limits,
+          std::move(handler),
+          budget ? std::move(budget)
+                 : std::make_shared<byte_budget>(default_budget_bytes)))
 {
 }
 
--- a/drivers/http_server.hpp
+++ b/drivers/http_server.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "drivers/asio.hpp"
+#include "drivers/byte_budget.hpp"
 
 namespace poplarroute::drivers
 {
@@ -107,12 +108,15 @@
 public:
     /// Binds the port.
     /// \param address "ip:port".
+    /// \param budget limits the requests that are held in memory together;
+    /// null: a budget of the server's own.
     /// \throws boost::system::system_error when it cannot be bound.
     http_server(
         asio::io_context& context,
         const std::string& address,
         http_limits limits,
-        http_handler handler);
+        http_handler handler,
+        byte_budget_ptr budget = nullptr);
 
     /// Accepts connections until stop_accepting().
     void start();
--- a/node/endpoint_list_poller.cpp
+++ b/node/endpoint_list_poller.cpp
@@ -21,6 +21,9 @@
 constexpr core::duration idle_interval{100};
 constexpr core::duration page_timeout{900};
 constexpr int max_pages = 400;
+
+/// A list with more endpoints than this is refused.
+constexpr std::size_t max_endpoints = 50'000;
 constexpr int status_ok = 200;
 
 } // namespace
@@ -127,6 +130,14 @@
         {
             list.push_back(std::move(item));
         }
+        if (list.size() > max_endpoints)
+        {
+            log_event(
+                log_level::error,
+                "list_too_long",
+                {{"page", pages}, {"endpoints", list.size()}});
+            co_return false;
+        }
         page = std::move(read->next_);
         if (page.empty())
         {
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -22,6 +22,13 @@
 constexpr core::duration cancel_timeout{1'000};
 constexpr core::duration report_timeout{700};
 constexpr core::duration order_timeout{2'000};
+
+/// Limit on a report, or on the events since the last one.
+constexpr std::size_t max_report_bytes = 1024 * 1024;
+
+/// Tokens of one frame; a larger count cannot be right.
+constexpr std::int64_t max_tokens_per_frame = 1'000'000;
+
 constexpr int status_ok = 200;
 constexpr int status_conflict = 409;
 constexpr int status_gone = 410;
@@ -52,6 +59,7 @@
     call.target_ = std::move(target);
     call.headers_ = {{"Content-Type", "application/json"}};
     call.body_ = body.dump(-1, ' ', false, json::error_handler_t::replace);
+    call.max_response_bytes_ = drivers::max_protocol_response_bytes;
     return call;
 }
 
@@ -147,7 +155,10 @@
             continue;
         }
         const auto* frame_tokens = std::get_if<token_frame>(&*frame);
-        if (frame_tokens != nullptr && frame_tokens->offset_ != next_offset_)
+        if (frame_tokens != nullptr &&
+            (frame_tokens->offset_ != next_offset_ ||
+             frame_tokens->tokens_ < 1 ||
+             frame_tokens->tokens_ > max_tokens_per_frame))
         {
             co_return error{errc::broken, "tokens are missing"};
         }
@@ -250,6 +261,7 @@
     call.address_ = std::move(address);
     call.target_ = "/report";
     call.timeout_ = report_timeout;
+    call.max_response_bytes_ = max_report_bytes;
     const auto reply = co_await http_.request(std::move(call));
     if (!core::is_ok(reply))
     {
@@ -284,6 +296,7 @@
     call.address_ = std::move(address);
     call.target_ = "/events?after=" + std::to_string(after);
     call.timeout_ = report_timeout;
+    call.max_response_bytes_ = max_report_bytes;
     const auto reply = co_await http_.request(std::move(call));
     if (!core::is_ok(reply))
     {
--- a/node/event_stream_parser.hpp
+++ b/node/event_stream_parser.hpp
@@ -31,6 +31,12 @@
     /// that what arrives is no event stream.
     bool is_overlong() const;
 
+    /// \return the size of what is buffered.
+    std::size_t pending_bytes() const
+    {
+        return pending_.size();
+    }
+
     /// \return whether bytes of an incomplete event are buffered.
     bool has_partial_event() const
     {
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -43,6 +43,20 @@
     core::duration{450},
     core::duration{450},
     core::duration{120}};
+
+/// Part of the process's memory that the requests and responses which it holds
+/// may take. Each may be copied once on its way.
+constexpr std::int64_t http_memory_divisor = 6;
+constexpr std::int64_t default_memory_mb = 144;
+
+/// \return the budget of requests and responses.
+/// \param memory_mb memory of the process; 0: not stated.
+std::size_t http_budget_bytes(std::int64_t memory_mb)
+{
+    const std::int64_t known = memory_mb > 0 ? memory_mb : default_memory_mb;
+    return static_cast<std::size_t>(known * 1024 * 1024 / http_memory_divisor);
+}
+
 constexpr int status_ok = 200;
 constexpr int exit_status_connections_cut = 4;
 
@@ -58,7 +72,9 @@
         : load_settings_(std::move(load_settings)),
           codec_(std::move(codec)),
           make_operator_handler_(std::move(make_operator_handler)),
-          http_(io_),
+          budget_(std::make_shared<drivers::byte_budget>(
+              http_budget_bytes(settings.memory_mb_))),
+          http_(io_, budget_),
           peers_(io_, nullptr),
           with_{io_, board_, peers_, http_, metrics_, calls_},
           signals_(io_, SIGTERM, SIGINT),
@@ -106,6 +122,7 @@
     core::blackboard board_;
     drivers::metrics metrics_;
     call_dispatcher calls_;
+    drivers::byte_budget_ptr budget_; ///< Of requests and responses.
     drivers::http_client http_;
     drivers::peer_client peers_;
     context with_;
@@ -168,7 +185,8 @@
         [this](drivers::http_exchange& exchange)
         {
             return ingress_->handle(exchange);
-        });
+        },
+        budget_);
     ready_port_ = std::make_unique<drivers::http_server>(
         io_,
         settings().ready_listen_,
--- a/node/fleet_settings.hpp
+++ b/node/fleet_settings.hpp
@@ -38,6 +38,7 @@
         false; ///< The fleet starts for the first time, with empty disks.
     std::string list_address_; ///< "ip:port" of the platform's endpoint list.
     std::vector<core::zone_id> zones_;
+    std::int64_t memory_mb_ = 0; ///< Memory of this process; 0: not stated.
     fleet_bounds bounds_;
 };
 
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -91,14 +91,14 @@
     out.connect_timeout_ = std::min(max_connect_timeout, out.timeout_);
     ++result_.sends_;
     const core::endpoint_id to = endpoint_;
-    const core::result<drivers::http_response> reply =
+    core::result<drivers::http_response> reply =
         co_await ingress_.endpoints_.request(
             to, policy::call_purpose::request, std::move(out));
-    co_return classify_reply(reply);
+    co_return classify_reply(std::move(reply));
 }
 
 send_result plain_forwarder::classify_reply(
-    const core::result<drivers::http_response>& reply)
+    core::result<drivers::http_response> reply)
 {
     using policy::call_outcome;
     if (!core::is_ok(reply))
@@ -156,7 +156,7 @@
     ingress_.report_answered(call_);
     const bool is_error = response.status_ >= min_error_status;
     finish_attempt(is_error ? call_outcome::errored : call_outcome::answered);
-    reply_ = response;
+    reply_ = std::move(core::value(reply));
     return send_result::answered;
 }
 
--- a/node/plain_forwarder.hpp
+++ b/node/plain_forwarder.hpp
@@ -23,7 +23,7 @@
     bool choose_endpoint();
     awaitable<policy::send_result> send();
     policy::send_result classify_reply(
-        const core::result<drivers::http_response>& reply);
+        core::result<drivers::http_response> reply);
     bool can_retry();
     awaitable<void> answer_failure(drivers::http_exchange& exchange);
     void finish_attempt(policy::call_outcome outcome);
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -477,6 +477,7 @@
     drivers::http_exchange& exchange)
 {
     const core::duration event_timeout = caller_event_timeout(call_.route_);
+    drivers::byte_hold held(ingress_.with_.http_.budget());
     const std::int64_t max_events =
         call_.request_.counts_tokens_
             ? call_.request_.most_output_ + max_events_without_tokens
@@ -538,7 +539,9 @@
                 co_return step_result::failed;
             }
         }
-        if (parser_.is_overlong() || events_read > max_events)
+        const bool is_too_long =
+            parser_.is_overlong() || !held.resize(parser_.pending_bytes());
+        if (is_too_long || events_read > max_events)
         {
             result_.detail_ = "the engine sends more than an answer";
             co_return step_result::retry;
@@ -645,8 +648,9 @@
         drivers::header_list headers =
             ingress_.codec_.caller_response_headers(stream_->headers());
         constexpr std::size_t max_error_body_bytes = 1024 * 1024;
-        core::result<std::string> body =
-            co_await stream_->read_rest(open_timeout, max_error_body_bytes);
+        drivers::byte_hold held(ingress_.with_.http_.budget());
+        core::result<std::string> body = co_await stream_->read_rest(
+            open_timeout, max_error_body_bytes, held);
         if (result_.opened_ || !core::is_ok(body))
         {
             result_.detail_ = "the engine failed the stream";
