Do not go on with a stream whose next engine skips events

A stream that broke went on at another engine without some of its events and ended as complete; so it did when that engine sent no event at all. After events without an id it was begun anew.

The first event of the next engine has to follow by the step that the ids had. A response with another status or content type does not go on either.

--- a/node/event_stream_parser.cpp
+++ b/node/event_stream_parser.cpp
@@ -65,6 +65,22 @@
     return std::nullopt;
 }
 
+/// \return whether an event has a line of data.
+bool has_data(std::string_view event)
+{
+    static constexpr std::string_view key = "data";
+    for (std::size_t begin = 0; begin < event.size();)
+    {
+        if (event.substr(begin).starts_with(key))
+        {
+            return true;
+        }
+        const std::size_t end = event.find('\n', begin);
+        begin = end == std::string_view::npos ? event.size() : end + 1;
+    }
+    return false;
+}
+
 } // namespace
 
 void event_stream_parser::add(std::string_view bytes)
@@ -92,6 +108,7 @@
     out.bytes_ = pending_.substr(0, end);
     pending_.erase(0, end);
     out.id_ = id_of(out.bytes_);
+    out.has_data_ = has_data(out.bytes_);
     return out;
 }
 
--- a/node/event_stream_parser.hpp
+++ b/node/event_stream_parser.hpp
@@ -13,6 +13,7 @@
 {
     std::string bytes_; ///< Includes the empty line that ends it.
     std::optional<std::int64_t> id_;
+    bool has_data_ = false; ///< Without data, callers take no notice of it.
 };
 
 /// Incremental parser that splits an event stream (server-sent events, as
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -73,9 +73,12 @@
     placement_client& placements,
     ingress_call& call,
     ingress_result& result)
-    : ingress_(ingress), placements_(placements), call_(call), result_(result)
+    : ingress_(ingress),
+      placements_(placements),
+      call_(call),
+      result_(result),
+      sequence_(call.request_.resume_after_)
 {
-    last_event_id_ = call.request_.resume_after_;
 }
 
 stream_forwarder::~stream_forwarder()
@@ -339,7 +342,7 @@
         co_return step_result::retry;
     }
     send_plan plan = make_send_plan(*endpoint, call_);
-    plan.resume_after_ = last_event_id_;
+    plan.resume_after_ = sequence_.last();
     if (kv_handle_)
     {
         plan.kv_source_ =
@@ -443,7 +446,7 @@
     return step_result::done;
 }
 
-awaitable<bool> stream_forwarder::forward_event(
+awaitable<stream_forwarder::step_result> stream_forwarder::forward_event(
     drivers::http_exchange& exchange, stream_event event)
 {
     const core::time_point now = core::steady_now();
@@ -451,14 +454,15 @@
     {
         engine_began_at_ = now;
     }
-    if (event.id_)
+    switch (sequence_.add(event.id_, event.has_data_))
     {
-        const bool duplicate = last_event_id_ && *event.id_ <= *last_event_id_;
-        if (duplicate)
-        {
-            co_return true;
-        }
-        last_event_id_ = event.id_;
+    case event_sequence::position::duplicate:
+        co_return step_result::done;
+    case event_sequence::position::gap:
+        result_.detail_ = "the engine does not go on where the stream broke";
+        co_return step_result::retry;
+    case event_sequence::position::next:
+        break;
     }
     if (result_.events_ == 0)
     {
@@ -470,7 +474,12 @@
     ++result_.events_;
     report_answered_parts();
     const bool written = co_await exchange.write(event.bytes_);
-    co_return written;
+    if (!written)
+    {
+        result_.detail_ = "the caller has stopped reading";
+        co_return step_result::failed;
+    }
+    co_return step_result::done;
 }
 
 awaitable<stream_forwarder::step_result> stream_forwarder::relay_events(
@@ -484,6 +493,8 @@
             : std::numeric_limits<std::int64_t>::max();
     std::int64_t events_read = 0;
     parser_ = event_stream_parser();
+    sequence_.begin_run();
+    const bool is_resumed = result_.events_ > 0;
     events_from_engine_ = 0;
     // Only whole events are progress: a stalled engine may still send a byte
     // now and then.
@@ -517,26 +528,31 @@
         }
         if (!core::value(piece))
         {
-            const bool complete = !parser_.has_partial_event();
-            result_.detail_ =
-                complete ? "" : "the stream ended within an event";
-            if (!complete)
+            if (parser_.has_partial_event())
             {
+                result_.detail_ = "the stream ended within an event";
                 check_for_crash();
+                co_return step_result::retry;
+            }
+            if (is_resumed && events_from_engine_ == 0)
+            {
+                // It does not show that the stream is complete.
+                result_.detail_ = "the resumed stream has no event";
+                co_return step_result::retry;
             }
-            co_return complete ? step_result::done : step_result::retry;
+            result_.detail_ = "";
+            co_return step_result::done;
         }
         parser_.add(*core::value(piece));
         for (auto event = parser_.next(); event; event = parser_.next())
         {
             ++events_read;
-            const bool written =
+            const step_result forwarded =
                 co_await forward_event(exchange, std::move(*event));
             progress_at = core::steady_now();
-            if (!written)
+            if (forwarded != step_result::done)
             {
-                result_.detail_ = "the caller has stopped reading";
-                co_return step_result::failed;
+                co_return forwarded;
             }
         }
         const bool is_too_long =
@@ -599,7 +615,17 @@
 
 bool stream_forwarder::may_resume() const
 {
-    return call_.route_.resumable_ && time_left(call_) > min_retry_time;
+    return call_.route_.resumable_ && sequence_.is_resumable() &&
+           time_left(call_) > min_retry_time;
+}
+
+/// \return whether an engine's response can go on within the response that has
+/// begun. An error, or a body of another kind, cannot.
+bool stream_forwarder::continues_response() const
+{
+    return stream_->status() == result_.status_ &&
+           drivers::find_header(stream_->headers(), "Content-Type") ==
+               content_type_;
 }
 
 bool stream_forwarder::may_place_again()
@@ -641,6 +667,14 @@
     {
         co_return opened;
     }
+    if (result_.opened_ && !continues_response())
+    {
+        result_.detail_ = "the engine did not resume the stream: status " +
+                          std::to_string(stream_->status());
+        stream_.reset();
+        report_failure(placement_.decoder_);
+        co_return may_resume() ? step_result::retry : step_result::failed;
+    }
     if (stream_->status() >= min_error_status)
     {
         result_.status_ = stream_->status();
@@ -651,7 +685,7 @@
         drivers::byte_hold held(ingress_.with_.http_.budget());
         core::result<std::string> body = co_await stream_->read_rest(
             open_timeout, max_error_body_bytes, held);
-        if (result_.opened_ || !core::is_ok(body))
+        if (!core::is_ok(body))
         {
             result_.detail_ = "the engine failed the stream";
             co_return step_result::failed;
@@ -666,6 +700,7 @@
         result_.status_ = stream_->status();
         drivers::header_list headers =
             ingress_.codec_.caller_response_headers(stream_->headers());
+        content_type_ = drivers::find_header(headers, "Content-Type");
         co_await exchange.start_stream(result_.status_, std::move(headers));
     }
     const step_result relayed = co_await relay_events(exchange);
--- a/node/stream_forwarder.hpp
+++ b/node/stream_forwarder.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "node/event_sequence.hpp"
 #include "node/event_stream_parser.hpp"
 #include "node/ingress_call.hpp"
 #include "node/placement_client.hpp"
@@ -41,7 +42,7 @@
     awaitable<step_result> open_decode_stream();
     step_result check_decode_response();
     awaitable<step_result> relay_events(drivers::http_exchange& exchange);
-    awaitable<bool> forward_event(
+    awaitable<step_result> forward_event(
         drivers::http_exchange& exchange, stream_event event);
     awaitable<step_result> run_once(drivers::http_exchange& exchange);
     bool may_place_again();
@@ -50,6 +51,7 @@
     bool has_just_begun() const;
     void report_answered_parts();
     bool may_resume() const;
+    bool continues_response() const;
     void release_placement(bool complete);
     void release_kv_handle();
     void report_failure(const core::endpoint_id& engine);
@@ -73,7 +75,8 @@
     core::duration prefill_time_;
     std::unique_ptr<drivers::http_stream> stream_;
     event_stream_parser parser_;
-    std::optional<std::int64_t> last_event_id_;
+    event_sequence sequence_;
+    std::string content_type_; ///< Of the response that has begun.
     core::time_point first_event_at_;
     core::time_point last_event_at_;
 
