Bound the depth and the values of messages from peers

A message of a million nested arrays overflowed the stack, and a malformed command ended each member that applied it. Both are refused now, at every member alike.

--- a/control/catalog_state_machine.cpp
+++ b/control/catalog_state_machine.cpp
@@ -48,20 +48,32 @@
     std::string_view bytes)
 {
     const auto command = core::parse_cbor(bytes);
-    if (!command || !command->is_array() || command->empty())
+    // Any host can submit a command, so its fields are checked at each member.
+    try
+    {
+        return command ? apply_decoded(*command) : reply{false, false, version_};
+    }
+    catch (const nlohmann::json::exception&)
     {
         return {false, false, version_};
     }
+}
+
+/// \throws nlohmann::json::exception when the document is no command; the state
+/// is then unchanged.
+catalog_state_machine::reply catalog_state_machine::apply_decoded(
+    const nlohmann::json& command)
+{
     reply out;
-    switch (command->at(0).get<command_kind>())
+    switch (command.at(0).get<command_kind>())
     {
     case command_kind::submit:
     {
-        const auto version = command->at(1).get<std::uint64_t>();
+        const auto version = command.at(1).get<std::uint64_t>();
         if (version > version_)
         {
+            text_ = core::text_of(command.at(2));
             version_ = version;
-            text_ = core::text_of(command->at(2));
             out.changed_ = true;
         }
         out.number_ = version_;
@@ -70,11 +82,11 @@
     case command_kind::zone:
     {
         set_zone_out_of_service request;
-        request.zone_ = command->at(1).get<core::zone_id>();
-        request.out_ = command->at(2).get<bool>();
-        if (command->size() > 3)
+        request.zone_ = command.at(1).get<core::zone_id>();
+        request.out_ = command.at(2).get<bool>();
+        if (command.size() > 3)
         {
-            request.base_ = command->at(3).get<std::uint64_t>();
+            request.base_ = command.at(3).get<std::uint64_t>();
         }
         out = apply_zone(request);
         break;
--- a/control/catalog_state_machine.hpp
+++ b/control/catalog_state_machine.hpp
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <variant>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "core/ids.hpp"
 
 namespace poplarroute::control
@@ -96,6 +98,7 @@
     static std::optional<catalog_state_machine> decode(std::string_view bytes);
 
 private:
+    reply apply_decoded(const nlohmann::json& command);
     reply apply_zone(const set_zone_out_of_service& request);
 
     std::uint64_t revision_ = 0;
--- a/core/codec.hpp
+++ b/core/codec.hpp
@@ -36,26 +36,18 @@
     return out;
 }
 
+/// Deepest nesting of arrays and maps in CBOR from other processes. Parsing uses
+/// the stack for each level.
+inline constexpr std::size_t max_cbor_depth = 64;
+
+/// Limit on the values in one CBOR document from another process; a value takes
+/// a byte there and many times as much in memory.
+inline constexpr std::size_t max_cbor_values = 4'000'000;
+
 /// Parses CBOR from an untrusted source.
-/// \return nothing when the bytes are not well formed.
-inline std::optional<nlohmann::json> parse_cbor(std::string_view bytes)
-{
-    // from_cbor throws on some malformed sizes even with exceptions disabled.
-    try
-    {
-        nlohmann::json document =
-            nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
-        if (document.is_discarded())
-        {
-            return std::nullopt;
-        }
-        return document;
-    }
-    catch (const nlohmann::json::exception&)
-    {
-        return std::nullopt;
-    }
-}
+/// \return nothing when the bytes are not well formed, are nested more than
+/// max_cbor_depth deep or hold more than max_cbor_values values.
+std::optional<nlohmann::json> parse_cbor(std::string_view bytes);
 
 /// Decodes a message that encode_cbor() wrote.
 /// \return nothing when the bytes are not well formed or do not fit the type.
--- a/tests/control/catalog_test.cpp
+++ b/tests/control/catalog_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "control/catalog_state_machine.hpp"
+#include "core/codec.hpp"
 
 namespace poplarroute::control
 {
@@ -92,6 +93,27 @@
     }
 }
 
+// Guards against a malformed command that ends every member which applies it.
+TEST(catalog_state_machine, a_malformed_command_changes_nothing)
+{
+    catalog_state_machine machine;
+    machine.apply(encode(submit_catalog{1, "one"}));
+    const std::vector<nlohmann::json> commands{
+        nlohmann::json::array(),
+        nlohmann::json::array({0}),
+        nlohmann::json::array({0, 2, "not binary"}),
+        nlohmann::json::array({"kind"}),
+        nlohmann::json::array({1, 5, true}),
+        nlohmann::json::array({1, "a", true, "base"}),
+        nlohmann::json::object()};
+    for (const nlohmann::json& command : commands)
+    {
+        EXPECT_FALSE(machine.apply(core::encode_cbor(command)).changed_);
+    }
+    EXPECT_EQ(machine.revision(), 1U);
+    EXPECT_EQ(machine.text(), "one");
+}
+
 RC_GTEST_PROP(
     catalog_state_machine,
     decodes_any_bytes_without_a_crash,
