Take only what can end in the grace after SIGTERM

Requests that came late in the grace were taken and cut at its end, among them calls that must not be repeated.

A stopping host refuses a request whose deadline, or longest time, lies beyond the grace, as not run. What has not ended then gets an answer: 503 if it was not sent, else 502. Both interfaces do so.

--- a/node/entry_controller.cpp
+++ b/node/entry_controller.cpp
@@ -31,9 +31,16 @@
 /// it has.
 constexpr core::duration max_confirmation_wait{5'000};
 
+/// A stream may take this many times its target time per token.
+constexpr std::int64_t slowest_token_factor = 4;
+
+/// Retry-After of a request that a stopping host does not take any more.
+constexpr core::duration stopping_retry_after{50};
+
 constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr std::size_t request_id_bytes = 8;
 constexpr int status_ok = 200;
+constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 
 refusal_response not_run_refusal(
@@ -71,7 +78,8 @@
       pools_(pools),
       escrow_(escrow),
       control_(control),
-      crashes_(crashes)
+      crashes_(crashes),
+      stop_(with.io_)
 {
 }
 
@@ -192,6 +200,22 @@
     return std::nullopt;
 }
 
+/// \param longest how long the request may last.
+entry_controller::optional_refusal entry_controller::check_stop(
+    core::duration longest) const
+{
+    if (stop_.admits_until(core::steady_now() + longest))
+    {
+        return std::nullopt;
+    }
+    refusal_response refusal = not_run_refusal(
+        status_unavailable,
+        "host_stopping",
+        "This host stops before the request is certain to end.");
+    refusal.retry_after_ = stopping_retry_after;
+    return refusal;
+}
+
 entry_controller::optional_refusal entry_controller::check_isolation(
     const request_info& info) const
 {
@@ -272,7 +296,7 @@
         }};
     const auto completed = co_await (
         answer_route(exchange, info, outcome) || exchange.gone() ||
-        key_withdrawn.wait(max_request_duration));
+        key_withdrawn.wait(max_request_duration) || stop_.closed());
     running.callers_.erase(caller);
     if (completed.index() == 1)
     {
@@ -296,9 +320,37 @@
             co_await refuse(exchange, std::move(withdrawn));
         }
     }
+    if (completed.index() == 3)
+    {
+        outcome.code_ = "host_stopped";
+        outcome.result_ = service_result::failed;
+        co_await end_unfinished(exchange, outcome);
+    }
     report_outcome(info, outcome);
 }
 
+/// Ends a request that still runs when the host stops: with an answer, unless
+/// one has begun.
+awaitable<void> entry_controller::end_unfinished(
+    drivers::http_exchange& exchange, const request_outcome& outcome)
+{
+    if (exchange.opened())
+    {
+        exchange.abort_response();
+        co_return;
+    }
+    refusal_response refusal = not_run_refusal(
+        outcome.may_have_run_ ? status_bad_gateway : status_unavailable,
+        "host_stopped",
+        "The host stopped before the request had ended.");
+    refusal.not_run_ = !outcome.may_have_run_;
+    if (refusal.not_run_)
+    {
+        refusal.retry_after_ = stopping_retry_after;
+    }
+    co_await refuse(exchange, std::move(refusal));
+}
+
 awaitable<void> entry_controller::answer_route(
     drivers::http_exchange& exchange,
     request_info& info,
@@ -381,6 +433,20 @@
         co_await refuse(exchange, std::move(refusal));
         co_return;
     }
+    const control::latency_target& target = info.route_.interactive_
+                                                ? info.service_.interactive_
+                                                : info.service_.batch_;
+    const core::duration longest =
+        target.first_token_ + target.between_tokens_ *
+                                  (completion.max_tokens_ *
+                                   slowest_token_factor);
+    if (const optional_refusal refusal = check_stop(longest))
+    {
+        outcome.code_ = refusal->code_;
+        outcome.result_ = service_result::refused;
+        co_await refuse(exchange, *refusal);
+        co_return;
+    }
     const std::int64_t price =
         completion.prompt_tokens_ + completion.max_tokens_;
     const bool paid = co_await charge_account(exchange, info, price, outcome);
@@ -415,6 +481,13 @@
     const request_info& info,
     request_outcome& outcome)
 {
+    if (const optional_refusal refusal = check_stop(max_plain_request_time))
+    {
+        outcome.code_ = refusal->code_;
+        outcome.result_ = service_result::refused;
+        co_await refuse(exchange, *refusal);
+        co_return;
+    }
     const bool paid = co_await charge_account(
         exchange, info, info.service_.call_cost_, outcome);
     if (!paid)
--- a/node/entry_controller.hpp
+++ b/node/entry_controller.hpp
@@ -11,6 +11,7 @@
 #include "node/pool_client.hpp"
 #include "node/request_info.hpp"
 #include "node/slo_history.hpp"
+#include "node/stop_gate.hpp"
 #include "policy/retry_budget.hpp"
 
 namespace poplarroute::node
@@ -44,6 +45,13 @@
         return history_;
     }
 
+    /// Refuses requests that could last longer, and ends those that still run at
+    /// that time with an answer.
+    void stop_at(core::time_point time)
+    {
+        stop_.close_at(time);
+    }
+
     /// \return the number of requests in progress.
     std::size_t active() const
     {
@@ -65,6 +73,8 @@
         drivers::http_exchange& exchange,
         const request_info& info,
         request_outcome& outcome);
+    awaitable<void> end_unfinished(
+        drivers::http_exchange& exchange, const request_outcome& outcome);
     awaitable<void> list_models(drivers::http_exchange& exchange);
     awaitable<bool> charge_account(
         drivers::http_exchange& exchange,
@@ -77,6 +87,7 @@
     optional_refusal check_key(
         const drivers::http_request& request, request_info& info) const;
     optional_refusal check_host() const;
+    optional_refusal check_stop(core::duration longest) const;
     optional_refusal check_isolation(const request_info& info) const;
     bool is_key_valid(const std::string& key_id) const;
     void cancel_withdrawn_key_requests();
@@ -90,6 +101,7 @@
     crash_detector& crashes_;
     policy::retry_budget retry_budget_;
     slo_history history_;
+    stop_gate stop_;
     std::size_t active_ = 0;
 };
 
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -28,6 +28,9 @@
 
 /// Part of the stop grace period that is reserved for the process's exit.
 constexpr core::duration exit_margin{500};
+
+/// Time for the answers to requests that have not ended when the host stops.
+constexpr core::duration final_answer_time{200};
 constexpr core::duration drain_check_interval{20};
 
 /// Time for the last messages to other hosts before the process exits.
@@ -386,6 +389,7 @@
     const core::time_point until =
         stop_started_at + settings().bounds_.stop_grace_ - exit_margin;
     board_.section<lifecycle_section>().leaving_ = true;
+    ingress_->stop_at(until - final_answer_time);
     client_port_->disable_keep_alive();
     co_await drivers::sleep_for(balancer_detection_time);
     client_port_->stop_accepting();
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -27,6 +27,10 @@
 constexpr core::duration startup_check_interval{20};
 constexpr core::duration no_catalog_retry_after{400};
 
+/// Retry-After of a request that a stopping host does not take any more. Other
+/// hosts take it at once.
+constexpr core::duration stopping_retry_after{50};
+
 /// Fractions of the bound on retries that hosts use for plain calls, and for
 /// streams while no leader is reachable. The leader uses the larger fraction of
 /// the bound for streams. The rest absorbs requests that are spread unevenly
@@ -196,7 +200,8 @@
     : with_(with),
       ingress_{with, codec, {}, {}, endpoint_client(with, codec)},
       local_placements_(with, placement_controller::scope::own_host),
-      placements_(with, local_placements_)
+      placements_(with, local_placements_),
+      stop_(with.io_)
 {
 }
 
@@ -339,6 +344,14 @@
             ? std::min(*call.request_.deadline_, route->time_limit_)
             : route->time_limit_;
     call.deadline_ = call.arrived_at_ + limit;
+    if (!stop_.admits_until(call.deadline_))
+    {
+        return refusal{
+            status_unavailable,
+            "host_stopping",
+            stopping_retry_after,
+            "it may last " + std::to_string(limit.ms_) + " ms"};
+    }
     if (auto refused = find_account(call))
     {
         return refused;
@@ -414,13 +427,17 @@
         record_result(call, result);
         co_return;
     }
-    const auto ended =
-        co_await (forward(exchange, call, result) || exchange.gone());
+    const auto ended = co_await (
+        forward(exchange, call, result) || exchange.gone() || stop_.closed());
     if (ended.index() == 1)
     {
         result.outcome_ = "caller_left";
         exchange.abort_response();
     }
+    else if (ended.index() == 2)
+    {
+        co_await end_unfinished(exchange, call, result);
+    }
     if (result.sends_ == 0 && call.charged_)
     {
         with_.board_.section<meter_section>().meter_.refund(
@@ -429,6 +446,29 @@
     record_result(call, result);
 }
 
+/// Ends a request that still runs when the host stops: with an answer, unless
+/// one has begun.
+awaitable<void> ingress_controller::end_unfinished(
+    drivers::http_exchange& exchange,
+    const ingress_call& call,
+    ingress_result& result)
+{
+    result.outcome_ = "host_stopped";
+    if (exchange.opened())
+    {
+        exchange.abort_response();
+        co_return;
+    }
+    const bool has_not_run = result.sends_ == 0;
+    result.status_ = has_not_run ? status_unavailable : status_bad_gateway;
+    co_await send_local_response(
+        exchange,
+        ingress_.codec_,
+        call.request_,
+        result.status_,
+        has_not_run ? std::optional(stopping_retry_after) : std::nullopt);
+}
+
 void ingress_controller::record_result(
     const ingress_call& call, const ingress_result& result)
 {
--- a/node/ingress_controller.hpp
+++ b/node/ingress_controller.hpp
@@ -6,6 +6,7 @@
 
 #include "node/catalog_watcher.hpp"
 #include "node/ingress_call.hpp"
+#include "node/stop_gate.hpp"
 #include "node/stream_forwarder.hpp"
 
 namespace poplarroute::node
@@ -23,6 +24,13 @@
     /// Answers one request.
     awaitable<void> handle(drivers::http_exchange& exchange);
 
+    /// Refuses requests that could last longer, and ends those that still run at
+    /// that time with an answer.
+    void stop_at(core::time_point time)
+    {
+        stop_.close_at(time);
+    }
+
     /// \return the number of requests being handled.
     std::size_t active() const
     {
@@ -49,6 +57,10 @@
         drivers::http_exchange& exchange,
         ingress_call& call,
         ingress_result& result);
+    awaitable<void> end_unfinished(
+        drivers::http_exchange& exchange,
+        const ingress_call& call,
+        ingress_result& result);
     void record_result(const ingress_call& call, const ingress_result& result);
     void update_retry_allowances();
 
@@ -57,6 +69,7 @@
     placement_controller local_placements_;
     placement_client placements_;
     core::time_point started_at_;
+    stop_gate stop_;
     std::size_t active_ = 0;
 };
 
--- a/node/plain_request.cpp
+++ b/node/plain_request.cpp
@@ -17,7 +17,8 @@
 
 constexpr int max_attempts = 4;
 constexpr core::duration max_placement_wait{2'000};
-constexpr core::duration call_timeout{30'000};
+constexpr core::duration call_timeout{
+    max_plain_request_time.ms_ - max_placement_wait.ms_};
 constexpr core::duration claim_timeout{5'000};
 constexpr core::duration record_timeout{20'000};
 constexpr core::duration abandon_timeout{60'000};
--- a/node/plain_request.hpp
+++ b/node/plain_request.hpp
@@ -14,6 +14,9 @@
 namespace poplarroute::node
 {
 
+/// Longest time of a plain request that is sent to one endpoint.
+inline constexpr core::duration max_plain_request_time{32'000};
+
 /// One caller's request to a plain service.
 ///
 /// On a non-idempotent route the request first acquires a claim under the
