Let commands on zones and hosts carry the version they were decided on

They carry the directory's version, and poplarctl reads it first. A leader retires hosts only while the list that it decides on is fresh.

--- a/control/commands.hpp
+++ b/control/commands.hpp
@@ -53,6 +53,10 @@
     bool zone_ = false; ///< Whether the name is that of an availability zone.
     std::string name_;
     bool out_ = false; ///< Whether it is taken out of service.
+
+    /// Version of the directory on which the command was decided: it is refused
+    /// if the zone or host has changed since. 0: not stated.
+    std::uint64_t base_ = 0;
 };
 
 /// Retires a host whose process provably no longer serves, so that its share
@@ -62,6 +66,7 @@
     command_origin origin_;
     core::host_id host_;
     std::string evidence_; ///< What shows that the process has ended.
+    std::uint64_t base_ = 0; ///< As in set_out_of_service.
 };
 
 /// Restores the share of a retired host that is back.
@@ -69,6 +74,7 @@
 {
     command_origin origin_;
     core::host_id host_;
+    std::uint64_t base_ = 0; ///< As in set_out_of_service.
 };
 
 /// Records that every host that holds a share has confirmed a version of the
--- a/control/commands_json.hpp
+++ b/control/commands_json.hpp
@@ -13,10 +13,11 @@
     issue_key, origin_, key_, account_, salt_, digest_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(withdraw_key, origin_, key_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    set_out_of_service, origin_, zone_, name_, out_)
+    set_out_of_service, origin_, zone_, name_, out_, base_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    retire_host, origin_, host_, evidence_)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(readmit_host, origin_, host_)
+    retire_host, origin_, host_, evidence_, base_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    readmit_host, origin_, host_, base_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     settle_shares, origin_, version_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
--- a/control/directory.cpp
+++ b/control/directory.cpp
@@ -19,6 +19,12 @@
 namespace
 {
 
+/// \return the name of a zone or host among those of both.
+std::string key_of(bool is_zone, const std::string& name)
+{
+    return (is_zone ? "zone:" : "host:") + name;
+}
+
 /// In a fleet of up to this many hosts, every host holds a share of each limit.
 constexpr std::size_t max_hosts_sharing_all_limits = 8;
 
@@ -176,6 +182,23 @@
     return {verdict::accepted, std::move(message), version_};
 }
 
+/// \return the refusal of a command that was decided before the last change of
+/// a zone or host; nothing when it may be applied.
+std::optional<command_reply> directory::find_conflict(
+    const std::string& name, std::uint64_t base) const
+{
+    const auto found = changed_at_.find(name);
+    if (base == 0 || found == changed_at_.end() || found->second <= base)
+    {
+        return std::nullopt;
+    }
+    return command_reply{
+        verdict::conflict,
+        "it has changed in version " + std::to_string(found->second) +
+            ", after version " + std::to_string(base),
+        version_};
+}
+
 void directory::start_share_epoch()
 {
     share_epoch epoch;
@@ -286,6 +309,11 @@
             "'" + request.name_ + "' does not exist",
             version_};
     }
+    const std::string key = key_of(request.zone_, request.name_);
+    if (const auto conflict = find_conflict(key, request.base_))
+    {
+        return *conflict;
+    }
     std::set<std::string>& names = request.zone_ ? zones_out_ : hosts_out_;
     if (request.out_)
     {
@@ -296,6 +324,7 @@
         names.erase(request.name_);
     }
     const command_reply reply = advance_version(request.out_ ? "out" : "in");
+    changed_at_[key] = version_;
     start_share_epoch();
     return reply;
 }
@@ -306,19 +335,32 @@
     {
         return {verdict::invalid, "there is no such host", version_};
     }
+    const std::string key = key_of(false, request.host_);
+    if (const auto conflict = find_conflict(key, request.base_))
+    {
+        return *conflict;
+    }
     retired_.insert(request.host_);
     const command_reply reply = advance_version("retired");
+    changed_at_[key] = version_;
     start_share_epoch();
     return reply;
 }
 
 command_reply directory::apply_change(const readmit_host& request)
 {
-    if (retired_.erase(request.host_) == 0)
+    if (retired_.count(request.host_) == 0)
     {
         return {verdict::invalid, "this host is not retired", version_};
     }
+    const std::string key = key_of(false, request.host_);
+    if (const auto conflict = find_conflict(key, request.base_))
+    {
+        return *conflict;
+    }
+    retired_.erase(request.host_);
     const command_reply reply = advance_version("readmitted");
+    changed_at_[key] = version_;
     start_share_epoch();
     return reply;
 }
@@ -345,7 +387,8 @@
         zones_out_,
         hosts_out_,
         retired_,
-        epochs_};
+        epochs_,
+        changed_at_};
     return core::compress(core::encode_cbor(fields));
 }
 
@@ -368,6 +411,10 @@
         document->at(5).get_to(out.hosts_out_);
         document->at(6).get_to(out.retired_);
         document->at(7).get_to(out.epochs_);
+        if (document->size() > 8)
+        {
+            document->at(8).get_to(out.changed_at_);
+        }
         out.parse_configuration_text();
         return out;
     }
--- a/control/directory.hpp
+++ b/control/directory.hpp
@@ -160,6 +160,8 @@
     }
 
     command_reply advance_version(std::string message);
+    std::optional<command_reply> find_conflict(
+        const std::string& name, std::uint64_t base) const;
     void start_share_epoch();
     void parse_configuration_text();
 
@@ -172,6 +174,10 @@
     std::set<core::host_id> hosts_out_;
     std::set<core::host_id> retired_;
     std::vector<share_epoch> epochs_;
+
+    /// Versions at which a zone or a host was last taken out of service, put
+    /// back, retired or readmitted.
+    std::map<std::string, std::uint64_t> changed_at_;
 };
 
 } // namespace poplarroute::control
--- a/main/ctl/subcommands_fleet.cpp
+++ b/main/ctl/subcommands_fleet.cpp
@@ -16,14 +16,39 @@
 namespace
 {
 
+/// \return the version of the directory that an operator's command is decided
+/// on: the stated one, or that in force now.
+core::result<std::uint64_t> read_base_version(cli_context& context)
+{
+    if (context.base_version_ >= 0)
+    {
+        return static_cast<std::uint64_t>(context.base_version_);
+    }
+    const auto fleet = context.read_state("status");
+    if (!core::is_ok(fleet))
+    {
+        return core::failure(fleet);
+    }
+    return core::value(fleet).value("version", std::uint64_t(0));
+}
+
 int submit_out_of_service_change(
     cli_context& context,
     bool is_zone,
     bool is_out_of_service,
     const std::string& name)
 {
+    const auto base = read_base_version(context);
+    if (!core::is_ok(base))
+    {
+        return context.print_error(core::failure(base));
+    }
     const control::set_out_of_service command{
-        context.make_origin(), is_zone, name, is_out_of_service};
+        context.make_origin(),
+        is_zone,
+        name,
+        is_out_of_service,
+        core::value(base)};
     return context.wait_and_print_reply(
         context.client_.submit(command), {{"name", name}});
 }
@@ -52,8 +77,16 @@
 
 int host_retire(cli_context& context, const argument_list& arguments)
 {
+    const auto base = read_base_version(context);
+    if (!core::is_ok(base))
+    {
+        return context.print_error(core::failure(base));
+    }
     const control::retire_host command{
-        context.make_origin(), arguments[0], "the operator's word"};
+        context.make_origin(),
+        arguments[0],
+        "the operator's word",
+        core::value(base)};
     return context.wait_and_print_reply(
         context.client_.submit(command), {{"host", arguments[0]}});
 }
--- a/node/fleet_controller.cpp
+++ b/node/fleet_controller.cpp
@@ -72,7 +72,10 @@
 
 awaitable<void> fleet_controller::readmit(core::host_id host)
 {
-    const control::readmit_host command{make_command_origin(origin_name), host};
+    const control::readmit_host command{
+        make_command_origin(origin_name),
+        host,
+        local_replica_.state().fleet().version()};
     co_await control_client_.submit(command, command_timeout);
     drivers::log_event(
         drivers::log_level::info, "host_readmitted", {{"peer", host}});
--- a/node/platform_monitor.cpp
+++ b/node/platform_monitor.cpp
@@ -134,6 +134,7 @@
 awaitable<void> platform_monitor::retire_missing(std::set<core::host_id> listed)
 {
     const core::time_point now = core::steady_now();
+    const std::uint64_t base = local_replica_->state().fleet().version();
     const core::duration lag =
         with_.identity().settings_.platform_retire_delay_;
     const control::directory& fleet = local_replica_->state().fleet();
@@ -153,8 +154,19 @@
     }
     for (const core::host_id& host : gone)
     {
+        // While the last command was submitted, the list may have changed, or
+        // this process was paused.
+        const bool is_outdated = core::steady_now() - now > poll_interval ||
+                                 !local_replica_->leads();
+        if (is_outdated)
+        {
+            co_return;
+        }
         const control::retire_host command{
-            make_command_origin("control"), host, "not in the platform's list"};
+            make_command_origin("control"),
+            host,
+            "not in the platform's list",
+            base};
         co_await control_client_.submit(command, command_timeout);
         drivers::log_event(
             drivers::log_level::warning, "host_retired", {{"peer", host}});
--- a/tests/control/directory_test.cpp
+++ b/tests/control/directory_test.cpp
@@ -182,6 +182,38 @@
     EXPECT_TRUE(read->fleet().is_host_out_of_service("h1"));
 }
 
+// Guards against an operator's command that is delayed and undoes a newer one.
+TEST(state_machine, refuses_a_command_that_was_decided_before_a_newer_one)
+{
+    state_machine machine = make_machine();
+    apply(machine, set_out_of_service{origin("o1"), true, "z", true});
+    const std::uint64_t base = machine.fleet().version();
+    apply(machine, set_out_of_service{origin("o2"), true, "z", false, base});
+    apply(machine, set_out_of_service{origin("o3"), true, "z", true});
+    EXPECT_EQ(
+        apply(machine, set_out_of_service{origin("o4"), true, "z", false, base})
+            .verdict_,
+        verdict::conflict);
+    EXPECT_TRUE(machine.fleet().is_host_out_of_service("h1"));
+}
+
+TEST(state_machine, refuses_to_retire_a_host_that_was_readmitted_since)
+{
+    state_machine machine = make_machine();
+    const std::uint64_t base = machine.fleet().version();
+    apply(machine, retire_host{origin("r1"), "h2", "test", base});
+    apply(machine, readmit_host{origin("r2"), "h2"});
+    EXPECT_EQ(
+        apply(machine, retire_host{origin("r3"), "h2", "test", base}).verdict_,
+        verdict::conflict);
+    EXPECT_TRUE(machine.fleet().retired_hosts().empty());
+    auto read = state_machine::decode(machine.encode());
+    ASSERT_TRUE(read.has_value());
+    EXPECT_EQ(
+        apply(*read, retire_host{origin("r4"), "h2", "test", base}).verdict_,
+        verdict::conflict);
+}
+
 RC_GTEST_PROP(
     state_machine,
     decodes_any_bytes_without_a_crash,
