--- a/tests/fakes/platform_fakes.py
+++ b/tests/fakes/platform_fakes.py
@@ -65,14 +65,37 @@
         self.notices = []       # (time, attempt, stay_away_s or None).
         self.arrivals = []      # (time, attempt) of each caller's request.
         self.repeats_refusals = False
+        self.queue_slots = 0    # Requests that wait for a slot.
+        self.queued = 0
+        self.work_s = (0.002, 0.03)   # Range of the duration of a plain call.
         self.server = None
         self.port = 0
 
     async def start(self):
         self.server = await asyncio.start_server(
-            self.serve_connection, "127.0.0.1", 0)
+            self.serve_connection, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    async def crash(self, down_s, name):
+        """Ends like a process, and starts again at the same address."""
+        self.server.close()
+        self.reset_connections()
+        self.handles.clear()
+        await asyncio.sleep(down_s)
+        self.name = name
+        self.sequence = 0
+        await self.start()
+
+    async def wait_for_slot(self, headers):
+        """Waits in the queue; returns whether a slot came before the deadline.
+        It stays there when its caller leaves."""
+        until = time.monotonic() + int(headers.get("deadline-ms", 0)) / 1000
+        self.queued += 1
+        while self.running >= self.slots and time.monotonic() < until:
+            await asyncio.sleep(0.005)
+        self.queued -= 1
+        return self.running < self.slots and time.monotonic() < until
+
     async def serve_connection(self, reader, writer):
         self.open_writers.add(writer)
         try:
@@ -134,7 +157,10 @@
             base["Server-Leaving"] = "1"
             self.notices.append((now, attempt, None))
         left_s = self.turning_away_until - now
-        if self.busy or self.running >= self.slots or left_s > 0:
+        is_full = self.running >= self.slots
+        if is_full and left_s <= 0 and self.queued < self.queue_slots:
+            is_full = not await self.wait_for_slot(headers)
+        if self.busy or is_full or left_s > 0:
             refusal = {**base, "Not-Run": "1"}
             if left_s > 0:
                 refusal["Retry-After"] = f"{left_s:.3f}"
@@ -177,7 +203,7 @@
         self.started_runs.append((attempt, headers.get("tenant", "")))
         stamped = {**base, "Server-Stamp": f"{self.name}.{attempt}"}
         if self.stage is None:
-            await asyncio.sleep(self.random.uniform(0.002, 0.03))
+            await asyncio.sleep(self.random.uniform(*self.work_s))
             if self.random.random() < self.error_probability:
                 writer.write(format_message("HTTP/1.1 500 Error", stamped,
                                             b"failed"))
--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -21,7 +21,10 @@
   numbers;
 - acknowledged configurations exist at the end, and the hosts serve again.
 
-    platform_soak.py --seed 1 --seeds 3 --seconds 15 [--entries 3]
+With --heavy, faults come several times per second, endpoints crash, queue
+requests and work slowly, and callers have short deadlines or leave early.
+
+    platform_soak.py --seed 1 --seeds 3 --seconds 15 [--entries 3] [--heavy]
 """
 
 import argparse
@@ -122,8 +125,10 @@
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed, seconds, entries):
+    def __init__(self, seed, seconds, entries, heavy=False, callers=12):
         self.random = random.Random(seed)
+        self.heavy = heavy
+        self.caller_count = callers
         self.seed = seed
         self.seconds = seconds
         self.folder = tempfile.mkdtemp(prefix=f"platform-soak-{seed}-")
@@ -138,6 +143,12 @@
             fakes.Endpoint("i-read1", "llm", "prefill", 8, 8),
             fakes.Endpoint("i-read2", "llm", "prefill", 8, 9),
             fakes.Endpoint("i-dec1", "llm", "decode", 8, 10)]
+        if heavy:
+            for endpoint in self.endpoints:
+                endpoint.slots = 3
+                endpoint.queue_slots = self.random.choice([0, 2, 6])
+                endpoint.work_s = (0.002, self.random.choice([0.05, 0.6, 1.5]))
+                endpoint.error_probability = 0.02
         self.links = [fakes.Link(endpoint) for endpoint in self.endpoints]
         self.list = fakes.EndpointList(self.links)
         self.version = 0
@@ -217,15 +228,21 @@
     async def call_once(self, caller, kind, host):
         self.attempt += 1
         attempt = f"{self.seed:x}.{self.attempt:x}"
+        deadline_s = self.random.choice([0.2, 0.5, 1.0, 2.5]) \
+            if self.heavy else 2.5
+        patience_s = 3.0
+        if self.heavy and self.random.random() < 0.2:
+            patience_s = self.random.uniform(0.01, 1.0)
         headers = {"Host": "a.example", "Attempt-Id": attempt,
-                   "Deadline-Ms": "2500", "Authorization": "Bearer key-acme",
+                   "Deadline-Ms": str(int(deadline_s * 1000)), "Authorization": "Bearer key-acme",
                    "Tenant": "forged", "Kv-Source": "forged"}
         if kind in ("digest", "long"):
             headers["Token-Counts"] = "100,100"
         method = "GET" if kind == "check" else "POST"
         self.sent_by[attempt] = (host.name, time.monotonic())
         status, got, body, complete = await caller.call(
-            method, f"/{kind}/x", headers, b"" if method == "GET" else b"b")
+            method, f"/{kind}/x", headers, b"" if method == "GET" else b"b",
+            patience_s)
         self.answers[attempt] = (kind, status)
         self.answered_by[attempt] = (host.name, time.monotonic())
         if status == 200 and complete:
@@ -333,6 +350,34 @@
         endpoint.arrivals.clear()
         endpoint.leaving = False
 
+    async def crash_endpoint(self, endpoint, down_s):
+        if endpoint.leaving or endpoint.server is None:
+            return
+        endpoint.leaving = True   # No other fault meets it meanwhile.
+        name = endpoint.name
+        if self.random.random() < 0.5:
+            name = f"{name.split('+')[0]}+{self.counts['faults']}"
+        self.list.leaving.discard(endpoint.name)
+        endpoint.notices.clear()
+        endpoint.arrivals.clear()
+        await endpoint.crash(down_s, name)
+        endpoint.notices.clear()
+        endpoint.arrivals.clear()
+        endpoint.leaving = False
+
+    def next_heavy_fault(self):
+        rng = self.random
+        duration_s = rng.uniform(0.05, 3.0)
+        return rng.choice([
+            self.next_fault(),
+            lambda: self.crash_endpoint(rng.choice(self.endpoints),
+                                        rng.uniform(0.02, 1.5)),
+            lambda: self.reload(rng.choice(self.members + self.entries)),
+            lambda: self.pause(rng.choice(self.entries), duration_s),
+            lambda: self.disturb_link(
+                rng.choice(["delay", "silent", "one_way", "refuse",
+                            "reset"]), duration_s)])
+
     def next_fault(self):
         rng = self.random
         member = rng.choice(self.members)
@@ -362,8 +407,11 @@
         deadline = time.monotonic() + self.seconds
         while time.monotonic() < deadline:
             self.counts["faults"] += 1
-            tasks.append(asyncio.create_task(self.next_fault()()))
-            await asyncio.sleep(self.random.uniform(0.2, 2.0))
+            fault = (self.next_heavy_fault() if self.heavy
+                     else self.next_fault())
+            tasks.append(asyncio.create_task(fault()))
+            await asyncio.sleep(self.random.uniform(0.05, 0.6) if self.heavy
+                                else self.random.uniform(0.2, 2.0))
         await asyncio.gather(*tasks)
 
     async def wait_until_served(self, timeout_s, what):
@@ -492,7 +540,7 @@
             operator = asyncio.create_task(self.run_operator())
             await self.wait_until_served(RECOVERY_S, "after the start")
             callers = [asyncio.create_task(self.run_caller())
-                       for _ in range(12)]
+                       for _ in range(self.caller_count)]
             await self.inject_faults()
             await self.wait_until_served(RECOVERY_S, "after the last fault")
             self.running = False
@@ -527,10 +575,13 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--heavy", action="store_true")
+    parser.add_argument("--callers", type=int, default=12)
     given = parser.parse_args()
     failed = 0
     for seed in range(given.seed, given.seed + given.seeds):
-        soak = Soak(seed, given.seconds, given.entries)
+        soak = Soak(seed, given.seconds, given.entries, given.heavy,
+                    given.callers)
         passed = asyncio.run(soak.run())
         print(f"seed {seed}: {'passed' if passed else 'FAILED'} {soak.counts}",
               flush=True)
