Heed what leaves before the list of endpoints has arrived

On the large deployment a host learns of a leaving endpoint by a watch and a second call for the list. The watch now names what leaves. A leader offers only a list that it has read since it leads; one from an earlier time could show endpoints that have left. A stream that was placed is not sent to an endpoint that has begun to leave, or whose zone has been taken out, since.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -561,6 +561,15 @@
     co_return catalog_contents{reply->version_, core::text_of(reply->text_)};
 }
 
+/// \return whether this member has read the endpoint list since it leads. One
+/// from an earlier time may show endpoints that have left since.
+bool catalog_controller::has_current_list() const
+{
+    const endpoint_section& list = with_.board_.section<endpoint_section>();
+    return group_.leads() && list.read_at_.ms_ > 0 &&
+           list.read_at_ >= leading_since_;
+}
+
 /// \return whether a host has this leader's endpoint list, or is fetching it.
 bool catalog_controller::knows_list(const watch_request& request) const
 {
@@ -576,9 +585,7 @@
 
 bool catalog_controller::has_updates(const watch_request& request) const
 {
-    const endpoint_section& list = with_.board_.section<endpoint_section>();
-    const bool list_changed =
-        group_.leads() && list.read_at_.ms_ > 0 && !knows_list(request);
+    const bool list_changed = has_current_list() && !knows_list(request);
     const std::uint64_t known_revision =
         std::max(request.revision_, request.known_revision_);
     return group_.state().revision() > known_revision || list_changed ||
@@ -610,8 +617,15 @@
         state.out_of_service_zones().begin(),
         state.out_of_service_zones().end());
     const endpoint_section& list = with_.board_.section<endpoint_section>();
-    if (out.leads_ && list.read_at_.ms_ > 0)
+    if (has_current_list())
     {
+        for (const auto& [name, item] : list.endpoints_)
+        {
+            if (item.listed_.leaving_)
+            {
+                out.leaving_.push_back(name);
+            }
+        }
         out.list_epoch_ = list.epoch_;
         out.list_revision_ = list.revision_;
         out.list_age_ms_ = (core::steady_now() - list.read_at_).ms_;
@@ -646,7 +660,7 @@
     }
     const bool is_available = is_catalog
                                   ? state.version() > 0
-                                  : group_.leads() && list.read_at_.ms_ > 0;
+                                  : has_current_list();
     if (!is_available || request.id_.name_ != newest.name_ ||
         request.id_.revision_ > newest.revision_)
     {
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -83,6 +83,7 @@
     awaitable<core::result<submit_reply>> submit(std::string command);
     awaitable<core::result<submit_reply>> submit_locally(std::string command);
     awaitable<watch_reply> answer_watch(watch_request request);
+    bool has_current_list() const;
     bool knows_list(const watch_request& request) const;
     bool has_updates(const watch_request& request) const;
     watch_reply make_watch_reply(const watch_request& request);
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -109,6 +109,9 @@
     bool list_sent_ = false; ///< Whether list_ replaces the host's.
     std::vector<endpoint_message> list_;
     std::int64_t list_age_ms_ = 0;
+    /// Endpoints of the list that are leaving, which hosts heed at once: the
+    /// list itself is fetched by another call.
+    std::vector<core::endpoint_id> leaving_;
     std::int64_t hosts_ = 0; ///< Number of live entry hosts; 0: unknown.
     std::uint64_t crash_revision_ = 0;
     /// Digests of quarantined requests and keys of quarantined prompt parts.
@@ -319,6 +322,7 @@
     list_sent_,
     list_,
     list_age_ms_,
+    leaving_,
     hosts_,
     crash_revision_,
     crashers_,
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -550,6 +550,30 @@
         core::steady_now());
 }
 
+/// Leaves out endpoints that the leader's list shows as leaving, before the list
+/// itself has arrived.
+void catalog_watcher::leave_out(std::span<const core::endpoint_id> names)
+{
+    endpoint_section& list = with_.board_.section<endpoint_section>();
+    bool changed = false;
+    for (const core::endpoint_id& name : names)
+    {
+        const auto found = list.endpoints_.find(name);
+        if (found != list.endpoints_.end() && !found->second.listed_.leaving_)
+        {
+            found->second.listed_.leaving_ = true;
+            changed = true;
+        }
+    }
+    if (changed)
+    {
+        for (const auto& call : list.on_change_)
+        {
+            call();
+        }
+    }
+}
+
 void catalog_watcher::apply_endpoints(const watch_reply& reply)
 {
     endpoint_section& list = with_.board_.section<endpoint_section>();
@@ -562,6 +586,7 @@
     known_list_epoch_ = reply.list_epoch_;
     known_list_revision_ = reply.list_revision_;
     known_list_read_at_ = read_at;
+    leave_out(reply.leaving_);
     if (!reply.list_sent_)
     {
         if (needs_list())
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <span>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,7 @@
     bool needs_list() const;
     void put_list_in_force(std::string_view content);
     void put_in_force(std::uint64_t version, std::string_view text);
+    void leave_out(std::span<const core::endpoint_id> names);
     void apply_endpoints(const watch_reply& reply);
     void refresh_limits();
     watch_request next_watch_request(bool wait) const;
--- a/node/fleet_sections.cpp
+++ b/node/fleet_sections.cpp
@@ -40,6 +40,8 @@
     return std::max<std::int64_t>(share, 1);
 }
 
+} // namespace
+
 bool is_usable(
     const catalog_section& catalog,
     const endpoint_section& endpoints,
@@ -50,8 +52,6 @@
            !endpoints.notices_.is_leaving(item.name_, now);
 }
 
-} // namespace
-
 std::map<core::service_id, std::vector<policy::engine_info>> engines_of(
     const catalog_section& catalog,
     const endpoint_section& endpoints,
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -80,6 +80,14 @@
     bool suspects_parts_ = false;
 };
 
+/// \return whether requests may be sent to an endpoint: neither it nor its zone
+/// is being taken out of service.
+bool is_usable(
+    const catalog_section& catalog,
+    const endpoint_section& endpoints,
+    const listed_endpoint& item,
+    core::time_point now);
+
 /// \return the engines of each engine service, for the policies.
 /// \param hosts number of hosts that share the capacity of a cold engine;
 /// nothing when unknown.
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -106,6 +106,22 @@
         const auto found = all.find(name);
         return found == all.end() ? nullptr : &found->second;
     }
+
+    /// \return an endpoint that takes requests now, or null. A placement may be
+    /// older than what this host has heard of the endpoint since.
+    const known_endpoint* find_usable_endpoint(
+        const core::endpoint_id& name) const
+    {
+        const known_endpoint* found = find_endpoint(name);
+        const bool usable =
+            found != nullptr &&
+            is_usable(
+                with_.board_.section<catalog_section>(),
+                with_.board_.section<endpoint_section>(),
+                found->listed_,
+                core::steady_now());
+        return usable ? found : nullptr;
+    }
 };
 
 inline constexpr int status_bad_request = 400;
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -255,11 +255,12 @@
 
 awaitable<stream_forwarder::step_result> stream_forwarder::prefill_prompt()
 {
-    const known_endpoint* endpoint = ingress_.find_endpoint(placement_.reader_);
+    const known_endpoint* endpoint =
+        ingress_.find_usable_endpoint(placement_.reader_);
     if (endpoint == nullptr)
     {
         avoid_.insert(placement_.reader_);
-        result_.detail_ = "the reader has gone";
+        result_.detail_ = "the reader is leaving or gone";
         co_return step_result::retry;
     }
     send_plan plan = make_send_plan(*endpoint, call_);
@@ -334,11 +335,11 @@
 awaitable<stream_forwarder::step_result> stream_forwarder::open_decode_stream()
 {
     const known_endpoint* endpoint =
-        ingress_.find_endpoint(placement_.decoder_);
+        ingress_.find_usable_endpoint(placement_.decoder_);
     if (endpoint == nullptr)
     {
         avoid_.insert(placement_.decoder_);
-        result_.detail_ = "the decode engine has gone";
+        result_.detail_ = "the decode engine is leaving or gone";
         co_return step_result::retry;
     }
     send_plan plan = make_send_plan(*endpoint, call_);
