--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -59,7 +59,7 @@
 
     def __init__(self, soak, number, member):
         self.soak = soak
-        self.ip = f"127.0.1.{number}"
+        self.ip = f"{soak.network}.{number}"
         self.member = member
         self.name = f"{'member' if member else 'entry'}-{number}"
         self.data = os.path.join(soak.folder, self.name)
@@ -125,9 +125,11 @@
 class Soak:
     """One seeded run."""
 
-    def __init__(self, seed, seconds, entries, heavy=False, callers=12):
+    def __init__(self, seed, seconds, entries, heavy=False, callers=12,
+                 network="127.0.1"):
         self.random = random.Random(seed)
         self.heavy = heavy
+        self.network = network
         self.caller_count = callers
         self.seed = seed
         self.seconds = seconds
@@ -577,11 +579,13 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--heavy", action="store_true")
     parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--network", default="127.0.1",
+                        help="first numbers of the hosts' loopback addresses")
     given = parser.parse_args()
     failed = 0
     for seed in range(given.seed, given.seed + given.seeds):
         soak = Soak(seed, given.seconds, given.entries, given.heavy,
-                    given.callers)
+                    given.callers, given.network)
         passed = asyncio.run(soak.run())
         print(f"seed {seed}: {'passed' if passed else 'FAILED'} {soak.counts}",
               flush=True)
