Treat a wake-up without bytes as none when waiting for a caller to leave

A wake-up of the socket that brings no bytes counted as the caller's end, which closes the connection without an answer. Not seen; found by reading.

--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -150,30 +150,29 @@
     asio::awaitable<void> gone() override
     {
         tcp::socket& socket = stream_.socket();
-        error_code failed;
-        co_await socket.async_wait(
-            tcp::socket::wait_read,
-            asio::redirect_error(asio::use_awaitable, failed));
-        char byte = 0;
-        const bool open =
-            !failed &&
-            socket.receive(
-                asio::buffer(&byte, 1), tcp::socket::message_peek, failed) > 0;
-        if (open && !failed)
+        for (;;)
         {
-            // The caller has sent its next request before the response. If
-            // the connection is lost later, writing to it fails.
-            co_await sleep_for(pipelined_request_wait_);
+            error_code failed;
+            co_await socket.async_wait(
+                tcp::socket::wait_read,
+                asio::redirect_error(asio::use_awaitable, failed));
+            if (failed || is_abandoned())
+            {
+                co_return;
+            }
+            if (has_unread_bytes())
+            {
+                // The caller has sent its next request before the response. If
+                // the connection is lost later, writing to it fails.
+                co_await sleep_for(pipelined_request_wait_);
+            }
         }
     }
 
     bool is_abandoned() override
     {
-        char byte = 0;
         error_code failed;
-        stream_.socket().non_blocking(true, failed);
-        const std::size_t size = stream_.socket().receive(
-            asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
+        const std::size_t size = peek(failed);
         return failed ? failed != asio::error::would_block : size == 0;
     }
 
@@ -185,6 +184,20 @@
 private:
     static constexpr core::duration pipelined_request_wait_{24 * 3'600'000};
 
+    std::size_t peek(error_code& failed)
+    {
+        char byte = 0;
+        stream_.socket().non_blocking(true, failed);
+        return stream_.socket().receive(
+            asio::buffer(&byte, 1), tcp::socket::message_peek, failed);
+    }
+
+    bool has_unread_bytes()
+    {
+        error_code failed;
+        return peek(failed) > 0 && !failed;
+    }
+
     asio::awaitable<void> write_raw(std::string data)
     {
         if (connection_broken_)
