--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -403,6 +403,7 @@
 awaitable<core::result<submit_reply>> catalog_controller::submit_locally(
     std::string command)
 {
+    track_leadership();
     const core::result<control::catalog_reply> reply =
         co_await group_.submit(std::move(command));
     if (!core::is_ok(reply))
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -59,8 +59,9 @@
     /// Reads the newest catalog (linearizable read).
     awaitable<core::result<catalog_contents>> read();
 
-    bool leads() const
+    bool leads()
     {
+        track_leadership();
         return group_.leads();
     }
 
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -12,6 +12,7 @@
 #include "policy/prompt_part_quarantine.hpp"
 #include "policy/quarantine.hpp"
 #include "policy/retry_allowance.hpp"
+#include "policy/stream_times.hpp"
 
 namespace poplarroute::node
 {
@@ -58,6 +59,7 @@
     std::map<core::service_id, policy::retry_allowance> retry_allowances_;
     std::map<core::service_id, policy::plain_balancer> balancers_;
     endpoint_client endpoints_;
+    std::map<core::service_id, policy::stream_times> stream_times_ = {};
 
     /// Takes one retry from the service's allowance.
     /// \return whether there was one.
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -321,6 +321,36 @@
         meter.inputs(call.account_, call.price_, now)};
 }
 
+/// \return the refusal of a request that may last beyond this host's stop: up
+/// to its deadline, or as the slowest recent streams show.
+std::optional<ingress_controller::refusal> ingress_controller::check_stop(
+    const ingress_call& call)
+{
+    if (stop_.admits_until(call.deadline_))
+    {
+        return std::nullopt;
+    }
+    const core::time_point now = core::steady_now();
+    const control::catalog_service* service =
+        call.catalog_->find_service(call.service_);
+    std::optional<core::duration> longest;
+    if (service != nullptr && service->engine_)
+    {
+        longest = ingress_.stream_times_[call.service_].longest(
+            call.request_.most_output_, now);
+    }
+    if (longest && stop_.admits_until(now + *longest))
+    {
+        return std::nullopt;
+    }
+    const core::duration may_last = longest.value_or(call.deadline_ - now);
+    return refusal{
+        status_unavailable,
+        "host_stopping",
+        stopping_retry_after,
+        "it may last " + std::to_string(may_last.ms_) + " ms"};
+}
+
 std::optional<ingress_controller::refusal> ingress_controller::admit(
     ingress_call& call)
 {
@@ -344,19 +374,15 @@
             ? std::min(*call.request_.deadline_, route->time_limit_)
             : route->time_limit_;
     call.deadline_ = call.arrived_at_ + limit;
-    if (!stop_.admits_until(call.deadline_))
-    {
-        return refusal{
-            status_unavailable,
-            "host_stopping",
-            stopping_retry_after,
-            "it may last " + std::to_string(limit.ms_) + " ms"};
-    }
     if (auto refused = find_account(call))
     {
         return refused;
     }
     choose_service(call);
+    if (auto refused = check_stop(call))
+    {
+        return refused;
+    }
     call.digest_ = request_digest(call);
     if (ingress_.is_quarantined(call))
     {
--- a/node/ingress_controller.hpp
+++ b/node/ingress_controller.hpp
@@ -51,6 +51,7 @@
     awaitable<void> wait_until_ready() const;
     std::optional<refusal> admit(ingress_call& call);
     std::optional<refusal> find_account(ingress_call& call);
+    std::optional<refusal> check_stop(const ingress_call& call);
     std::optional<refusal> charge(ingress_call& call);
     void choose_service(ingress_call& call) const;
     awaitable<void> forward(
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -709,6 +709,7 @@
     if (relayed == step_result::done)
     {
         result_.outcome_ = "answered";
+        record_times();
         release_placement(true);
         co_await exchange.finish();
         co_return step_result::done;
@@ -721,6 +722,18 @@
     co_return relayed;
 }
 
+void stream_forwarder::record_times()
+{
+    if (result_.events_ > 0)
+    {
+        ingress_.stream_times_[call_.service_].record(
+            first_event_at_ - call_.arrived_at_,
+            last_event_at_ - first_event_at_,
+            call_.request_.most_output_,
+            core::steady_now());
+    }
+}
+
 awaitable<void> stream_forwarder::run(drivers::http_exchange& exchange)
 {
     step_result last = step_result::retry;
--- a/node/stream_forwarder.hpp
+++ b/node/stream_forwarder.hpp
@@ -48,6 +48,7 @@
     bool may_place_again();
     bool refuse_if_quarantined();
     void check_for_crash();
+    void record_times();
     bool has_just_begun() const;
     void report_answered_parts();
     bool may_resume() const;
