--- a/control/catalog_state_machine.cpp
+++ b/control/catalog_state_machine.cpp
@@ -51,7 +51,8 @@
     // Any host can submit a command, so its fields are checked at each member.
     try
     {
-        return command ? apply_decoded(*command) : reply{false, false, version_};
+        return command ? apply_decoded(*command)
+                       : reply{false, false, version_};
     }
     catch (const nlohmann::json::exception&)
     {
--- a/control/commands.hpp
+++ b/control/commands.hpp
@@ -65,7 +65,7 @@
 {
     command_origin origin_;
     core::host_id host_;
-    std::string evidence_; ///< What shows that the process has ended.
+    std::string evidence_;   ///< What shows that the process has ended.
     std::uint64_t base_ = 0; ///< As in set_out_of_service.
 };
 
--- a/core/codec.hpp
+++ b/core/codec.hpp
@@ -36,8 +36,8 @@
     return out;
 }
 
-/// Deepest nesting of arrays and maps in CBOR from other processes. Parsing uses
-/// the stack for each level.
+/// Deepest nesting of arrays and maps in CBOR from other processes. Parsing
+/// uses the stack for each level.
 inline constexpr std::size_t max_cbor_depth = 64;
 
 /// Limit on the values in one CBOR document from another process; a value takes
--- a/drivers/appended_body.hpp
+++ b/drivers/appended_body.hpp
@@ -23,8 +23,7 @@
     {
     public:
         template <bool IsRequest, class Fields>
-        reader(
-            boost::beast::http::header<IsRequest, Fields>&, value_type& body)
+        reader(boost::beast::http::header<IsRequest, Fields>&, value_type& body)
             : body_(body)
         {
         }
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -366,8 +366,8 @@
 }
 
 /// \return the number of live entry hosts; 0 if it is unknown. A member that
-/// does not lead knows what hosts were told last, and so does a leader at first:
-/// it has not heard from all of them yet.
+/// does not lead knows what hosts were told last, and so does a leader at
+/// first: it has not heard from all of them yet.
 std::int64_t catalog_controller::live_hosts() const
 {
     std::int64_t told = 0;
@@ -659,9 +659,8 @@
     {
         newest = endpoint_list_document(list.epoch_, list.revision_);
     }
-    const bool is_available = is_catalog
-                                  ? state.version() > 0
-                                  : has_current_list();
+    const bool is_available =
+        is_catalog ? state.version() > 0 : has_current_list();
     if (!is_available || request.id_.name_ != newest.name_ ||
         request.id_.revision_ > newest.revision_)
     {
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -550,8 +550,8 @@
         core::steady_now());
 }
 
-/// Leaves out endpoints that the leader's list shows as leaving, before the list
-/// itself has arrived.
+/// Leaves out endpoints that the leader's list shows as leaving, before the
+/// list itself has arrived.
 void catalog_watcher::leave_out(std::span<const core::endpoint_id> names)
 {
     endpoint_section& list = with_.board_.section<endpoint_section>();
--- a/node/entry_controller.cpp
+++ b/node/entry_controller.cpp
@@ -437,9 +437,8 @@
                                                 ? info.service_.interactive_
                                                 : info.service_.batch_;
     const core::duration longest =
-        target.first_token_ + target.between_tokens_ *
-                                  (completion.max_tokens_ *
-                                   slowest_token_factor);
+        target.first_token_ + target.between_tokens_ * (completion.max_tokens_ *
+                                                        slowest_token_factor);
     if (const optional_refusal refusal = check_stop(longest))
     {
         outcome.code_ = refusal->code_;
--- a/node/entry_controller.hpp
+++ b/node/entry_controller.hpp
@@ -45,8 +45,8 @@
         return history_;
     }
 
-    /// Refuses requests that could last longer, and ends those that still run at
-    /// that time with an answer.
+    /// Refuses requests that could last longer, and ends those that still run
+    /// at that time with an answer.
     void stop_at(core::time_point time)
     {
         stop_.close_at(time);
--- a/node/event_sequence.cpp
+++ b/node/event_sequence.cpp
@@ -24,10 +24,10 @@
         return position::duplicate;
     }
     // The difference of two 64-bit integers may not fit into one.
-    const std::uint64_t distance =
-        last_ ? static_cast<std::uint64_t>(*id) -
-                    static_cast<std::uint64_t>(*last_)
-              : 0;
+    const std::uint64_t distance = last_
+                                       ? static_cast<std::uint64_t>(*id) -
+                                             static_cast<std::uint64_t>(*last_)
+                                       : 0;
     const auto largest =
         static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max());
     const auto step =
--- a/node/host_process.cpp
+++ b/node/host_process.cpp
@@ -268,9 +268,8 @@
         });
     lifecycle_section& lifecycle = board_.section<lifecycle_section>();
     lifecycle.leaving_ = true;
-    const core::time_point deadline = core::steady_now() +
-                                      balancer_update_delay +
-                                      settings().drain_limit_;
+    const core::time_point deadline =
+        core::steady_now() + balancer_update_delay + settings().drain_limit_;
     entry_->stop_at(deadline - final_message_delay);
     board_.section<membership_section>().members_->start_draining();
     co_await pools_->hand_over_all();
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -116,12 +116,11 @@
     {
         const known_endpoint* found = find_endpoint(name);
         const bool usable =
-            found != nullptr &&
-            is_usable(
-                with_.board_.section<catalog_section>(),
-                with_.board_.section<endpoint_section>(),
-                found->listed_,
-                core::steady_now());
+            found != nullptr && is_usable(
+                                    with_.board_.section<catalog_section>(),
+                                    with_.board_.section<endpoint_section>(),
+                                    found->listed_,
+                                    core::steady_now());
         return usable ? found : nullptr;
     }
 };
--- a/node/ingress_controller.hpp
+++ b/node/ingress_controller.hpp
@@ -24,8 +24,8 @@
     /// Answers one request.
     awaitable<void> handle(drivers::http_exchange& exchange);
 
-    /// Refuses requests that could last longer, and ends those that still run at
-    /// that time with an answer.
+    /// Refuses requests that could last longer, and ends those that still run
+    /// at that time with an answer.
     void stop_at(core::time_point time)
     {
         stop_.close_at(time);
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -57,8 +57,7 @@
     return weight >= min_suspect_weight ? suspicion::suspect : suspicion::none;
 }
 
-void quarantine::keep_until(
-    const std::string& digest, core::time_point until)
+void quarantine::keep_until(const std::string& digest, core::time_point until)
 {
     const auto found = records_.find(digest);
     if (found != records_.end())
--- a/tests/core/codec_test.cpp
+++ b/tests/core/codec_test.cpp
@@ -12,9 +12,8 @@
     constexpr std::size_t depth = 1'000'000;
     EXPECT_FALSE(parse_cbor(std::string(depth, '\x81')).has_value());
     EXPECT_FALSE(parse_cbor(std::string(depth, '\xa1')).has_value());
-    EXPECT_TRUE(
-        parse_cbor(std::string(max_cbor_depth - 1, '\x81') + '\x01')
-            .has_value());
+    EXPECT_TRUE(parse_cbor(std::string(max_cbor_depth - 1, '\x81') + '\x01')
+                    .has_value());
 }
 
 TEST(codec, refuses_more_values_than_fit_into_memory)
@@ -33,8 +32,7 @@
     reads_what_it_wrote,
     (std::map<std::string, std::vector<std::int64_t>> values))
 {
-    RC_ASSERT(
-        decode_cbor<decltype(values)>(encode_cbor(values)) == values);
+    RC_ASSERT(decode_cbor<decltype(values)>(encode_cbor(values)) == values);
 }
 
 } // namespace poplarroute::core
--- a/tests/drivers/large_response_test.cpp
+++ b/tests/drivers/large_response_test.cpp
@@ -1,4 +1,5 @@
-// What an endpoint announces or sends must not take more memory than the budget.
+// What an endpoint announces or sends must not take more memory than the
+// budget.
 
 #include <array>
 
@@ -173,8 +174,7 @@
                 request.address_ = server_address;
                 request.method_ = "POST";
                 request.body_ = std::string(bytes, 'x');
-                const auto reply =
-                    co_await client.request(std::move(request));
+                const auto reply = co_await client.request(std::move(request));
                 statuses.push_back(
                     core::is_ok(reply) ? core::value(reply).status_ : 0);
             }
--- a/tests/platform/first_catalog_test.cpp
+++ b/tests/platform/first_catalog_test.cpp
@@ -1,6 +1,6 @@
 // What a host that starts knows before it has heard from a leader: an older
-// catalog than before, in which a key may be valid that was withdrawn meanwhile,
-// and not how many hosts share the accounts' limits.
+// catalog than before, in which a key may be valid that was withdrawn
+// meanwhile, and not how many hosts share the accounts' limits.
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
--- a/tests/platform/new_leader_test.cpp
+++ b/tests/platform/new_leader_test.cpp
@@ -145,8 +145,7 @@
         report.crash_ = "i-1";
         report.weight_ = static_cast<int>(policy::evidence::just_started);
         report.ran_ms_ = 10;
-        call<node::empty_reply>(
-            io, host, node::method::crash_report, report);
+        call<node::empty_reply>(io, host, node::method::crash_report, report);
     }
     const std::vector<std::string> refused = watch(io, host, 0).crashers_;
     EXPECT_EQ(std::count(refused.begin(), refused.end(), digest), 1);
--- a/tests/platform/resumed_stream_test.cpp
+++ b/tests/platform/resumed_stream_test.cpp
@@ -97,8 +97,8 @@
     drivers::http_response play(const std::string& resumed)
     {
         add_endpoint("i-read", prefill_port, "llm", true, prefill_answer);
-        const std::string broken = head(200, "text/event-stream") +
-                                   chunk(event(1)) + chunk(event(2));
+        const std::string broken =
+            head(200, "text/event-stream") + chunk(event(1)) + chunk(event(2));
         for (int index = 0; index < 2; ++index)
         {
             const int port = first_decode_port + index;
@@ -131,8 +131,8 @@
 // events when it took over.
 TEST_F(resumed_stream, is_not_complete_when_events_are_missing)
 {
-    const drivers::http_response response = play(
-        head(200, "text/event-stream") + chunk(event(4)) + "0\r\n\r\n");
+    const drivers::http_response response =
+        play(head(200, "text/event-stream") + chunk(event(4)) + "0\r\n\r\n");
     EXPECT_EQ(response.status_, 0);
 }
 
--- a/tests/platform/stopping_host_test.cpp
+++ b/tests/platform/stopping_host_test.cpp
@@ -66,8 +66,7 @@
     put_list();
     drivers::spawn(
         io_,
-        [](node::ingress_controller& ingress)
-            -> drivers::asio::awaitable<void>
+        [](node::ingress_controller& ingress) -> drivers::asio::awaitable<void>
         {
             co_await drivers::sleep_for(core::duration{100});
             ingress.stop_at(core::steady_now() + core::duration{200});
--- a/tests/policy/crash_counter_test.cpp
+++ b/tests/policy/crash_counter_test.cpp
@@ -30,10 +30,8 @@
     crash_counter crashes;
     const std::string first =
         crashes.record("e", time_point{1'000}, time_point{1'100});
-    EXPECT_EQ(
-        crashes.record("e", time_point{500}, time_point{1'200}), first);
-    EXPECT_EQ(
-        crashes.record("e", time_point{1'050}, time_point{1'300}), first);
+    EXPECT_EQ(crashes.record("e", time_point{500}, time_point{1'200}), first);
+    EXPECT_EQ(crashes.record("e", time_point{1'050}, time_point{1'300}), first);
 }
 
 TEST(quarantine, an_answer_clears_a_suspect_but_no_quarantined_request)
@@ -59,8 +57,7 @@
         "d", "e#1", evidence::alone, duration{1'000}, time_point{0});
     records.keep_until("d", time_point{100'000});
     records.expire(time_point{99'999});
-    EXPECT_EQ(
-        records.look_up("d", time_point{99'999}), suspicion::quarantined);
+    EXPECT_EQ(records.look_up("d", time_point{99'999}), suspicion::quarantined);
 }
 
 } // namespace
