Probe the soak's hosts side by side, each by its own answers

With 40 entry hosts the probes went one after another within one time limit, so that the last ones had none of it, and the answers that other callers got counted for the host. Each host now has the whole time, and only its own answers count.

--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -229,7 +229,8 @@
 
     async def call_once(self, caller, kind, host, is_probe=False):
         """Sends one request. A probe of whether a host serves has time for a
-        slow endpoint and is never given up early."""
+        slow endpoint and is never given up early. Returns whether the answer
+        is a whole success."""
         self.attempt += 1
         attempt = f"{self.seed:x}.{self.attempt:x}"
         deadline_s = self.random.choice([0.2, 0.5, 1.0, 2.5]) \
@@ -258,6 +259,7 @@
             self.counts["failed"] += 1
         if status in (401, 403, 404):
             self.add_problem(f"{attempt} was denied with {status}")
+        return status == 200 and complete
 
     def check_success(self, kind, attempt, headers, body):
         if not headers.get("server-stamp", "").endswith("." + attempt):
@@ -419,19 +421,23 @@
         await asyncio.gather(*tasks)
 
     async def wait_until_served(self, timeout_s, what):
+        """Checks that each host serves within a time. The hosts are asked side
+        by side, so that each of them has all of it."""
         deadline = time.monotonic() + timeout_s
-        for entry in self.entries:
-            served = False
-            while not served and time.monotonic() < deadline:
-                before = self.counts["answered"]
-                caller = fakes.Caller(f"{entry.ip}:{CLIENT_PORT}")
-                await self.call_once(caller, "book", entry, True)
-                await self.call_once(caller, "digest", entry, True)
-                caller.close()
-                served = self.counts["answered"] >= before + 2
-                await asyncio.sleep(0.05)
-            if not served:
-                self.add_problem(f"{entry.name} does not serve {what}")
+        await asyncio.gather(*[self.probe(entry, deadline, what)
+                               for entry in self.entries])
+
+    async def probe(self, entry, deadline, what):
+        served = False
+        while not served and time.monotonic() < deadline:
+            caller = fakes.Caller(f"{entry.ip}:{CLIENT_PORT}")
+            answers = [await self.call_once(caller, kind, entry, True)
+                       for kind in ("book", "digest")]
+            caller.close()
+            served = all(answers)
+            await asyncio.sleep(0.05)
+        if not served:
+            self.add_problem(f"{entry.name} does not serve {what}")
 
     def check_notices(self, endpoint):
         """Checks what an endpoint that said that it leaves, or turned hosts
