Share what the change wrote twice: a group of one member, a stop's Retry-After

Three tests set up the same group of one member; it is one header now. Both interfaces had a Retry-After of a stopping host of their own. The optional in the answer to an unfinished request is a variable before the awaited call, as everywhere else.

--- a/node/entry_controller.cpp
+++ b/node/entry_controller.cpp
@@ -34,9 +34,6 @@
 /// A stream may take this many times its target time per token.
 constexpr std::int64_t slowest_token_factor = 4;
 
-/// Retry-After of a request that a stopping host does not take any more.
-constexpr core::duration stopping_retry_after{50};
-
 constexpr std::string_view bearer_prefix = "Bearer ";
 constexpr std::size_t request_id_bytes = 8;
 constexpr int status_ok = 200;
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -27,10 +27,6 @@
 constexpr core::duration startup_check_interval{20};
 constexpr core::duration no_catalog_retry_after{400};
 
-/// Retry-After of a request that a stopping host does not take any more. Other
-/// hosts take it at once.
-constexpr core::duration stopping_retry_after{50};
-
 /// Fractions of the bound on retries that hosts use for plain calls, and for
 /// streams while no leader is reachable. The leader uses the larger fraction of
 /// the bound for streams. The rest absorbs requests that are spread unevenly
@@ -485,14 +481,15 @@
         exchange.abort_response();
         co_return;
     }
-    const bool has_not_run = result.sends_ == 0;
-    result.status_ = has_not_run ? status_unavailable : status_bad_gateway;
+    result.status_ = status_bad_gateway;
+    std::optional<core::duration> retry_after;
+    if (result.sends_ == 0)
+    {
+        result.status_ = status_unavailable;
+        retry_after = stopping_retry_after;
+    }
     co_await send_local_response(
-        exchange,
-        ingress_.codec_,
-        call.request_,
-        result.status_,
-        has_not_run ? std::optional(stopping_retry_after) : std::nullopt);
+        exchange, ingress_.codec_, call.request_, result.status_, retry_after);
 }
 
 void ingress_controller::record_result(
--- a/node/stop_gate.hpp
+++ b/node/stop_gate.hpp
@@ -8,6 +8,10 @@
 namespace poplarroute::node
 {
 
+/// Retry-After of a request that a stopping host does not take any more. Other
+/// hosts take it at once.
+inline constexpr core::duration stopping_retry_after{50};
+
 /// The time at which a stopping process ends the requests that still run.
 class stop_gate
 {
--- a/tests/platform/catalog_transfer_test.cpp
+++ b/tests/platform/catalog_transfer_test.cpp
@@ -8,9 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
-#include "node/catalog_controller.hpp"
 #include "node/catalog_watcher.hpp"
-#include "tests/platform/process.hpp"
+#include "tests/platform/lone_member.hpp"
 
 namespace poplarroute::platform
 {
@@ -114,24 +113,12 @@
 };
 
 /// A group of one member, known to hosts by the address of the slow link.
-struct group_member : listening_process
+struct group_member : lone_member
 {
     group_member(asio::io_context& io, const std::string& folder)
-        : listening_process(io, link_address, member_address)
+        : lone_member(io, link_address, member_address, folder)
     {
-        board_.section<node::identity_section>().settings_.data_folder_ =
-            folder;
-        replica_ = std::make_unique<node::catalog_replica>(with_);
-        EXPECT_TRUE(core::is_ok(replica_->open()));
-        controller_ = std::make_unique<node::catalog_controller>(
-            with_, *replica_, codec_);
-        replica_->start();
-        controller_->start();
-        port_.start();
     }
-
-    std::unique_ptr<node::catalog_replica> replica_;
-    std::unique_ptr<node::catalog_controller> controller_;
 };
 
 struct entry_host : process
--- a/tests/platform/new_leader_test.cpp
+++ b/tests/platform/new_leader_test.cpp
@@ -9,8 +9,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
-#include "node/catalog_controller.hpp"
-#include "tests/platform/process.hpp"
+#include "tests/platform/lone_member.hpp"
 
 namespace poplarroute::platform
 {
@@ -27,27 +26,6 @@
   "services":[],"tenants":[
     {"name":"acme","apiKeys":["k"],"ratePerS":100000,"burst":100000}]})";
 
-/// A group of one member.
-struct lone_member : listening_process
-{
-    lone_member(asio::io_context& io, const std::string& folder)
-        : listening_process(io, member_address, member_address)
-    {
-        board_.section<node::identity_section>().settings_.data_folder_ =
-            folder;
-        replica_ = std::make_unique<node::catalog_replica>(with_);
-        EXPECT_TRUE(core::is_ok(replica_->open()));
-        controller_ = std::make_unique<node::catalog_controller>(
-            with_, *replica_, codec_);
-        replica_->start();
-        controller_->start();
-        port_.start();
-    }
-
-    std::unique_ptr<node::catalog_replica> replica_;
-    std::unique_ptr<node::catalog_controller> controller_;
-};
-
 class new_leader : public ::testing::Test
 {
 protected:
@@ -128,7 +106,7 @@
 {
     constexpr const char* digest = "d";
     asio::io_context io{1};
-    lone_member member(io, folder_.string());
+    lone_member member(io, member_address, member_address, folder_.string());
     process host(io, host_address, member_address);
     run_until(
         io,
@@ -154,7 +132,7 @@
 TEST_F(new_leader, does_not_state_a_number_of_hosts_that_it_cannot_know)
 {
     asio::io_context io{1};
-    lone_member member(io, folder_.string());
+    lone_member member(io, member_address, member_address, folder_.string());
     process host(io, host_address, member_address);
     run_until(
         io,
@@ -175,7 +153,8 @@
 {
     {
         asio::io_context io{1};
-        lone_member member(io, folder_.string());
+        lone_member member(
+            io, member_address, member_address, folder_.string());
         run_until(
             io,
             [&member]()
@@ -200,7 +179,7 @@
             });
     }
     asio::io_context io{1};
-    lone_member member(io, folder_.string());
+    lone_member member(io, member_address, member_address, folder_.string());
     process host(io, host_address, member_address);
     run_until(
         io,
--- a/tests/platform/operator_calls_test.cpp
+++ b/tests/platform/operator_calls_test.cpp
@@ -7,8 +7,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
-#include "node/catalog_controller.hpp"
-#include "tests/platform/process.hpp"
+#include "tests/platform/lone_member.hpp"
 
 namespace poplarroute::platform
 {
@@ -23,27 +22,18 @@
 constexpr const char* zone = "z-a";
 
 /// A group of one member that takes operators' calls.
-struct control_member : listening_process
+struct control_member : lone_member
 {
     control_member(asio::io_context& io, const std::string& folder)
-        : listening_process(io, member_address, member_address)
+        : lone_member(io, member_address, member_address, folder),
+          control_(
+              io,
+              control_address,
+              drivers::http_limits(),
+              make_operator_handler(*controller_))
     {
-        board_.section<node::identity_section>().settings_.data_folder_ =
-            folder;
         board_.section<node::settings_section>().settings_.zones_ = {zone};
-        replica_ = std::make_unique<node::catalog_replica>(with_);
-        EXPECT_TRUE(core::is_ok(replica_->open()));
-        controller_ = std::make_unique<node::catalog_controller>(
-            with_, *replica_, codec_);
-        control_ = std::make_unique<drivers::http_server>(
-            io,
-            control_address,
-            drivers::http_limits(),
-            make_operator_handler(*controller_));
-        replica_->start();
-        controller_->start();
-        port_.start();
-        control_->start();
+        control_.start();
     }
 
     bool is_zone_out() const
@@ -51,9 +41,7 @@
         return replica_->state().out_of_service_zones().count(zone) != 0;
     }
 
-    std::unique_ptr<node::catalog_replica> replica_;
-    std::unique_ptr<node::catalog_controller> controller_;
-    std::unique_ptr<drivers::http_server> control_;
+    drivers::http_server control_;
 };
 
 class operator_calls : public ::testing::Test
