Do not overbook a low level while its settlement is overdue

Hosts that lose the ledger admit against the level that they were last told until they count as isolated, 350 ms later. At a low level they admit at random, three times the level in each settlement interval of 100 ms, since not every host has a request.

A low level is now shared once while its settlement is overdue. Ruled out: the tickets of isolated hosts (none in 350 ms) and the new ledger's first level (its overshoot is repaid by later refusals).

--- a/policy/account_meter.cpp
+++ b/policy/account_meter.cpp
@@ -299,8 +299,11 @@
     {
         return true;
     }
+    // Usage since an overdue settlement is not part of the level, so requests
+    // of more than one interval share it.
+    const double overbooking = low && overdue ? 1 : overbooking_factor;
     return draw_with_probability(
-        item.level_ * overbooking_factor * own_fraction() / tokens);
+        item.level_ * overbooking * own_fraction() / tokens);
 }
 
 bool account_meter::admit(
--- a/tests/node/limits_test.cpp
+++ b/tests/node/limits_test.cpp
@@ -97,7 +97,8 @@
 // benchmark runs: for a second each host used the last level as if it were the
 // only one; and callers that had been refused returned to all hosts at once
 // when the level rose above 0.
-void run_with_ledger_loss(unsigned seed, int hosts)
+/// \return the most tokens that were admitted in any window.
+std::int64_t run_with_ledger_loss(unsigned seed, int hosts)
 {
     std::mt19937 random(seed);
     constexpr int step_count = 2'000;
@@ -166,22 +167,35 @@
             }
         }
     }
-    const double allowed =
+    return admitted.max_sum();
+}
+
+std::int64_t allowed_tokens()
+{
+    return static_cast<std::int64_t>(
         static_cast<double>(rate * window_seconds + burst) * (1 + excess) +
-        static_cast<double>(slack);
-    RC_ASSERT(static_cast<double>(admitted.max_sum()) <= allowed);
+        static_cast<double>(slack));
 }
 
 RC_GTEST_PROP(
     limits, six_hosts_together_keep_to_the_users_bound, (unsigned seed))
 {
-    run_with_ledger_loss(seed, 6);
+    RC_ASSERT(run_with_ledger_loss(seed, 6) <= allowed_tokens());
 }
 
 RC_GTEST_PROP(
     limits, ninety_hosts_together_keep_to_the_users_bound, (unsigned seed))
 {
-    run_with_ledger_loss(seed, 90);
+    RC_ASSERT(run_with_ledger_loss(seed, 90) <= allowed_tokens());
+}
+
+// Ninety hosts whose last settled level is low lose the ledger. Until they
+// count as isolated, each admits against that level, which lacks what the
+// others have admitted since. With this seed they admitted more than the
+// users' bound.
+TEST(limits, ninety_hosts_share_a_low_level_while_its_settlement_is_overdue)
+{
+    EXPECT_LE(run_with_ledger_loss(6'099, 90), allowed_tokens());
 }
 
 // Sixty hosts reach no ledger for ten seconds, and each receives streams of
