Do not count a caller that leaves as a failure of the endpoint

When a caller closes its connection, the call that is under way is cancelled, and the operation that is cancelled reports an error like one that failed. The forwarder then recorded a broken connection: three callers that left ejected a good endpoint for that host, a probe for a crash followed, and a retry was taken from the fleet's allowance.

The HTTP client now ends the coroutine of a cancelled call, as a cancelled sleep does, so that the forwarder's destructor releases what it holds.

--- a/drivers/asio.cpp
+++ b/drivers/asio.cpp
@@ -15,6 +15,12 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+asio::awaitable<void> throw_if_cancelled()
+{
+    // Awaiting any coroutine throws in a caller that has been cancelled.
+    co_return;
+}
+
 void spawn(asio::io_context& context, asio::awaitable<void> work)
 {
     asio::co_spawn(
--- a/drivers/asio.hpp
+++ b/drivers/asio.hpp
@@ -23,6 +23,11 @@
 /// \throws boost::system::system_error when the wait is cancelled.
 asio::awaitable<void> sleep_for(core::duration span);
 
+/// Ends the calling coroutine if it has been cancelled. An operation that was
+/// cancelled reports an error like one that failed, so this tells them apart.
+/// \throws boost::system::system_error when the coroutine has been cancelled.
+asio::awaitable<void> throw_if_cancelled();
+
 /// Starts a coroutine that nothing waits for. An exception that escapes it ends
 /// the process, since only a programming error can cause one.
 void spawn(asio::io_context& context, asio::awaitable<void> work);
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -204,6 +204,7 @@
         asio::redirect_error(asio::use_awaitable, failed));
     if (failed)
     {
+        co_await throw_if_cancelled();
         co_return error{errc::unreachable, failed.message()};
     }
     ++pool.counts_.opened_;
@@ -296,6 +297,7 @@
                 asio::redirect_error(asio::use_awaitable, failed));
             if (failed)
             {
+                co_await throw_if_cancelled();
                 co_return failed;
             }
             if (!is_informational())
@@ -386,6 +388,7 @@
                 asio::redirect_error(asio::use_awaitable, failed));
             if (failed)
             {
+                co_await throw_if_cancelled();
                 co_return error_from(failed);
             }
         }
--- a/tests/platform/ingress_fixture.hpp
+++ b/tests/platform/ingress_fixture.hpp
@@ -180,16 +180,21 @@
     }
 
     /// Sends a caller's request to the host and waits for the response.
-    drivers::http_response call(const std::string& target)
+    /// \param patience time after which the caller closes the connection.
+    drivers::http_response call(
+        const std::string& target,
+        core::duration patience = drivers::http_call().timeout_)
     {
         drivers::http_response out;
         drivers::spawn(
             io_,
             [](ingress_fixture& test,
                std::string target,
+               core::duration patience,
                drivers::http_response& out) -> drivers::asio::awaitable<void>
             {
                 drivers::http_call request;
+                request.timeout_ = patience;
                 request.address_ = host_address_;
                 request.method_ = "POST";
                 request.target_ = std::move(target);
@@ -205,7 +210,7 @@
                     out = core::value(reply);
                 }
                 test.io_.stop();
-            }(*this, target, out));
+            }(*this, target, patience, out));
         io_.restart();
         io_.run();
         return out;
