Read the pace that an endpoint reports in Server-Load

The header has an optional fourth figure: how long work takes on the endpoint's machine now, in percent of the usual. It is clamped to 10 to 1,000; what is absent or no number is unknown. The balancer of plain calls keeps it with the time of the report; nothing is decided by it yet.

--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -136,6 +136,7 @@
             endpoint_,
             *metadata.running_,
             metadata.waiting_,
+            metadata.pace_percent_,
             core::steady_now());
     }
     if (metadata.misdirected_ || metadata.not_run_)
--- a/node/wire_codec.hpp
+++ b/node/wire_codec.hpp
@@ -66,6 +66,10 @@
     bool echoes_attempt_ = false; ///< It repeats the request's attempt id.
     std::optional<std::int64_t> running_; ///< Running requests, if reported.
     std::int64_t waiting_ = 0;            ///< Queued requests, if reported.
+
+    /// How long work takes on the endpoint's machine now, in percent of the
+    /// usual; nothing: unknown.
+    std::optional<std::int64_t> pace_percent_;
 };
 
 /// A prompt's KV cache that a prefill engine keeps for a decode engine.
--- a/policy/plain_balancer.cpp
+++ b/policy/plain_balancer.cpp
@@ -227,13 +227,21 @@
     const core::endpoint_id& name,
     std::int64_t running,
     std::int64_t waiting,
+    std::optional<std::int64_t> pace_percent,
     core::time_point now)
 {
     const auto found = endpoints_.find(name);
-    if (found != endpoints_.end())
+    if (found == endpoints_.end())
+    {
+        return;
+    }
+    endpoint_state& item = found->second;
+    item.reported_load_ = running + waiting;
+    item.load_reported_at_ = now;
+    if (pace_percent)
     {
-        found->second.reported_load_ = running + waiting;
-        found->second.load_reported_at_ = now;
+        item.pace_percent_ = pace_percent;
+        item.pace_reported_at_ = now;
     }
 }
 
--- a/policy/plain_balancer.hpp
+++ b/policy/plain_balancer.hpp
@@ -69,10 +69,13 @@
         core::time_point now);
 
     /// Records the load that an endpoint reported with an answer.
+    /// \param pace_percent how long work takes there, in percent of the usual;
+    /// nothing: unknown.
     void record_load(
         const core::endpoint_id& name,
         std::int64_t running,
         std::int64_t waiting,
+        std::optional<std::int64_t> pace_percent,
         core::time_point now);
 
     bool empty() const
@@ -87,6 +90,8 @@
         std::int64_t in_flight_ = 0;     ///< Calls of this host.
         std::int64_t reported_load_ = 0; ///< Calls running and waiting.
         core::time_point load_reported_at_;
+        std::optional<std::int64_t> pace_percent_; ///< As last reported.
+        core::time_point pace_reported_at_;
         core::time_point progress_at_; ///< Last answer, or start after idling.
         core::time_point ejected_until_;
         core::duration ejection_time_;
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -151,6 +151,30 @@
     EXPECT_FALSE(mismatched.echoes_attempt_);
 }
 
+std::optional<std::int64_t> pace_of(const std::string& load)
+{
+    const platform_codec wire;
+    const auto read = wire.decode_request(request_with({{"Attempt-Id", "a"}}));
+    return wire.facts_of(read, 200, {{"Server-Load", load}}).pace_percent_;
+}
+
+// Guards against an endpoint that states no pace, or a faulty one, and is taken
+// for a very fast or very slow one.
+TEST(platform_codec, reads_the_pace_of_an_endpoint)
+{
+    EXPECT_EQ(pace_of("3,1,8,250"), 250);
+    EXPECT_EQ(pace_of("3,1,8, 70"), 70);
+    EXPECT_EQ(pace_of("3,1,8,0"), 10);
+    EXPECT_EQ(pace_of("3,1,8,-5"), 10);
+    EXPECT_EQ(pace_of("3,1,8,99999"), 1'000);
+    EXPECT_EQ(pace_of("3,1,8,100,7"), 100);
+    for (const char* load :
+         {"", "3,1", "3,1,8", "3,1,8,", "3,1,8,fast", "3,1,8,1e2"})
+    {
+        EXPECT_FALSE(pace_of(load)) << load;
+    }
+}
+
 TEST(platform_codec, writes_fractions_of_seconds)
 {
     const platform_codec wire;
