Choose endpoints of plain calls by their speed and pace

Each balancer learns the time of a call at each endpoint, at the usual pace, and joins it with the reported pace while that is fresh. Of three endpoints drawn it takes the one on which the call is expected to end first, with a random part; it looks at all of them when none of the three is in time.

--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -65,8 +65,15 @@
         with.board_.section<group_section>().hosts_,
         now);
     balancer_.set_endpoints(endpoints);
+    const core::duration objective_left =
+        call_.arrived_at_ + call_.route_.target_latency_ - now;
+    const policy::call_time_left left{
+        std::max(objective_left, core::duration{0}), time_left(call_)};
     const auto chosen = balancer_.begin(
-        with.board_.section<settings_section>().settings_.zone_, avoid_, now);
+        with.board_.section<settings_section>().settings_.zone_,
+        avoid_,
+        now,
+        left);
     if (!chosen)
     {
         return false;
@@ -124,7 +131,9 @@
                 true,
                 attempt_started_at_);
         }
-        finish_attempt(call_outcome::broken);
+        finish_attempt(
+            error.code_ == core::errc::timeout ? call_outcome::timed_out
+                                               : call_outcome::broken);
         return send_result::may_have_run;
     }
     const drivers::http_response& response = core::value(reply);
