Place streams by the speed of each engine

The scheduler learned one prefill speed and one decode speed for all engines. It now keeps one for each engine and stage, joined with the paces that hosts pass on from engines' answers, and uses them for the choice of engines, the first event, the memory that streams hold and the delay of the queue.

Equal engines without paces: decisions as before (digest in the test). Gauges show the speeds, at most 128 for each service.

--- a/drivers/metrics.cpp
+++ b/drivers/metrics.cpp
@@ -1,5 +1,7 @@
 #include "drivers/metrics.hpp"
 
+#include <set>
+
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -33,6 +35,9 @@
         {"poplarroute_part_failures_total", "Failed parts of documents."},
         {"poplarroute_hosts_behind", "Entry hosts with an older catalog."},
         {"poplarroute_control_role", "1 at the control group's leader."},
+        {"poplarroute_endpoint_call_ms", "Usual time of a call, by endpoint."},
+        {"poplarroute_endpoint_pace", "Expected pace, 1: usual, by endpoint."},
+        {"poplarroute_engine_time_factor", "Time of work, 1: as all engines."},
         {"poplarroute_tokens_moved_total", "Tokens moved between hosts."},
     };
     return texts;
@@ -75,7 +80,13 @@
 {
     prometheus::Registry registry_;
     std::map<std::string, prometheus::Family<prometheus::Counter>*> counters_;
-    std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges_;
+    struct gauge_family
+    {
+        prometheus::Family<prometheus::Gauge>* family_ = nullptr;
+        std::set<prometheus::Gauge*> gauges_;
+    };
+
+    std::map<std::string, gauge_family> gauges_;
     std::map<std::string, prometheus::Family<prometheus::Histogram>*>
         histograms_;
 };
@@ -101,15 +112,27 @@
 void metrics::set(
     const std::string& name, const metric_labels& labels, double value)
 {
-    auto& family = state_->gauges_[name];
-    if (family == nullptr)
+    state::gauge_family& item = state_->gauges_[name];
+    if (item.family_ == nullptr)
     {
-        family = &prometheus::BuildGauge()
-                      .Name(name)
-                      .Help(help_text(name))
-                      .Register(state_->registry_);
+        item.family_ = &prometheus::BuildGauge()
+                            .Name(name)
+                            .Help(help_text(name))
+                            .Register(state_->registry_);
+    }
+    prometheus::Gauge& gauge = item.family_->Add(labels);
+    gauge.Set(value);
+    item.gauges_.insert(&gauge);
+}
+
+void metrics::clear(const std::string& name)
+{
+    state::gauge_family& item = state_->gauges_[name];
+    for (prometheus::Gauge* gauge : item.gauges_)
+    {
+        item.family_->Remove(gauge);
     }
-    family->Add(labels).Set(value);
+    item.gauges_.clear();
 }
 
 void metrics::observe_ms(
--- a/drivers/metrics.hpp
+++ b/drivers/metrics.hpp
@@ -28,6 +28,10 @@
     void set(
         const std::string& name, const metric_labels& labels, double value);
 
+    /// Removes a gauge with all its labels, so that what is no longer known
+    /// does not stay.
+    void clear(const std::string& name);
+
     /// Adds a duration to a histogram.
     /// \param ms the duration in milliseconds.
     void observe_ms(
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -69,6 +69,12 @@
     /// this member's.
     std::int64_t hosts_behind() const;
 
+    /// Sets the gauges of what the leader places streams by.
+    void set_metrics() const
+    {
+        placements_.set_metrics();
+    }
+
 private:
     /// An entry host, as its last watch request describes it.
     struct watching_host
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -220,6 +220,13 @@
     std::string digest_;             ///< Digest of the request.
 };
 
+/// How long work takes on an engine's machine, in percent of the usual.
+struct engine_pace_message
+{
+    core::endpoint_id engine_;
+    std::int64_t percent_ = 0;
+};
+
 /// Reports an event at an engine. Empty fields are not reported.
 struct engine_event_message
 {
@@ -235,6 +242,7 @@
     bool answered_ = false;     ///< A stream has been answered for a while.
     std::vector<std::string> answered_parts_; ///< Shared parts of its prompt.
     std::string answered_digest_; ///< Of a request that is wholly answered.
+    std::vector<engine_pace_message> paces_; ///< As engines reported them.
 };
 
 /// An account's usage and level, in tokens. A request contains the usage and
@@ -377,6 +385,8 @@
     decode_ms_,
     parts_,
     digest_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    engine_pace_message, engine_, percent_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     engine_event_message,
     service_,
@@ -389,7 +399,8 @@
     leaving_,
     answered_,
     answered_parts_,
-    answered_digest_)
+    answered_digest_,
+    paces_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     account_usage_message, account_, used_, level_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(settle_request, host_, uses_)
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -293,6 +293,7 @@
             "poplarroute_active_requests",
             {},
             static_cast<double>(ingress_->active()));
+        ingress_->set_metrics();
     }
     if (group_)
     {
@@ -302,6 +303,7 @@
             "poplarroute_hosts_behind",
             {},
             static_cast<double>(catalog_controller_->hosts_behind()));
+        catalog_controller_->set_metrics();
     }
 }
 
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -213,6 +213,26 @@
     with_.board_.section<group_section>().on_hosts_change_.emplace_back(update);
 }
 
+void ingress_controller::set_metrics() const
+{
+    static constexpr const char* time_gauge = "poplarroute_endpoint_call_ms";
+    static constexpr const char* pace_gauge = "poplarroute_endpoint_pace";
+    with_.metrics_.clear(time_gauge);
+    with_.metrics_.clear(pace_gauge);
+    for (const auto& [service, balancer] : ingress_.balancers_)
+    {
+        auto speeds = balancer.speeds(core::steady_now());
+        speeds.resize(std::min(speeds.size(), max_speed_gauges));
+        for (const policy::endpoint_speed_view& item : speeds)
+        {
+            const drivers::metric_labels labels{
+                {"service", service}, {"endpoint", item.name_}};
+            with_.metrics_.set(time_gauge, labels, item.usual_ms_);
+            with_.metrics_.set(pace_gauge, labels, item.pace_);
+        }
+    }
+}
+
 void ingress_controller::update_retry_allowances()
 {
     const catalog_section& section = with_.board_.section<catalog_section>();
--- a/node/ingress_controller.hpp
+++ b/node/ingress_controller.hpp
@@ -37,6 +37,9 @@
         return active_;
     }
 
+    /// Sets the gauges of the plain endpoints' speeds.
+    void set_metrics() const;
+
 private:
     /// A refusal of a request that was not sent to any endpoint.
     struct refusal
--- a/node/placement_controller.cpp
+++ b/node/placement_controller.cpp
@@ -1,5 +1,6 @@
 #include "node/placement_controller.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace poplarroute::node
@@ -85,6 +86,27 @@
     return scheduler == nullptr ? std::nullopt : scheduler->rates(now);
 }
 
+void placement_controller::set_metrics() const
+{
+    static constexpr const char* factor_gauge =
+        "poplarroute_engine_time_factor";
+    with_.metrics_.clear(factor_gauge);
+    for (const auto& [service, scheduler] : schedulers_)
+    {
+        auto speeds = scheduler.speeds(core::steady_now());
+        speeds.resize(std::min(speeds.size(), max_speed_gauges));
+        for (const policy::engine_speed_view& item : speeds)
+        {
+            with_.metrics_.set(
+                factor_gauge,
+                {{"service", service},
+                 {"endpoint", item.name_},
+                 {"stage", item.reads_prompts_ ? "prefill" : "decode"}},
+                item.factor_);
+        }
+    }
+}
+
 void placement_controller::reset()
 {
     schedulers_.clear();
@@ -195,6 +217,10 @@
     {
         scheduler->replaced(event.replaced_, now);
     }
+    for (const engine_pace_message& item : event.paces_)
+    {
+        scheduler->record_pace(item.engine_, item.percent_, now);
+    }
     for (const core::endpoint_id& name : event.worked_)
     {
         scheduler->record_success(name, event.host_, now);
--- a/node/placement_controller.hpp
+++ b/node/placement_controller.hpp
@@ -14,6 +14,10 @@
 namespace poplarroute::node
 {
 
+/// Largest number of endpoints of a service whose speeds are shown as gauges;
+/// further ones, in the order of their names, are left out.
+inline constexpr std::size_t max_speed_gauges = 128;
+
 /// Queues placement requests until a scheduler decides them, with one scheduler
 /// for each service.
 ///
@@ -59,6 +63,9 @@
         const core::host_id& host,
         const std::vector<placement_message>& placements);
 
+    /// Sets the gauges of the engines' speeds.
+    void set_metrics() const;
+
     /// Discards all placements, because another controller has decided
     /// meanwhile.
     void reset();
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -148,6 +148,21 @@
     placements_.record_engine_event(std::move(event));
 }
 
+/// Adds the pace that an engine reported with a response, if any, to an event.
+void stream_forwarder::add_pace(
+    engine_event_message& event,
+    const core::endpoint_id& engine,
+    const drivers::header_list& headers,
+    int status) const
+{
+    const response_metadata metadata =
+        ingress_.codec_.facts_of(call_.request_, status, headers);
+    if (metadata.pace_percent_)
+    {
+        event.paces_.push_back({engine, *metadata.pace_percent_});
+    }
+}
+
 void stream_forwarder::report_replaced(const core::endpoint_id& engine)
 {
     engine_event_message event;
@@ -328,6 +343,7 @@
     engine_event_message event;
     event.service_ = call_.service_;
     event.read_ = placement_id_;
+    add_pace(event, reader, response.headers_, response.status_);
     placements_.record_engine_event(std::move(event));
     co_return step_result::done;
 }
@@ -430,6 +446,7 @@
     engine_event_message event;
     event.service_ = call_.service_;
     event.worked_ = {placement_.decoder_};
+    add_pace(event, placement_.decoder_, stream_->headers(), stream_->status());
     if (kv_handle_)
     {
         event.worked_.push_back(result_.reader_);
--- a/node/stream_forwarder.hpp
+++ b/node/stream_forwarder.hpp
@@ -56,6 +56,11 @@
     void release_placement(bool complete);
     void release_kv_handle();
     void report_failure(const core::endpoint_id& engine);
+    void add_pace(
+        engine_event_message& event,
+        const core::endpoint_id& engine,
+        const drivers::header_list& headers,
+        int status) const;
     void report_replaced(const core::endpoint_id& engine);
     awaitable<void> answer_failure(
         drivers::http_exchange& exchange, step_result last);
--- a/policy/endpoint_speed.cpp
+++ b/policy/endpoint_speed.cpp
@@ -24,6 +24,10 @@
 /// period of slow work.
 constexpr core::duration mean_pace_half_life{10'000};
 
+/// Number of reports that the usual pace counts as in the mean: a single report
+/// may be from a slow period.
+constexpr double usual_pace_weight = 3;
+
 /// Number of durations that what is known of all endpoints counts as.
 constexpr double common_weight = 2;
 
@@ -33,7 +37,7 @@
 
 /// A difference from the common time counts if it exceeds this many standard
 /// errors, and this fraction of the common time.
-constexpr double significant_errors = 2;
+constexpr double significant_errors = 3;
 constexpr double significant_fraction = 0.05;
 
 /// Bounds of a factor: a faulty report or clock must not exclude an endpoint,
@@ -43,6 +47,9 @@
 
 constexpr double percent = 100;
 
+/// Least pace, by which durations are divided.
+constexpr double min_pace = 0.1;
+
 double decay(core::duration age, core::duration half_life)
 {
     return std::exp2(
@@ -57,9 +64,11 @@
     return weight_ * decay(now - recorded_at_, duration_half_life);
 }
 
-void endpoint_speed::record(double ms_per_unit, core::time_point now)
+void endpoint_speed::record(
+    double ms_per_unit, core::time_point now, core::duration span)
 {
-    const double usual_ms = ms_per_unit / pace(now);
+    const double usual_ms =
+        ms_per_unit / (span > pace_validity ? mean_pace(now) : pace(now));
     const double kept = decay(now - recorded_at_, duration_half_life);
     const double deviation = usual_ms - mean_ms_;
     weight_ = weight_ * kept + 1;
@@ -76,7 +85,8 @@
     {
         return;
     }
-    last_pace_ = static_cast<double>(reported_percent) / percent;
+    last_pace_ =
+        std::max(static_cast<double>(reported_percent) / percent, min_pace);
     const double kept =
         pace_reported_at_ ? decay(now - *pace_reported_at_, mean_pace_half_life)
                           : 0;
@@ -90,17 +100,35 @@
     return pace_reported_at_ && now - *pace_reported_at_ <= pace_validity;
 }
 
-double endpoint_speed::pace(core::time_point now) const
+double endpoint_speed::mean_pace(core::time_point now) const
 {
     if (!pace_reported_at_)
     {
         return 1;
     }
-    const core::duration age = now - *pace_reported_at_;
-    const double mean = 1 + (mean_pace_ - 1) * decay(age, duration_half_life);
-    return is_pace_fresh(now)
-               ? mean + (last_pace_ - mean) * decay(age, pace_half_life)
-               : mean;
+    const double trust = pace_weight_ / (pace_weight_ + usual_pace_weight) *
+                         decay(now - *pace_reported_at_, duration_half_life);
+    return 1 + (mean_pace_ - 1) * trust;
+}
+
+double endpoint_speed::pace(core::time_point now, core::duration span) const
+{
+    const double mean = mean_pace(now);
+    if (!is_pace_fresh(now))
+    {
+        return mean;
+    }
+    const double at_once =
+        (last_pace_ - mean) * decay(now - *pace_reported_at_, pace_half_life);
+    if (span.ms_ <= 0)
+    {
+        return mean + at_once;
+    }
+    // The mean of the exponential decay over the span.
+    const double half_lives =
+        static_cast<double>(span.ms_) / static_cast<double>(pace_half_life.ms_);
+    return mean +
+           at_once * (1 - std::exp2(-half_lives)) / (half_lives * std::log(2));
 }
 
 std::optional<work_time> endpoint_speed::usual() const
@@ -126,7 +154,8 @@
     return {mean * now_pace, std::sqrt(variance / weight) * now_pace};
 }
 
-double endpoint_speed::factor(double common_ms, core::time_point now) const
+double endpoint_speed::factor(
+    double common_ms, core::time_point now, core::duration span) const
 {
     if (common_ms <= 0)
     {
@@ -140,7 +169,7 @@
         significant_fraction * common_ms);
     const double lasting_factor =
         std::abs(lasting) > tolerance ? 1 + lasting / common_ms : 1;
-    return std::clamp(lasting_factor * now_pace, min_factor, max_factor);
+    return std::clamp(lasting_factor * pace(now, span), min_factor, max_factor);
 }
 
 } // namespace poplarroute::policy
--- a/policy/endpoint_speed.hpp
+++ b/policy/endpoint_speed.hpp
@@ -30,14 +30,18 @@
 {
 public:
     /// Records how long a unit of work took that ended now.
-    void record(double ms_per_unit, core::time_point now);
+    /// \param span time over which it was measured; over a long one, the mean
+    /// pace counts instead of the present one.
+    void record(
+        double ms_per_unit, core::time_point now, core::duration span = {});
 
     /// Records a reported pace, in percent of the usual time.
     void record_pace(std::int64_t percent, core::time_point now);
 
     /// \return the expected pace now; 1: as usual. A report is worth less the
     /// older it is; the mean of the reports replaces it. 1 without reports.
-    double pace(core::time_point now) const;
+    /// \param span the mean over so long a time from now on.
+    double pace(core::time_point now, core::duration span = {}) const;
 
     /// \return whether a report is recent enough to show the present pace.
     bool is_pace_fresh(core::time_point now) const;
@@ -53,10 +57,13 @@
     /// \return how many times the common time a unit takes here at the present
     /// pace. What is lasting counts only when it differs by more than its
     /// uncertainty explains; 1 for an endpoint like the others.
-    double factor(double common_ms, core::time_point now) const;
+    /// \param span time that the work takes.
+    double factor(
+        double common_ms, core::time_point now, core::duration span = {}) const;
 
 private:
     double weight_at(core::time_point now) const;
+    double mean_pace(core::time_point now) const;
 
     double weight_ = 0; ///< Sum of the durations' weights at recorded_at_.
     double mean_ms_ = 0;
--- a/policy/stream_scheduler.cpp
+++ b/policy/stream_scheduler.cpp
@@ -72,6 +72,11 @@
 /// while a host does not see the other hosts' streams.
 constexpr double max_random_score_offset = 0.3;
 
+/// Score penalty of a decode engine, as a fraction of its memory, for each
+/// common duration that its tokens take longer: it holds a stream's memory for
+/// that much longer.
+constexpr double slow_decode_penalty = 0.25;
+
 constexpr core::duration one_second{1'000};
 
 /// Window over which the arrival rate is measured: longer than a lull, shorter
@@ -244,6 +249,10 @@
     {
         first_arrivals_.erase(found->second.digest_);
     }
+    if (found != running_.end())
+    {
+        record_durations(result, found->second, now);
+    }
     release(result.id_);
     if (result.complete_ && result.output_tokens_ > 0)
     {
@@ -258,6 +267,104 @@
     }
 }
 
+void stream_scheduler::record_durations(
+    const stream_result& result,
+    const running_stream& stream,
+    core::time_point now)
+{
+    const auto prefill_engine = engines_.find(stream.prefilled_by_);
+    if (prefill_engine != engines_.end() && result.read_.ms_ > 0 &&
+        result.prompt_tokens_ > 0)
+    {
+        // The prefill ended a while ago, so the present pace is not its own.
+        prefill_engine->second.prefill_speed_.record(
+            static_cast<double>(result.read_.ms_) /
+                static_cast<double>(result.prompt_tokens_),
+            now,
+            now - stream.placed_at_);
+    }
+    const auto decode_engine = engines_.find(stream.decoder_);
+    if (decode_engine != engines_.end() && result.complete_ &&
+        result.output_tokens_ > 0 && result.decode_.ms_ > 0)
+    {
+        decode_engine->second.decode_speed_.record(
+            static_cast<double>(result.decode_.ms_) /
+                static_cast<double>(result.output_tokens_),
+            now,
+            result.decode_);
+    }
+}
+
+void stream_scheduler::record_pace(
+    const core::endpoint_id& name, std::int64_t percent, core::time_point now)
+{
+    const auto found = engines_.find(name);
+    if (found != engines_.end())
+    {
+        found->second.prefill_speed_.record_pace(percent, now);
+        found->second.decode_speed_.record_pace(percent, now);
+    }
+}
+
+std::vector<engine_speed_view> stream_scheduler::speeds(
+    core::time_point now) const
+{
+    std::vector<engine_speed_view> out;
+    out.reserve(engines_.size());
+    for (const auto& [name, item] : engines_)
+    {
+        const bool prefills = item.info_.reads_prompts_;
+        out.push_back(
+            {name,
+             prefills,
+             prefills ? prefill_factor(item, now) : decode_factor(item, now),
+             item.decode_speed_.is_pace_fresh(now)});
+    }
+    return out;
+}
+
+double stream_scheduler::common_prefill_ms_per_token() const
+{
+    return 1 / (prefill_tokens_per_ms_ > 0 ? prefill_tokens_per_ms_
+                                           : default_prefill_tokens_per_ms);
+}
+
+double stream_scheduler::common_decode_ms_per_token() const
+{
+    return ms_per_token_ > 0 ? ms_per_token_ : default_ms_per_token;
+}
+
+/// \return how many times the common duration a prefill takes on an engine now.
+double stream_scheduler::prefill_factor(
+    const engine& item, core::time_point now) const
+{
+    const double common_ms = common_prefill_ms_per_token();
+    const core::duration span{
+        static_cast<std::int64_t>(common_ms * mean_prompt_tokens_)};
+    return item.prefill_speed_.factor(common_ms, now, span);
+}
+
+/// \return how many times the common duration a stream's decode takes on an
+/// engine from now on.
+double stream_scheduler::decode_factor(
+    const engine& item, core::time_point now) const
+{
+    const double common_ms = common_decode_ms_per_token();
+    const core::duration span{static_cast<std::int64_t>(
+        common_ms * std::max(mean_output_tokens_, 1.0))};
+    return item.decode_speed_.factor(common_ms, now, span);
+}
+
+/// Updates the engines' factors once for all decisions of one time.
+void stream_scheduler::update_factors(core::time_point now)
+{
+    for (auto& [name, item] : engines_)
+    {
+        item.prefill_factor_ = prefill_factor(item, now);
+        item.decode_factor_ = decode_factor(item, now);
+    }
+}
+
 void stream_scheduler::failed(
     const core::endpoint_id& name,
     const core::host_id& host,
@@ -396,7 +503,7 @@
     const engine& item, core::time_point now) const
 {
     const double token_time_ms =
-        ms_per_token_ > 0 ? ms_per_token_ : default_ms_per_token;
+        common_decode_ms_per_token() * item.decode_factor_;
     engine_load out;
     for (const std::string& id : item.stream_ids_)
     {
@@ -504,6 +611,9 @@
     const double rate = prefill_tokens_per_ms_ > 0
                             ? prefill_tokens_per_ms_
                             : default_prefill_tokens_per_ms;
+    const double own_ms = static_cast<double>(request.prompt_tokens_) / rate;
+    const bool is_late = now > request.first_event_deadline_;
+    bool some_engine_is_in_time = false;
     engine* best = nullptr;
     double best_score = 0;
     for (auto& [name, item] : engines_)
@@ -514,8 +624,11 @@
         {
             continue;
         }
+        const double factor = item.prefill_factor_;
         const double backlog =
-            static_cast<double>(item.prefilling_tokens_) / rate;
+            static_cast<double>(item.prefilling_tokens_) / rate * factor;
+        const bool in_time = is_in_time_there(item, request, now);
+        some_engine_is_in_time = some_engine_is_in_time || in_time;
         if (backlog > max_prefill_backlog_ms)
         {
             continue;
@@ -523,6 +636,7 @@
         const bool other_zone = item.info_.zone_ != decode_zone;
         const double score = backlog / max_prefill_backlog_ms +
                              (other_zone ? prefill_zone_penalty : 0) +
+                             (factor - 1) * own_ms / max_prefill_backlog_ms +
                              random_score_offset();
         if (best == nullptr || score < best_score)
         {
@@ -530,7 +644,29 @@
             best_score = score;
         }
     }
-    return best;
+    const bool waits_for_another = best != nullptr && !is_late &&
+                                   some_engine_is_in_time &&
+                                   !is_in_time_there(*best, request, now);
+    return waits_for_another ? nullptr : best;
+}
+
+/// \return whether the first event is on time if the engine prefills the prompt
+/// after its backlog. First-event deadlines allow for the common speed.
+bool stream_scheduler::is_in_time_there(
+    const engine& item,
+    const stream_request& request,
+    core::time_point now) const
+{
+    const double factor = item.prefill_factor_;
+    if (factor <= 1)
+    {
+        return true;
+    }
+    const double excess_ms =
+        (factor - 1) * common_prefill_ms_per_token() *
+        static_cast<double>(request.prompt_tokens_ + item.prefilling_tokens_);
+    return now + core::duration{static_cast<std::int64_t>(excess_ms)} <=
+           request.first_event_deadline_;
 }
 
 stream_scheduler::engine* stream_scheduler::choose_decode_engine(
@@ -573,6 +709,7 @@
         const bool other_zone = item.info_.zone_ != request.zone_;
         const double score = mean_fraction +
                              (other_zone ? decode_zone_penalty : 0) +
+                             slow_decode_penalty * (item.decode_factor_ - 1) +
                              random_score_offset();
         if (best == nullptr || score < best_score)
         {
@@ -620,6 +757,7 @@
     if (prefill_engine != nullptr)
     {
         placed.reader_ = prefill_engine->info_.name_;
+        placed.prefilled_by_ = placed.reader_;
         prefill_engine->prefilling_tokens_ += request.prompt_tokens_;
         prefill_engine->recent_starts_.push_back(now);
     }
@@ -665,13 +803,19 @@
 {
     // Assumes that a placement lasts for the mean output's time, and that
     // placements end evenly over time.
-    const double token_time_ms =
-        ms_per_token_ > 0 ? ms_per_token_ : default_ms_per_token;
     const double stream_time_ms =
-        std::max(mean_output_tokens_, 1'000.0) * token_time_ms;
+        std::max(mean_output_tokens_, 1'000.0) * common_decode_ms_per_token();
+    double released_in_stream_time = 0;
+    for (const auto& [id, stream] : running_)
+    {
+        const auto decode_engine = engines_.find(stream.decoder_);
+        released_in_stream_time +=
+            decode_engine == engines_.end()
+                ? 1
+                : 1 / decode_engine->second.decode_factor_;
+    }
     const double released_per_ms =
-        static_cast<double>(std::max<std::size_t>(running_.size(), 1)) /
-        stream_time_ms;
+        std::max(released_in_stream_time, 1.0) / stream_time_ms;
     return {static_cast<std::int64_t>(
         static_cast<double>(waiting_.size() + 1) / released_per_ms)};
 }
@@ -702,6 +846,7 @@
 std::vector<stream_decision> stream_scheduler::decide(core::time_point now)
 {
     std::vector<stream_decision> out;
+    update_factors(now);
     sort_waiting(now);
     std::vector<waiting_stream> remaining;
     for (waiting_stream& item : waiting_)
@@ -740,6 +885,7 @@
             return now <= item.request_.first_event_deadline_;
         });
     const auto queue_length = static_cast<std::int64_t>(waiting_.size());
+    const core::duration queue_delay = estimate_queue_delay();
     std::vector<waiting_stream> remaining;
     for (waiting_stream& item : waiting_)
     {
@@ -748,7 +894,7 @@
             static_cast<double>(remaining.size() + 1) /
             static_cast<double>(queue_length + 1);
         const core::duration wait{static_cast<std::int64_t>(
-            queue_fraction * static_cast<double>(estimate_queue_delay().ms_))};
+            queue_fraction * static_cast<double>(queue_delay.ms_))};
         const bool wait_too_long =
             item.arrived_at_ == now && wait > request.queue_deadline_ - now;
         // Callers that returned after a refusal, and were late on arrival, stay
--- a/policy/stream_scheduler.hpp
+++ b/policy/stream_scheduler.hpp
@@ -14,6 +14,7 @@
 #include "core/clock.hpp"
 #include "core/ids.hpp"
 #include "policy/ejection_record.hpp"
+#include "policy/endpoint_speed.hpp"
 #include "policy/stage_planner.hpp"
 
 namespace poplarroute::policy
@@ -101,6 +102,17 @@
     core::duration age_;           ///< Time since it was placed.
 };
 
+/// What a scheduler knows of an engine's speed, for metrics. Factors are
+/// multiples of the time that all engines take on average; 1: no known
+/// difference.
+struct engine_speed_view
+{
+    core::endpoint_id name_;
+    bool reads_prompts_ = false;
+    double factor_ = 1; ///< Of its stage, now.
+    bool is_pace_fresh_ = false;
+};
+
 /// \return the reason's stable name, for logs.
 const char* name_of(stream_refusal_reason reason);
 
@@ -115,6 +127,13 @@
 /// deadline: under overload it does not displace those that can still be
 /// served on time.
 ///
+/// Engines differ in speed, and each is slow at times. A stream's prompt goes
+/// to the engine that is expected to have prefilled it first, and its decode
+/// rather to a fast engine, which holds the stream's memory for a shorter time.
+/// A stream on time waits for an engine on which its first event is in time
+/// rather than taking an idle one on which it is not. Engines whose durations
+/// show no significant difference count as equal.
+///
 /// Performs no I/O and reads no clock: each call passes the current time.
 class stream_scheduler
 {
@@ -166,6 +185,16 @@
         const core::host_id& host,
         core::time_point now);
 
+    /// Records how long work takes on an engine's machine now, in percent of
+    /// the usual, as the engine reported it.
+    void record_pace(
+        const core::endpoint_id& engine,
+        std::int64_t percent,
+        core::time_point now);
+
+    /// \return the engines' speeds, in the order of their names.
+    std::vector<engine_speed_view> speeds(core::time_point now) const;
+
     /// Replaces the known placements of a host by those that it reports, except
     /// for very recent ones.
     void reconcile(
@@ -206,12 +235,17 @@
         int consecutive_expirations_ = 0;    ///< Of KV handles.
         std::deque<core::time_point> recent_starts_; ///< In the last second.
         std::set<std::string> stream_ids_; ///< Streams placed to decode here.
+        endpoint_speed prefill_speed_;     ///< Of a prompt token.
+        endpoint_speed decode_speed_;      ///< Of an output token.
+        double prefill_factor_ = 1; ///< Of the durations, as last updated.
+        double decode_factor_ = 1;
     };
 
     struct running_stream
     {
         core::host_id host_;
         core::endpoint_id reader_; ///< Empty once the prompt is prefilled.
+        core::endpoint_id prefilled_by_; ///< Prefill engine; empty: none.
         core::endpoint_id decoder_;
         std::string digest_;
         std::int64_t prompt_tokens_ = 0;
@@ -240,6 +274,19 @@
         std::int64_t streams_ = 0;
     };
 
+    double common_prefill_ms_per_token() const;
+    double common_decode_ms_per_token() const;
+    double prefill_factor(const engine& item, core::time_point now) const;
+    double decode_factor(const engine& item, core::time_point now) const;
+    void update_factors(core::time_point now);
+    void record_durations(
+        const stream_result& result,
+        const running_stream& stream,
+        core::time_point now);
+    bool is_in_time_there(
+        const engine& item,
+        const stream_request& request,
+        core::time_point now) const;
     engine_load load_of(const engine& item, core::time_point now) const;
     void add_running(const std::string& id, running_stream placed);
     std::int64_t expected_output(const stream_request& request) const;
