--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -190,6 +190,10 @@
     core::account_id account_;
     std::int64_t price_ = 0; ///< Charged to the account; 0: nothing to charge.
     std::int64_t resends_ = 0; ///< Number of retries that the placement is for.
+    /// Account and price by which capacity is shared, also when the account has
+    /// been charged before. Older programs do not send them.
+    core::account_id sharing_account_;
+    std::int64_t sharing_price_ = 0;
 };
 
 /// A placement, or the refusal of one.
@@ -220,6 +224,13 @@
     std::string digest_;             ///< Digest of the request.
 };
 
+/// How long work takes on an engine's machine, in percent of the usual.
+struct engine_pace_message
+{
+    core::endpoint_id engine_;
+    std::int64_t percent_ = 0;
+};
+
 /// Reports an event at an engine. Empty fields are not reported.
 struct engine_event_message
 {
@@ -235,6 +246,7 @@
     bool answered_ = false;     ///< A stream has been answered for a while.
     std::vector<std::string> answered_parts_; ///< Shared parts of its prompt.
     std::string answered_digest_; ///< Of a request that is wholly answered.
+    std::vector<engine_pace_message> paces_; ///< As engines reported them.
 };
 
 /// An account's usage and level, in tokens. A request contains the usage and
@@ -355,7 +367,9 @@
     avoid_,
     account_,
     price_,
-    resends_)
+    resends_,
+    sharing_account_,
+    sharing_price_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     placement_reply,
     placed_,
@@ -377,6 +391,8 @@
     decode_ms_,
     parts_,
     digest_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    engine_pace_message, engine_, percent_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     engine_event_message,
     service_,
@@ -389,7 +405,8 @@
     leaving_,
     answered_,
     answered_parts_,
-    answered_digest_)
+    answered_digest_,
+    paces_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     account_usage_message, account_, used_, level_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(settle_request, host_, uses_)
--- a/policy/stream_scheduler.cpp
+++ b/policy/stream_scheduler.cpp
@@ -72,6 +72,11 @@
 /// while a host does not see the other hosts' streams.
 constexpr double max_random_score_offset = 0.3;
 
+/// Score penalty of a decode engine, as a fraction of its memory, for each
+/// common duration that its tokens take longer: it holds a stream's memory for
+/// that much longer.
+constexpr double slow_decode_penalty = 0.25;
+
 constexpr core::duration one_second{1'000};
 
 /// Window over which the arrival rate is measured: longer than a lull, shorter
@@ -79,6 +84,22 @@
 constexpr core::duration arrival_rate_window{4'000};
 constexpr core::duration min_retry_after{300};
 
+/// How long an account counts as one that competes for capacity after its last
+/// request.
+constexpr core::duration account_memory{30'000};
+
+/// A new stream is refused if the forecast of its wait is more than this
+/// multiple of the time to its first-event deadline. A late first event still
+/// has some value, a very late one has none.
+constexpr std::int64_t max_forecast_multiple = 2;
+
+/// A caller that returns sooner than it was told by more than this is early.
+constexpr core::duration return_tolerance{50};
+
+/// Retry-After is at most this: callers that are told to wait for longer than
+/// caller_return_time do not return.
+constexpr core::duration max_retry_after{4'500};
+
 void update_mean(double& mean, double observed)
 {
     mean = mean == 0 ? observed : mean + smoothing_factor * (observed - mean);
@@ -147,28 +168,141 @@
             mean_prompt_tokens_, static_cast<double>(request.prompt_tokens_));
         recent_arrivals_.push_back(now);
     }
-    keep_first_deadline(request, now);
-    waiting_.push_back({std::move(request), now});
+    if (!request.account_.empty())
+    {
+        accounts_seen_at_[request.account_] = now;
+        if (request.share_cost_ > 0)
+        {
+            update_mean(mean_share_cost_, request.share_cost_);
+        }
+        const bool waits_already = std::any_of(
+            waiting_.begin(),
+            waiting_.end(),
+            [&](const waiting_stream& item)
+            {
+                return item.request_.account_ == request.account_ &&
+                       item.request_.priority_ == request.priority_;
+            });
+        if (!waits_already)
+        {
+            shares_.began_waiting(request.account_, request.priority_);
+        }
+    }
+    const core::time_point place_since = keep_first_deadline(request, now);
+    waiting_.push_back({std::move(request), now, place_since});
 }
 
-void stream_scheduler::keep_first_deadline(
+/// \return the time from which the stream's place in the order counts: the
+/// first arrival of a caller that returns when it was told to. One that returns
+/// early counts from when it should have returned.
+core::time_point stream_scheduler::keep_first_deadline(
     stream_request& request, core::time_point now)
 {
     if (request.digest_.empty())
     {
-        return;
+        return now;
     }
     const first_arrival arrival{
-        request.first_event_deadline_, now + caller_return_time};
+        request.first_event_deadline_,
+        now + caller_return_time,
+        now,
+        std::nullopt};
     const auto [found, is_first] =
         first_arrivals_.try_emplace(request.digest_, arrival);
     if (!is_first && now < found->second.expires_at_)
     {
         request.first_event_deadline_ = std::min(
             request.first_event_deadline_, found->second.first_event_deadline_);
-        return;
+        const auto& return_at = found->second.return_at_;
+        const bool is_early = return_at && now + return_tolerance < *return_at;
+        return is_early ? *return_at : found->second.arrived_at_;
     }
     found->second = arrival;
+    return now;
+}
+
+bool stream_scheduler::shares_capacity(core::time_point now) const
+{
+    int accounts = 0;
+    for (const auto& [account, seen_at] : accounts_seen_at_)
+    {
+        accounts += now - seen_at <= account_memory ? 1 : 0;
+    }
+    return accounts > 1;
+}
+
+share_entry stream_scheduler::to_entry(
+    const waiting_stream& item, core::time_point now) const
+{
+    const stream_request& request = item.request_;
+    // An account without a rate has the mean of the others.
+    const double known_cost =
+        request.share_cost_ > 0 ? request.share_cost_ : mean_share_cost_;
+    return {
+        request.account_,
+        request.priority_,
+        now > request.first_event_deadline_,
+        item.place_since_,
+        known_cost > 0 ? known_cost : 1};
+}
+
+std::vector<share_entry> stream_scheduler::waiting_entries(
+    core::time_point now) const
+{
+    std::vector<share_entry> out;
+    out.reserve(waiting_.size());
+    for (const waiting_stream& item : waiting_)
+    {
+        out.push_back(to_entry(item, now));
+    }
+    return out;
+}
+
+void stream_scheduler::sort_by_shares(core::time_point now)
+{
+    const std::vector<share_entry> entries = waiting_entries(now);
+    std::vector<waiting_stream> sorted;
+    sorted.reserve(waiting_.size());
+    for (const std::size_t index : shares_.order(entries))
+    {
+        sorted.push_back(std::move(waiting_[index]));
+    }
+    waiting_ = std::move(sorted);
+}
+
+std::set<int> stream_scheduler::waiting_priorities() const
+{
+    std::set<int> out;
+    for (const waiting_stream& item : waiting_)
+    {
+        out.insert(item.request_.priority_);
+    }
+    return out;
+}
+
+std::map<core::account_id, std::int64_t> stream_scheduler::waiting_by_account()
+    const
+{
+    std::map<core::account_id, std::int64_t> out;
+    for (const waiting_stream& item : waiting_)
+    {
+        ++out[item.request_.account_];
+    }
+    return out;
+}
+
+/// \return whether a stream of this priority or a more urgent one waits that
+/// can still meet its first-event deadline.
+bool stream_scheduler::waits_on_time(int priority, core::time_point now) const
+{
+    return std::any_of(
+        waiting_.begin(),
+        waiting_.end(),
+        [&](const waiting_stream& item)
+        {
+            return item.request_.priority_ <= priority &&
+                   now <= item.request_.first_event_deadline_;
+        });
 }
 
 void stream_scheduler::release_prefill_engine(running_stream& stream)
@@ -199,6 +333,7 @@
     if (decode_engine != engines_.end())
     {
         decode_engine->second.stream_ids_.insert(id);
+        decode_engine->second.load_.reset();
     }
     running_.emplace(id, std::move(placed));
 }
@@ -215,6 +350,7 @@
     if (decode_engine != engines_.end())
     {
         decode_engine->second.stream_ids_.erase(id);
+        decode_engine->second.load_.reset();
     }
     running_.erase(found);
 }
@@ -244,6 +380,10 @@
     {
         first_arrivals_.erase(found->second.digest_);
     }
+    if (found != running_.end())
+    {
+        record_durations(result, found->second, now);
+    }
     release(result.id_);
     if (result.complete_ && result.output_tokens_ > 0)
     {
@@ -258,6 +398,105 @@
     }
 }
 
+void stream_scheduler::record_durations(
+    const stream_result& result,
+    const running_stream& stream,
+    core::time_point now)
+{
+    const auto prefill_engine = engines_.find(stream.prefilled_by_);
+    if (prefill_engine != engines_.end() && result.read_.ms_ > 0 &&
+        result.prompt_tokens_ > 0)
+    {
+        // The prefill ended a while ago, so the present pace is not its own.
+        prefill_engine->second.prefill_speed_.record(
+            static_cast<double>(result.read_.ms_) /
+                static_cast<double>(result.prompt_tokens_),
+            now,
+            now - stream.placed_at_);
+    }
+    const auto decode_engine = engines_.find(stream.decoder_);
+    if (decode_engine != engines_.end() && result.complete_ &&
+        result.output_tokens_ > 0 && result.decode_.ms_ > 0)
+    {
+        decode_engine->second.decode_speed_.record(
+            static_cast<double>(result.decode_.ms_) /
+                static_cast<double>(result.output_tokens_),
+            now,
+            result.decode_);
+    }
+}
+
+void stream_scheduler::record_pace(
+    const core::endpoint_id& name, std::int64_t percent, core::time_point now)
+{
+    const auto found = engines_.find(name);
+    if (found != engines_.end())
+    {
+        found->second.prefill_speed_.record_pace(percent, now);
+        found->second.decode_speed_.record_pace(percent, now);
+    }
+}
+
+std::vector<engine_speed_view> stream_scheduler::speeds(
+    core::time_point now) const
+{
+    std::vector<engine_speed_view> out;
+    out.reserve(engines_.size());
+    for (const auto& [name, item] : engines_)
+    {
+        const bool prefills = item.info_.reads_prompts_;
+        out.push_back(
+            {name,
+             prefills,
+             prefills ? prefill_factor(item, now) : decode_factor(item, now),
+             item.decode_speed_.is_pace_fresh(now)});
+    }
+    return out;
+}
+
+double stream_scheduler::common_prefill_ms_per_token() const
+{
+    return 1 / (prefill_tokens_per_ms_ > 0 ? prefill_tokens_per_ms_
+                                           : default_prefill_tokens_per_ms);
+}
+
+double stream_scheduler::common_decode_ms_per_token() const
+{
+    return ms_per_token_ > 0 ? ms_per_token_ : default_ms_per_token;
+}
+
+/// \return how many times the common duration a prefill takes on an engine now.
+double stream_scheduler::prefill_factor(
+    const engine& item, core::time_point now) const
+{
+    const double common_ms = common_prefill_ms_per_token();
+    const core::duration span{
+        static_cast<std::int64_t>(common_ms * mean_prompt_tokens_)};
+    return item.prefill_speed_.factor(common_ms, now, span);
+}
+
+/// \return how many times the common duration a stream's decode takes on an
+/// engine from now on.
+double stream_scheduler::decode_factor(
+    const engine& item, core::time_point now) const
+{
+    const double common_ms = common_decode_ms_per_token();
+    const core::duration span{static_cast<std::int64_t>(
+        common_ms * std::max(mean_output_tokens_, 1.0))};
+    return item.decode_speed_.factor(common_ms, now, span);
+}
+
+/// Updates the engines' factors once for all decisions of one time.
+void stream_scheduler::update_factors(core::time_point now)
+{
+    for (auto& [name, item] : engines_)
+    {
+        item.load_.reset();
+        item.prefill_factor_ = prefill_factor(item, now);
+        item.decode_factor_ = decode_factor(item, now);
+    }
+}
+
 void stream_scheduler::failed(
     const core::endpoint_id& name,
     const core::host_id& host,
@@ -344,6 +583,13 @@
 
 void stream_scheduler::expire(core::time_point now)
 {
+    const auto is_forgotten = [now](const auto& item)
+    {
+        return now - item.second > account_memory;
+    };
+    std::erase_if(accounts_seen_at_, is_forgotten);
+    std::erase_if(next_return_at_, is_forgotten);
+    shares_.expire(waiting_entries(now));
     std::erase_if(
         first_arrivals_,
         [now](const auto& item)
@@ -396,7 +642,7 @@
     const engine& item, core::time_point now) const
 {
     const double token_time_ms =
-        ms_per_token_ > 0 ? ms_per_token_ : default_ms_per_token;
+        common_decode_ms_per_token() * item.decode_factor_;
     engine_load out;
     for (const std::string& id : item.stream_ids_)
     {
@@ -415,6 +661,18 @@
     return out;
 }
 
+/// \return the load, which is the same for all decisions of one decide() as
+/// long as the engine's streams are.
+const stream_scheduler::engine_load& stream_scheduler::known_load(
+    engine& item, core::time_point now) const
+{
+    if (!item.load_)
+    {
+        item.load_ = load_of(item, now);
+    }
+    return *item.load_;
+}
+
 std::optional<stage_rates> stream_scheduler::rates(core::time_point now)
 {
     while (!recent_arrivals_.empty() &&
@@ -504,6 +762,9 @@
     const double rate = prefill_tokens_per_ms_ > 0
                             ? prefill_tokens_per_ms_
                             : default_prefill_tokens_per_ms;
+    const double own_ms = static_cast<double>(request.prompt_tokens_) / rate;
+    const bool is_late = now > request.first_event_deadline_;
+    bool some_engine_is_in_time = false;
     engine* best = nullptr;
     double best_score = 0;
     for (auto& [name, item] : engines_)
@@ -514,8 +775,11 @@
         {
             continue;
         }
+        const double factor = item.prefill_factor_;
         const double backlog =
-            static_cast<double>(item.prefilling_tokens_) / rate;
+            static_cast<double>(item.prefilling_tokens_) / rate * factor;
+        const bool in_time = is_in_time_there(item, request, now);
+        some_engine_is_in_time = some_engine_is_in_time || in_time;
         if (backlog > max_prefill_backlog_ms)
         {
             continue;
@@ -523,6 +787,7 @@
         const bool other_zone = item.info_.zone_ != decode_zone;
         const double score = backlog / max_prefill_backlog_ms +
                              (other_zone ? prefill_zone_penalty : 0) +
+                             (factor - 1) * own_ms / max_prefill_backlog_ms +
                              random_score_offset();
         if (best == nullptr || score < best_score)
         {
@@ -530,7 +795,29 @@
             best_score = score;
         }
     }
-    return best;
+    const bool waits_for_another = best != nullptr && !is_late &&
+                                   some_engine_is_in_time &&
+                                   !is_in_time_there(*best, request, now);
+    return waits_for_another ? nullptr : best;
+}
+
+/// \return whether the first event is on time if the engine prefills the prompt
+/// after its backlog. First-event deadlines allow for the common speed.
+bool stream_scheduler::is_in_time_there(
+    const engine& item,
+    const stream_request& request,
+    core::time_point now) const
+{
+    const double factor = item.prefill_factor_;
+    if (factor <= 1)
+    {
+        return true;
+    }
+    const double excess_ms =
+        (factor - 1) * common_prefill_ms_per_token() *
+        static_cast<double>(request.prompt_tokens_ + item.prefilling_tokens_);
+    return now + core::duration{static_cast<std::int64_t>(excess_ms)} <=
+           request.first_event_deadline_;
 }
 
 stream_scheduler::engine* stream_scheduler::choose_decode_engine(
@@ -549,7 +836,7 @@
         {
             continue;
         }
-        const engine_load used_load = load_of(item, now);
+        const engine_load& used_load = known_load(item, now);
         const double memory =
             static_cast<double>(item.info_.memory_tokens_) / own_stream_weight_;
         const auto own_mean =
@@ -573,6 +860,7 @@
         const bool other_zone = item.info_.zone_ != request.zone_;
         const double score = mean_fraction +
                              (other_zone ? decode_zone_penalty : 0) +
+                             slow_decode_penalty * (item.decode_factor_ - 1) +
                              random_score_offset();
         if (best == nullptr || score < best_score)
         {
@@ -620,6 +908,7 @@
     if (prefill_engine != nullptr)
     {
         placed.reader_ = prefill_engine->info_.name_;
+        placed.prefilled_by_ = placed.reader_;
         prefill_engine->prefilling_tokens_ += request.prompt_tokens_;
         prefill_engine->recent_starts_.push_back(now);
     }
@@ -665,13 +954,19 @@
 {
     // Assumes that a placement lasts for the mean output's time, and that
     // placements end evenly over time.
-    const double token_time_ms =
-        ms_per_token_ > 0 ? ms_per_token_ : default_ms_per_token;
     const double stream_time_ms =
-        std::max(mean_output_tokens_, 1'000.0) * token_time_ms;
+        std::max(mean_output_tokens_, 1'000.0) * common_decode_ms_per_token();
+    double released_in_stream_time = 0;
+    for (const auto& [id, stream] : running_)
+    {
+        const auto decode_engine = engines_.find(stream.decoder_);
+        released_in_stream_time +=
+            decode_engine == engines_.end()
+                ? 1
+                : 1 / decode_engine->second.decode_factor_;
+    }
     const double released_per_ms =
-        static_cast<double>(std::max<std::size_t>(running_.size(), 1)) /
-        stream_time_ms;
+        std::max(released_in_stream_time, 1.0) / stream_time_ms;
     return {static_cast<std::int64_t>(
         static_cast<double>(waiting_.size() + 1) / released_per_ms)};
 }
@@ -702,27 +997,171 @@
 std::vector<stream_decision> stream_scheduler::decide(core::time_point now)
 {
     std::vector<stream_decision> out;
-    sort_waiting(now);
+    update_factors(now);
+    const bool shares = shares_capacity(now);
+    if (shares)
+    {
+        sort_by_shares(now);
+    }
+    else
+    {
+        sort_waiting(now);
+    }
+    const std::set<int> priorities = waiting_priorities();
     std::vector<waiting_stream> remaining;
     for (waiting_stream& item : waiting_)
     {
         const auto reason = find_refusal_reason(item, now);
         if (reason)
         {
+            const core::duration wait = estimate_queue_delay();
             out.emplace_back(stream_refusal{
                 item.request_.id_,
                 *reason,
-                add_jitter(std::max(estimate_queue_delay(), min_retry_after)),
-                static_cast<std::int64_t>(waiting_.size())});
+                shares ? schedule_return(
+                             item,
+                             std::min(wait, max_retry_after),
+                             streams_per_ms(item.request_, now),
+                             now)
+                       : add_jitter(std::max(wait, min_retry_after)),
+                static_cast<std::int64_t>(waiting_.size()),
+                item.request_.account_});
             continue;
         }
         if (!try_place(item, now, out))
         {
             remaining.push_back(std::move(item));
         }
+        else if (shares)
+        {
+            shares_.served(to_entry(item, now), priorities);
+        }
+    }
+    waiting_ = std::move(remaining);
+    if (shares)
+    {
+        shed_by_forecast(now, out);
+    }
+    else
+    {
+        shed_load(now, out);
+    }
+    return out;
+}
+
+/// \return the rate at which streams like this one can be placed: that of
+/// prefills while decode engines have room, else also that of ending streams.
+double stream_scheduler::streams_per_ms(
+    const stream_request& request, core::time_point now)
+{
+    double prefills_per_ms = 0;
+    const double prefill_ms =
+        std::max(common_prefill_ms_per_token() * mean_prompt_tokens_, 1.0);
+    for (const auto& [name, item] : engines_)
+    {
+        prefills_per_ms += item.info_.reads_prompts_ && item.info_.usable_
+                               ? 1 / (prefill_ms * item.prefill_factor_)
+                               : 0;
+    }
+    const bool is_late = now > request.first_event_deadline_;
+    const bool has_room =
+        choose_decode_engine(request, is_late, now) != nullptr;
+    const double ends_per_ms =
+        static_cast<double>(waiting_.size() + 1) /
+        std::max(static_cast<double>(estimate_queue_delay().ms_), 1.0);
+    if (prefills_per_ms <= 0)
+    {
+        return ends_per_ms;
+    }
+    return has_room ? prefills_per_ms : std::min(prefills_per_ms, ends_per_ms);
+}
+
+/// Refuses streams that cannot be placed in time by the forecast of the order,
+/// and late ones while others of their priority or a more urgent one wait that
+/// can still meet their deadline.
+void stream_scheduler::shed_by_forecast(
+    core::time_point now, std::vector<stream_decision>& out)
+{
+    if (waiting_.empty())
+    {
+        return;
+    }
+    const auto queue_length = static_cast<std::int64_t>(waiting_.size());
+    const double rate = streams_per_ms(waiting_.front().request_, now);
+    std::map<int, bool> is_on_time_waiting;
+    for (const int priority : waiting_priorities())
+    {
+        is_on_time_waiting[priority] = waits_on_time(priority, now);
+    }
+    std::vector<waiting_stream> remaining;
+    for (waiting_stream& item : waiting_)
+    {
+        const stream_request& request = item.request_;
+        const core::duration wait{static_cast<std::int64_t>(
+            static_cast<double>(remaining.size() + 1) / rate)};
+        const core::duration time_left = request.first_event_deadline_ - now;
+        const bool is_new = item.arrived_at_ == now;
+        const bool too_late = is_new && time_left.ms_ > 0 &&
+                              wait > time_left * max_forecast_multiple;
+        const bool wait_too_long = wait > request.queue_deadline_ - now;
+        // Callers that were late on arrival stay, as in shed_load().
+        const bool is_overtaken =
+            time_left.ms_ < 0 &&
+            item.arrived_at_ <= request.first_event_deadline_ &&
+            is_on_time_waiting[request.priority_];
+        if (too_late || wait_too_long || is_overtaken)
+        {
+            out.emplace_back(stream_refusal{
+                request.id_,
+                is_overtaken ? stream_refusal_reason::overtaken
+                             : stream_refusal_reason::no_room_soon,
+                schedule_return(item, wait, rate, now),
+                queue_length,
+                request.account_});
+            continue;
+        }
+        remaining.push_back(std::move(item));
     }
     waiting_ = std::move(remaining);
-    shed_load(now, out);
+}
+
+/// \return when a refused caller may return. Those of one priority are told
+/// times that follow each other as fast as streams can be placed, after the
+/// wait. One that returned early is told the same time again.
+core::duration stream_scheduler::schedule_return(
+    const waiting_stream& item,
+    core::duration wait,
+    double streams_per_ms,
+    core::time_point now)
+{
+    const auto found = first_arrivals_.find(item.request_.digest_);
+    const bool is_told = found != first_arrivals_.end() &&
+                         found->second.return_at_ &&
+                         now + return_tolerance < *found->second.return_at_;
+    if (is_told)
+    {
+        return *found->second.return_at_ - now;
+    }
+    core::time_point& next = next_return_at_[item.request_.priority_];
+    const core::duration spacing{
+        static_cast<std::int64_t>(std::ceil(1 / streams_per_ms))};
+    next = std::max(next + spacing, now + std::max(wait, min_retry_after));
+    core::duration out = next - now;
+    if (out > max_retry_after)
+    {
+        // More callers than can return in time: they share the later half.
+        next = now + max_retry_after;
+        out = max_retry_after -
+              core::duration{static_cast<std::int64_t>(
+                  std::uniform_real_distribution<double>(0, 0.5)(random_) *
+                  static_cast<double>(max_retry_after.ms_))};
+    }
+    if (found != first_arrivals_.end())
+    {
+        found->second.return_at_ = now + out;
+        found->second.expires_at_ =
+            std::max(found->second.expires_at_, now + out + caller_return_time);
+    }
     return out;
 }
 
@@ -740,6 +1179,7 @@
             return now <= item.request_.first_event_deadline_;
         });
     const auto queue_length = static_cast<std::int64_t>(waiting_.size());
+    const core::duration queue_delay = estimate_queue_delay();
     std::vector<waiting_stream> remaining;
     for (waiting_stream& item : waiting_)
     {
@@ -748,7 +1188,7 @@
             static_cast<double>(remaining.size() + 1) /
             static_cast<double>(queue_length + 1);
         const core::duration wait{static_cast<std::int64_t>(
-            queue_fraction * static_cast<double>(estimate_queue_delay().ms_))};
+            queue_fraction * static_cast<double>(queue_delay.ms_))};
         const bool wait_too_long =
             item.arrived_at_ == now && wait > request.queue_deadline_ - now;
         // Callers that returned after a refusal, and were late on arrival, stay
@@ -765,7 +1205,8 @@
                 request.id_,
                 reason,
                 add_jitter(std::max(wait, min_retry_after)),
-                queue_length});
+                queue_length,
+                request.account_});
             continue;
         }
         remaining.push_back(std::move(item));
