Send hosts the changes of the endpoint list instead of the whole

Whenever one endpoint changed, each host fetched the whole list: 14 MB/s from the leader at 300 hosts and 3,000 endpoints (docs/CAPACITY.md). The reply to a watch now carries what changed since the host's revision, encoded once for all hosts of one revision. Changes contain the newest state of each endpoint, so they apply to each revision from the first on, and a repeat or a late message changes nothing.

The list moves out of catalog_watcher into endpoint_list_follower, and the documents out of catalog_controller into document_publisher. Older programs get what they got.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -59,21 +59,6 @@
 /// Time after its election in which a leader takes over what hosts refuse.
 constexpr core::duration adoption_period{4'000};
 
-/// \return the list, with times relative to when it was read.
-std::vector<endpoint_message> make_list_messages(const endpoint_section& list)
-{
-    std::vector<endpoint_message> out;
-    out.reserve(list.endpoints_.size());
-    for (const auto& [name, item] : list.endpoints_)
-    {
-        endpoint_message message = to_message(item.listed_);
-        message.cold_ms_ =
-            std::max<std::int64_t>((item.cold_until_ - list.read_at_).ms_, 0);
-        out.push_back(std::move(message));
-    }
-    return out;
-}
-
 } // namespace
 
 catalog_controller::catalog_controller(
@@ -83,7 +68,8 @@
       codec_(codec),
       placements_(with, placement_controller::scope::fleet),
       stages_(with, group, codec, placements_),
-      group_manager_(with, group)
+      group_manager_(with, group),
+      documents_(with, group)
 {
 }
 
@@ -100,6 +86,7 @@
     with_.board_.section<endpoint_section>().on_change_.emplace_back(
         [this]()
         {
+            documents_.record_list();
             wake_watchers();
         });
     apply_catalog();
@@ -183,6 +170,7 @@
         if (was_leading_)
         {
             leading_since_ = core::steady_now();
+            documents_.begin_leading(leading_since_);
             placements_.reset();
             ledger_ = policy::meter_ledger();
             retry_allowances_.clear();
@@ -562,34 +550,12 @@
     co_return catalog_contents{reply->version_, core::text_of(reply->text_)};
 }
 
-/// \return whether this member has read the endpoint list since it leads. One
-/// from an earlier time may show endpoints that have left since.
-bool catalog_controller::has_current_list() const
+bool catalog_controller::has_updates(const watch_request& request)
 {
-    const endpoint_section& list = with_.board_.section<endpoint_section>();
-    return group_.leads() && list.read_at_.ms_ > 0 &&
-           list.read_at_ >= leading_since_;
-}
-
-/// \return whether a host has this leader's endpoint list, or is fetching it.
-bool catalog_controller::knows_list(const watch_request& request) const
-{
-    const endpoint_section& list = with_.board_.section<endpoint_section>();
-    if (request.fetches_parts_)
-    {
-        return request.known_list_epoch_ == list.epoch_ &&
-               request.known_list_revision_ == list.revision_;
-    }
-    return request.list_epoch_ == list.epoch_ &&
-           request.list_revision_ == list.revision_;
-}
-
-bool catalog_controller::has_updates(const watch_request& request) const
-{
-    const bool list_changed = has_current_list() && !knows_list(request);
     const std::uint64_t known_revision =
         std::max(request.revision_, request.known_revision_);
-    return group_.state().revision() > known_revision || list_changed ||
+    return group_.state().revision() > known_revision ||
+           documents_.has_list_news(request) ||
            crash_revision_ != request.crash_revision_ || !group_.leads();
 }
 
@@ -617,25 +583,7 @@
     out.zones_out_.assign(
         state.out_of_service_zones().begin(),
         state.out_of_service_zones().end());
-    const endpoint_section& list = with_.board_.section<endpoint_section>();
-    if (has_current_list())
-    {
-        for (const auto& [name, item] : list.endpoints_)
-        {
-            if (item.listed_.leaving_)
-            {
-                out.leaving_.push_back(name);
-            }
-        }
-        out.list_epoch_ = list.epoch_;
-        out.list_revision_ = list.revision_;
-        out.list_age_ms_ = (core::steady_now() - list.read_at_).ms_;
-        out.list_sent_ = !request.fetches_parts_ && !knows_list(request);
-    }
-    if (out.list_sent_)
-    {
-        out.list_ = make_list_messages(list);
-    }
+    documents_.add_list(request, out);
     out.hosts_ = live_hosts();
     out.crash_revision_ = crash_revision_;
     out.crashers_.assign(refused_digests_.begin(), refused_digests_.end());
@@ -647,51 +595,6 @@
     return out;
 }
 
-core::result<document_part_reply> catalog_controller::answer_part(
-    const document_part_request& request)
-{
-    const endpoint_section& list = with_.board_.section<endpoint_section>();
-    const control::catalog_state_machine& state = group_.state();
-    const core::time_point now = core::steady_now();
-    document_id newest = catalog_document(state.version());
-    const bool is_catalog = request.id_.name_ == newest.name_;
-    if (!is_catalog)
-    {
-        newest = endpoint_list_document(list.epoch_, list.revision_);
-    }
-    const bool is_available =
-        is_catalog ? state.version() > 0 : has_current_list();
-    if (!is_available || request.id_.name_ != newest.name_ ||
-        request.id_.revision_ > newest.revision_)
-    {
-        return error{errc::not_ready, "this member has no such document"};
-    }
-    document_part_request served = request;
-    if (!documents_.contains(request.id_))
-    {
-        served = {newest, 0};
-    }
-    if (!documents_.contains(served.id_))
-    {
-        if (is_catalog)
-        {
-            documents_.put(served.id_, state.text(), now);
-        }
-        else
-        {
-            const std::string content =
-                core::encode_cbor(make_list_messages(list));
-            documents_.put(served.id_, content, list.read_at_);
-        }
-    }
-    const auto part = documents_.part(served, now);
-    if (!part)
-    {
-        return error{errc::invalid, "the offset is outside the document"};
-    }
-    return *part;
-}
-
 awaitable<watch_reply> catalog_controller::answer_watch(watch_request request)
 {
     track_leadership();
@@ -760,7 +663,7 @@
         [this](drivers::peer_identity, document_part_request request)
             -> awaitable<core::result<document_part_reply>>
         {
-            co_return answer_part(request);
+            co_return documents_.answer_part(request);
         });
     with_.calls_.add(
         method::catalog_submit,
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -8,7 +8,7 @@
 
 #include "node/catalog_messages.hpp"
 #include "node/context.hpp"
-#include "node/document_parts.hpp"
+#include "node/document_publisher.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/group_manager.hpp"
 #include "node/placement_controller.hpp"
@@ -84,12 +84,8 @@
     awaitable<core::result<submit_reply>> submit(std::string command);
     awaitable<core::result<submit_reply>> submit_locally(std::string command);
     awaitable<watch_reply> answer_watch(watch_request request);
-    bool has_current_list() const;
-    bool knows_list(const watch_request& request) const;
-    bool has_updates(const watch_request& request) const;
+    bool has_updates(const watch_request& request);
     watch_reply make_watch_reply(const watch_request& request);
-    core::result<document_part_reply> answer_part(
-        const document_part_request& request);
     void apply_limits();
     awaitable<placement_reply> charge_and_place(placement_request request);
     settle_reply settle(const settle_request& request);
@@ -129,7 +125,7 @@
     bool has_suspects_ = false;                  ///< As last published.
     core::time_point leading_since_;
     std::map<core::host_id, watching_host> watching_hosts_;
-    document_parts documents_;
+    document_publisher documents_;
     std::vector<std::shared_ptr<drivers::asio::steady_timer>> watchers_;
     bool was_leading_ = false;
     core::host_id last_leader_;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -72,6 +72,10 @@
 
     /// Number of live entry hosts, as last told to the host; 0: unknown.
     std::int64_t hosts_ = 0;
+
+    /// Whether the host takes changes of the endpoint list in the reply, from
+    /// list_revision_ on.
+    bool takes_changes_ = false;
 };
 
 /// An endpoint of the platform's list.
@@ -88,6 +92,16 @@
     std::int64_t started_at_ms_ = 0; ///< Unix time; 0: unknown.
 };
 
+/// Changes of an endpoint list between two revisions. They apply to each
+/// revision from the first on.
+struct list_changes
+{
+    std::uint64_t from_ = 0;
+    std::uint64_t to_ = 0;
+    std::vector<endpoint_message> changed_; ///< Added ones, too.
+    std::vector<core::endpoint_id> removed_;
+};
+
 /// Reply to watch_request.
 struct watch_reply
 {
@@ -118,6 +132,9 @@
     std::vector<std::string> crashers_;
     /// Whether hosts report the requests and prompts that are answered.
     bool suspects_parts_ = false;
+    /// An encoded list_changes as a binary value, with times relative to when
+    /// the list was read; null: none are sent.
+    nlohmann::json list_changes_;
 };
 
 /// Identifies a document that hosts fetch in parts.
@@ -294,7 +311,8 @@
     fetches_parts_,
     crashers_,
     leaving_,
-    hosts_)
+    hosts_,
+    takes_changes_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     endpoint_message,
     name_,
@@ -326,7 +344,10 @@
     hosts_,
     crash_revision_,
     crashers_,
-    suspects_parts_)
+    suspects_parts_,
+    list_changes_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    list_changes, from_, to_, changed_, removed_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_id, name_, revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     document_part_request, id_, offset_)
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -54,7 +54,7 @@
 } // namespace
 
 catalog_watcher::catalog_watcher(context& with, const wire_codec& codec)
-    : with_(with), codec_(codec), download_wake_(with.io_)
+    : with_(with), codec_(codec), list_(with), download_wake_(with.io_)
 {
 }
 
@@ -102,12 +102,9 @@
     watch_request out;
     out.host_ = with_.identity().host_;
     out.revision_ = with_.board_.section<catalog_section>().revision_;
-    out.list_epoch_ = list.epoch_;
-    out.list_revision_ = list.revision_;
+    list_.add_to(out);
     out.crash_revision_ = crash_revision_;
     out.known_revision_ = known_revision_;
-    out.known_list_epoch_ = known_list_epoch_;
-    out.known_list_revision_ = known_list_revision_;
     out.fetches_parts_ = true;
     const auto& crashers = with_.board_.section<group_section>().crashers_;
     out.crashers_.assign(crashers.begin(), crashers.end());
@@ -213,7 +210,7 @@
             co_await drivers::sleep_for(leader_search_interval);
             continue;
         }
-        apply(core::value(reply), member);
+        apply(request, core::value(reply), member);
         record_leader_report(member, !core::value(reply).leader_.empty());
         wait = core::value(reply).leads_;
         if (!wait)
@@ -223,7 +220,10 @@
     }
 }
 
-void catalog_watcher::apply(const watch_reply& reply, const core::host_id& from)
+void catalog_watcher::apply(
+    const watch_request& request,
+    const watch_reply& reply,
+    const core::host_id& from)
 {
     group_section& group = with_.board_.section<group_section>();
     if (!reply.members_.empty())
@@ -253,7 +253,11 @@
     }
     group.leader_contact_at_ = core::steady_now();
     apply_quarantines(reply);
-    apply_endpoints(reply);
+    list_.apply(request, reply);
+    if (list_.needs_download())
+    {
+        download_wake_.cancel();
+    }
 }
 
 /// Takes the number of entry hosts from the leader; from another member, which
@@ -347,22 +351,11 @@
     return known_version_ > std::max(version, unreadable_version_);
 }
 
-/// \return whether the leader has another endpoint list. Only the leader has
-/// its list.
-bool catalog_watcher::needs_list() const
-{
-    const endpoint_section& list = with_.board_.section<endpoint_section>();
-    return !with_.board_.section<group_section>().leader_.empty() &&
-           !known_list_epoch_.empty() &&
-           (known_list_epoch_ != list.epoch_ ||
-            known_list_revision_ != list.revision_);
-}
-
 awaitable<void> catalog_watcher::download_loop()
 {
     for (;;)
     {
-        if (needs_list())
+        if (list_.needs_download())
         {
             co_await fetch_list_part();
         }
@@ -370,7 +363,7 @@
         {
             co_await fetch_catalog_part();
         }
-        if (!needs_list() && !needs_catalog())
+        if (!list_.needs_download() && !needs_catalog())
         {
             download_wake_.expires_at(
                 drivers::asio::steady_timer::time_point::max());
@@ -423,13 +416,12 @@
 
 awaitable<void> catalog_watcher::fetch_list_part()
 {
-    list_download_.want(
-        endpoint_list_document(known_list_epoch_, known_list_revision_));
     const core::host_id leader = with_.board_.section<group_section>().leader_;
-    const part_result result = co_await fetch_part(list_download_, leader);
+    document_download& download = list_.download();
+    const part_result result = co_await fetch_part(download, leader);
     if (result == part_result::completed)
     {
-        put_list_in_force(list_download_.take_content());
+        list_.finish_download();
     }
 }
 
@@ -457,42 +449,6 @@
     }
 }
 
-void catalog_watcher::put_list_in_force(std::string_view content)
-{
-    const document_id id = list_download_.id();
-    const bool is_current =
-        id.name_ == endpoint_list_document(known_list_epoch_, 0).name_;
-    if (!is_current)
-    {
-        // Another leader's list has become known meanwhile.
-        return;
-    }
-    const auto read = core::decode_cbor<std::vector<endpoint_message>>(content);
-    if (!read)
-    {
-        log_event(
-            log_level::error,
-            "list_unreadable",
-            {{"list", id.name_}, {"revision", id.revision_}});
-        known_list_epoch_.clear();
-        return;
-    }
-    std::vector<listed_endpoint> all;
-    all.reserve(read->size());
-    for (const endpoint_message& item : *read)
-    {
-        all.push_back(from_message(item));
-    }
-    endpoint_section& list = with_.board_.section<endpoint_section>();
-    list.epoch_ = known_list_epoch_;
-    const core::time_point now = core::steady_now();
-    update_notices(list, all, now);
-    replace_endpoints(list, all, now - list_download_.age());
-    list.read_at_ = std::max(list.read_at_, known_list_read_at_);
-    list.revision_ = id.revision_;
-    known_list_revision_ = std::max(known_list_revision_, id.revision_);
-}
-
 void catalog_watcher::put_in_force(std::uint64_t version, std::string_view text)
 {
     catalog_section& section = with_.board_.section<catalog_section>();
@@ -550,65 +506,6 @@
         core::steady_now());
 }
 
-/// Leaves out endpoints that the leader's list shows as leaving, before the
-/// list itself has arrived.
-void catalog_watcher::leave_out(std::span<const core::endpoint_id> names)
-{
-    endpoint_section& list = with_.board_.section<endpoint_section>();
-    bool changed = false;
-    for (const core::endpoint_id& name : names)
-    {
-        const auto found = list.endpoints_.find(name);
-        if (found != list.endpoints_.end() && !found->second.listed_.leaving_)
-        {
-            found->second.listed_.leaving_ = true;
-            changed = true;
-        }
-    }
-    if (changed)
-    {
-        for (const auto& call : list.on_change_)
-        {
-            call();
-        }
-    }
-}
-
-void catalog_watcher::apply_endpoints(const watch_reply& reply)
-{
-    endpoint_section& list = with_.board_.section<endpoint_section>();
-    const core::time_point read_at =
-        core::steady_now() - core::duration{reply.list_age_ms_};
-    if (reply.list_epoch_.empty())
-    {
-        return;
-    }
-    known_list_epoch_ = reply.list_epoch_;
-    known_list_revision_ = reply.list_revision_;
-    known_list_read_at_ = read_at;
-    leave_out(reply.leaving_);
-    if (!reply.list_sent_)
-    {
-        if (needs_list())
-        {
-            download_wake_.cancel();
-            return;
-        }
-        list.read_at_ = std::max(list.read_at_, read_at);
-        return;
-    }
-    std::vector<listed_endpoint> all;
-    all.reserve(reply.list_.size());
-    for (const endpoint_message& item : reply.list_)
-    {
-        all.push_back(from_message(item));
-    }
-    list.epoch_ = reply.list_epoch_;
-    update_notices(list, all, core::steady_now());
-    replace_endpoints(list, all, read_at);
-    list.revision_ = reply.list_revision_;
-}
-
 awaitable<void> catalog_watcher::settle_loop()
 {
     for (;;)
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <span>
 #include <string>
 #include <vector>
 
 #include "node/catalog_messages.hpp"
 #include "node/context.hpp"
 #include "node/document_download.hpp"
+#include "node/endpoint_list_follower.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/running_streams.hpp"
 #include "policy/account_meter.hpp"
@@ -55,17 +55,16 @@
     awaitable<void> settle_loop();
     awaitable<void> settle_once(core::host_id leader);
     core::host_id next_member();
-    void apply(const watch_reply& reply, const core::host_id& from);
+    void apply(
+        const watch_request& request,
+        const watch_reply& reply,
+        const core::host_id& from);
     void apply_host_count(const watch_reply& reply);
     void apply_quarantines(const watch_reply& reply);
     void apply_catalog(const watch_reply& reply);
     bool may_be_outdated(const watch_reply& reply) const;
     bool needs_catalog() const;
-    bool needs_list() const;
-    void put_list_in_force(std::string_view content);
     void put_in_force(std::uint64_t version, std::string_view text);
-    void leave_out(std::span<const core::endpoint_id> names);
-    void apply_endpoints(const watch_reply& reply);
     void refresh_limits();
     watch_request next_watch_request(bool wait) const;
     void record_leader_report(const core::host_id& member, bool leader_known);
@@ -87,12 +86,7 @@
     std::uint64_t known_revision_ = 0;
     std::uint64_t known_version_ = 0;
 
-    /// The endpoint list that the leader has announced.
-    std::string known_list_epoch_;
-    std::uint64_t known_list_revision_ = 0;
-    core::time_point known_list_read_at_; ///< Last read, changed or not.
-
-    document_download list_download_;
+    endpoint_list_follower list_;
     document_download catalog_download_;
     core::host_id download_source_; ///< Member; empty: the leader.
     core::time_point download_started_at_;
--- a/node/fleet_sections.cpp
+++ b/node/fleet_sections.cpp
@@ -164,6 +164,20 @@
     section.notices_.update(states, now);
 }
 
+void compare_notices(endpoint_section& section, core::time_point now)
+{
+    std::vector<policy::listed_state> states;
+    for (const core::endpoint_id& name : section.notices_.endpoints())
+    {
+        const auto found = section.endpoints_.find(name);
+        if (found != section.endpoints_.end())
+        {
+            states.push_back(to_listed_state(found->second.listed_));
+        }
+    }
+    section.notices_.update(states, now);
+}
+
 bool mark_leaving(
     endpoint_section& section,
     const core::endpoint_id& name,
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -124,6 +124,10 @@
     std::span<const listed_endpoint> list,
     core::time_point now);
 
+/// Compares the list in force with what endpoints have said, after a change of
+/// some of its entries.
+void compare_notices(endpoint_section& section, core::time_point now);
+
 /// Marks an endpoint as leaving that a host reports as such, until the list
 /// shows it again as another or a restarted one.
 /// \return whether it was not marked before.
--- a/policy/endpoint_notices.cpp
+++ b/policy/endpoint_notices.cpp
@@ -121,6 +121,17 @@
         });
 }
 
+std::vector<core::endpoint_id> endpoint_notices::endpoints() const
+{
+    std::vector<core::endpoint_id> out;
+    out.reserve(endpoints_.size());
+    for (const auto& [name, state] : endpoints_)
+    {
+        out.push_back(name);
+    }
+    return out;
+}
+
 bool endpoint_notices::is_leaving(
     const core::endpoint_id& name, core::time_point now) const
 {
--- a/policy/endpoint_notices.hpp
+++ b/policy/endpoint_notices.hpp
@@ -67,6 +67,9 @@
     /// \param list as its source states it, without this host's notices.
     void update(std::span<const listed_state> list, core::time_point now);
 
+    /// \return the endpoints that have said something that is kept.
+    std::vector<core::endpoint_id> endpoints() const;
+
     /// \return whether an endpoint said that it is leaving.
     bool is_leaving(const core::endpoint_id& name, core::time_point now) const;
 
--- /dev/null
+++ b/tests/platform/list_changes_test.cpp
@@ -0,0 +1,192 @@
+// How changes of the endpoint list reach entry hosts: in the reply to a watch,
+// or with the whole list when the leader has no changes for a host.
+
+#include <filesystem>
+#include <functional>
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "node/catalog_watcher.hpp"
+#include "tests/platform/lone_member.hpp"
+
+namespace poplarroute::platform
+{
+namespace
+{
+
+namespace asio = drivers::asio;
+
+constexpr const char* member_address = "127.0.0.1:19620";
+constexpr const char* host_address = "127.0.0.1:19621";
+constexpr int endpoints = 2'000;
+
+struct entry_host : process
+{
+    explicit entry_host(asio::io_context& io)
+        : process(io, host_address, member_address), watcher_(with_, codec_)
+    {
+        watcher_.start();
+    }
+
+    const node::endpoint_section& list()
+    {
+        return board_.section<node::endpoint_section>();
+    }
+
+    /// \return how often the list was updated in a way: "whole" or "changes".
+    bool has_update_of(const std::string& kind)
+    {
+        return metrics_.text().find(
+                   "poplarroute_list_updates_total{kind=\"" + kind + "\"}") !=
+               std::string::npos;
+    }
+
+    node::catalog_watcher watcher_;
+};
+
+class list_changes : public ::testing::Test
+{
+protected:
+    list_changes()
+        : folder_(
+              std::filesystem::temp_directory_path() /
+              ("poplarroute-changes-" + std::to_string(::getpid()))),
+          member_(make_member())
+    {
+        for (int index = 0; index < endpoints; ++index)
+        {
+            add_endpoint(index);
+        }
+        publish();
+    }
+
+    ~list_changes() override
+    {
+        std::filesystem::remove_all(folder_);
+    }
+
+    std::unique_ptr<lone_member> make_member()
+    {
+        std::filesystem::remove_all(folder_);
+        return std::make_unique<lone_member>(
+            io_, member_address, member_address, folder_.string());
+    }
+
+    void add_endpoint(int index)
+    {
+        node::listed_endpoint item;
+        item.name_ = "i-" + std::to_string(index);
+        item.service_ = "depu9b";
+        item.address_ = "10.1.64." + std::to_string(index) + ":8066";
+        item.zone_ = "zone-a";
+        items_.push_back(item);
+    }
+
+    /// Lets the member have read the list.
+    void publish()
+    {
+        run_until(
+            [this]()
+            {
+                return member_->controller_->leads();
+            });
+        node::endpoint_section& section =
+            member_->board_.section<node::endpoint_section>();
+        section.epoch_ = "epoch";
+        node::replace_endpoints(section, items_, core::steady_now());
+    }
+
+    void run_until(const std::function<bool()>& condition)
+    {
+        const core::time_point until =
+            core::steady_now() + core::duration{10'000};
+        while (!condition() && core::steady_now() < until)
+        {
+            io_.restart();
+            io_.run_for(std::chrono::milliseconds(5));
+        }
+        ASSERT_TRUE(condition());
+    }
+
+    void run_until_current(entry_host& host)
+    {
+        run_until(
+            [&]()
+            {
+                return host.list().revision_ ==
+                           member_->board_.section<node::endpoint_section>()
+                               .revision_ &&
+                       host.list().epoch_ == "epoch";
+            });
+    }
+
+    asio::io_context io_{1};
+    std::filesystem::path folder_;
+    std::unique_ptr<lone_member> member_;
+    std::vector<node::listed_endpoint> items_;
+};
+
+// Guards against a leader that sends the whole list to every host whenever one
+// endpoint changes.
+TEST_F(list_changes, a_change_reaches_a_host_without_the_whole_list)
+{
+    entry_host host(io_);
+    run_until_current(host);
+    EXPECT_FALSE(host.has_update_of("changes"));
+    const std::uint64_t bytes_before = drivers::traffic().bytes_in_;
+    items_.erase(items_.begin());
+    items_[0].leaving_ = true;
+    add_endpoint(endpoints);
+    publish();
+    run_until_current(host);
+    EXPECT_TRUE(host.has_update_of("changes"));
+    EXPECT_LT(drivers::traffic().bytes_in_ - bytes_before, 8'000U);
+    EXPECT_EQ(host.list().endpoints_.size(), items_.size());
+    EXPECT_EQ(host.list().endpoints_.count("i-0"), 0U);
+    EXPECT_TRUE(host.list().endpoints_.at("i-1").listed_.leaving_);
+    EXPECT_EQ(
+        host.list().endpoints_.count("i-" + std::to_string(endpoints)), 1U);
+}
+
+// Guards against a host that waits for changes which the leader cannot send.
+TEST_F(list_changes, a_change_of_most_endpoints_reaches_a_host)
+{
+    entry_host host(io_);
+    run_until_current(host);
+    for (node::listed_endpoint& item : items_)
+    {
+        item.started_at_ms_ = 1;
+    }
+    publish();
+    run_until_current(host);
+    EXPECT_EQ(host.list().endpoints_.at("i-7").listed_.started_at_ms_, 1);
+    items_.pop_back();
+    publish();
+    run_until_current(host);
+    EXPECT_TRUE(host.has_update_of("changes"));
+    EXPECT_EQ(host.list().endpoints_.size(), items_.size());
+}
+
+// A cold endpoint may get few calls until a point in time, which a host knows
+// only relative to when the list was read.
+TEST_F(list_changes, cold_times_count_from_when_the_list_was_read)
+{
+    entry_host host(io_);
+    run_until_current(host);
+    const core::time_point read_at = core::steady_now() - core::duration{2'000};
+    items_[3].cold_time_left_ = {9'000};
+    node::endpoint_section& section =
+        member_->board_.section<node::endpoint_section>();
+    node::replace_endpoints(
+        section, items_, std::max(read_at, section.read_at_));
+    const core::time_point cold_until =
+        section.endpoints_.at("i-3").cold_until_;
+    run_until_current(host);
+    const core::duration error =
+        host.list().endpoints_.at("i-3").cold_until_ - cold_until;
+    EXPECT_LT(std::abs(error.ms_), 300);
+}
+
+} // namespace
+} // namespace poplarroute::platform
