Tell hosts of withdrawals in the watch's reply, and read the list on time

A host that has to download the list is told first which endpoints are leaving or have left; others have it from their list or its changes, so the set of leaving endpoints is no longer part of each reply. A download is served an earlier revision that changes bring up to date, so that the list is not encoded anew at each change.

--- a/drivers/metrics.cpp
+++ b/drivers/metrics.cpp
@@ -32,6 +32,7 @@
         {"poplarroute_watch_failures_total", "Watches without a reply."},
         {"poplarroute_part_failures_total", "Failed parts of documents."},
         {"poplarroute_list_updates_total", "Endpoint lists taken, by kind."},
+        {"poplarroute_list_pages_decoded_total", "List pages that changed."},
         {"poplarroute_hosts_behind", "Entry hosts with an older catalog."},
         {"poplarroute_control_role", "1 at the control group's leader."},
         {"poplarroute_tokens_moved_total", "Tokens moved between hosts."},
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -124,7 +124,8 @@
     std::vector<endpoint_message> list_;
     std::int64_t list_age_ms_ = 0;
     /// Endpoints of the list that are leaving, which hosts heed at once: the
-    /// list itself is fetched by another call.
+    /// list itself is fetched by another call. Not stated to a host that has
+    /// the newest list or gets changes to it.
     std::vector<core::endpoint_id> leaving_;
     std::int64_t hosts_ = 0; ///< Number of live entry hosts; 0: unknown.
     std::uint64_t crash_revision_ = 0;
@@ -135,6 +136,9 @@
     /// An encoded list_changes as a binary value, with times relative to when
     /// the list was read; null: none are sent.
     nlohmann::json list_changes_;
+    /// Endpoints that have left the list since the host's revision, for a host
+    /// that has to download the list.
+    std::vector<core::endpoint_id> withdrawn_;
 };
 
 /// Identifies a document that hosts fetch in parts.
@@ -151,6 +155,9 @@
 {
     document_id id_;
     std::uint64_t offset_ = 0; ///< In bytes of the compressed document.
+    /// Oldest revision that will do, since changes can bring it up to date; 0:
+    /// only the requested one or a newer one.
+    std::uint64_t least_revision_ = 0;
 };
 
 /// Part of a compressed document. It is of another revision than requested when
@@ -345,12 +352,13 @@
     crash_revision_,
     crashers_,
     suspects_parts_,
-    list_changes_)
+    list_changes_,
+    withdrawn_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     list_changes, from_, to_, changed_, removed_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_id, name_, revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    document_part_request, id_, offset_)
+    document_part_request, id_, offset_, least_revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     document_part_reply, id_, size_, checksum_, offset_, bytes_, age_ms_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
--- a/node/document_download.cpp
+++ b/node/document_download.cpp
@@ -15,8 +15,10 @@
 
 } // namespace
 
-void document_download::want(const document_id& id)
+void document_download::want(
+    const document_id& id, std::uint64_t least_revision)
 {
+    least_revision_ = least_revision;
     if (received_.empty() || id.name_ != id_.name_)
     {
         received_.clear();
@@ -26,7 +28,7 @@
 
 document_part_request document_download::next_request() const
 {
-    return {id_, received_.size()};
+    return {id_, received_.size(), least_revision_};
 }
 
 void document_download::restart(const document_part_reply& part)
--- a/node/document_download.hpp
+++ b/node/document_download.hpp
@@ -25,7 +25,9 @@
 
     /// Sets the document to download, unless the download of an earlier
     /// revision of it has begun.
-    void want(const document_id& id);
+    /// \param least_revision oldest revision that will do; 0: only this one or
+    /// a newer one.
+    void want(const document_id& id, std::uint64_t least_revision = 0);
 
     /// \return the request for the next part.
     document_part_request next_request() const;
@@ -54,6 +56,7 @@
     progress discard();
 
     document_id id_;
+    std::uint64_t least_revision_ = 0;
     std::uint64_t size_ = 0;
     std::uint64_t checksum_ = 0;
     core::duration age_;
--- a/node/document_parts.cpp
+++ b/node/document_parts.cpp
@@ -44,6 +44,19 @@
         });
 }
 
+std::uint64_t document_parts::newest_revision(std::string_view name) const
+{
+    std::uint64_t out = 0;
+    for (const document& item : documents_)
+    {
+        if (item.id_.name_ == name)
+        {
+            out = std::max(out, item.id_.revision_);
+        }
+    }
+    return out;
+}
+
 std::optional<document_part_reply> document_parts::part(
     const document_part_request& request, core::time_point now)
 {
--- a/node/document_parts.hpp
+++ b/node/document_parts.hpp
@@ -30,6 +30,9 @@
     /// \return whether a document is available.
     bool contains(const document_id& id) const;
 
+    /// \return the newest available revision of a document; 0: none.
+    std::uint64_t newest_revision(std::string_view name) const;
+
     /// \return the part that begins at the requested offset; nothing when the
     /// document is not available or the offset is outside it.
     std::optional<document_part_reply> part(
--- a/node/document_publisher.cpp
+++ b/node/document_publisher.cpp
@@ -140,18 +140,24 @@
     reply.list_epoch_ = list.epoch_;
     reply.list_revision_ = list.revision_;
     reply.list_age_ms_ = (core::steady_now() - list.read_at_).ms_;
-    reply.leaving_ = leaving_endpoints();
-    if (has_newest_list(request))
+    const bool is_current = has_newest_list(request);
+    const std::string* changes =
+        is_current ? nullptr : encoded_changes(request);
+    if (changes != nullptr)
     {
+        reply.list_changes_ = core::binary(*changes);
         return;
     }
-    const std::string* changes = encoded_changes(request);
-    if (changes != nullptr)
+    if (is_current && request.takes_changes_)
     {
-        reply.list_changes_ = core::binary(*changes);
         return;
     }
-    reply.list_sent_ = !request.fetches_parts_;
+    reply.leaving_ = leaving_endpoints();
+    if (request.list_epoch_ == list.epoch_)
+    {
+        reply.withdrawn_ = changes_.removed_since(request.list_revision_);
+    }
+    reply.list_sent_ = !is_current && !request.fetches_parts_;
     if (reply.list_sent_)
     {
         reply.list_ = make_list_messages(list);
@@ -180,7 +186,12 @@
     document_part_request served = request;
     if (!documents_.contains(request.id_))
     {
-        served = {newest, 0};
+        const std::uint64_t kept =
+            is_catalog ? 0 : documents_.newest_revision(newest.name_);
+        const bool suffices = request.least_revision_ > 0 &&
+                              kept >= request.least_revision_ &&
+                              changes_.since(kept, list.read_at_).has_value();
+        served = {suffices ? document_id{newest.name_, kept} : newest, 0, 0};
     }
     if (!documents_.contains(served.id_))
     {
--- a/node/endpoint_changes.cpp
+++ b/node/endpoint_changes.cpp
@@ -55,33 +55,21 @@
     for (const auto& [name, item] : list)
     {
         const auto [found, is_new] = states_.try_emplace(name);
-        std::optional<known_endpoint>& held = found->second.endpoint_;
+        const auto& held = found->second.endpoint_;
         if (is_first)
         {
-            held = item;
-            found->second.changed_at_ = revision;
+            found->second = {item, revision};
         }
         else if (is_new || !held || !is_same(*held, item))
         {
-            if (!is_new)
-            {
-                history_bytes_ -=
-                    history_.erase({found->second.changed_at_, name}) *
-                    message_bytes(name, held);
-            }
-            held = item;
-            record(found, revision);
+            record(found, item, revision);
         }
     }
     for (auto item = states_.begin(); item != states_.end(); ++item)
     {
-        auto& [name, held] = *item;
-        if (held.endpoint_ && list.count(name) == 0)
+        if (item->second.endpoint_ && list.count(item->first) == 0)
         {
-            history_bytes_ -= history_.erase({held.changed_at_, name}) *
-                              message_bytes(name, held.endpoint_);
-            held.endpoint_.reset();
-            record(item, revision);
+            record(item, std::nullopt, revision);
         }
     }
     if (is_first)
@@ -95,24 +83,44 @@
     }
 }
 
-void endpoint_changes::record(states::iterator item, std::uint64_t revision)
+/// Records the newest state of an endpoint.
+/// \param endpoint nothing: it was removed.
+void endpoint_changes::record(
+    states::iterator item,
+    const std::optional<known_endpoint>& endpoint,
+    std::uint64_t revision)
 {
-    item->second.changed_at_ = revision;
-    history_.emplace(revision, item->first);
-    history_bytes_ += message_bytes(item->first, item->second.endpoint_);
+    const core::endpoint_id& name = item->first;
+    forget(item);
+    item->second = {endpoint, revision};
+    history_.emplace(revision, name);
+    history_bytes_ += message_bytes(name, endpoint);
+    if (!endpoint)
+    {
+        removed_.emplace(revision, name);
+    }
+}
+
+/// Removes an endpoint's last change from the history, if it is there.
+void endpoint_changes::forget(states::iterator item)
+{
+    const std::pair key{item->second.changed_at_, item->first};
+    removed_.erase(key);
+    if (history_.erase(key) > 0)
+    {
+        history_bytes_ -= message_bytes(item->first, item->second.endpoint_);
+    }
 }
 
 void endpoint_changes::forget_oldest()
 {
-    const auto oldest = history_.begin();
-    const auto item = states_.find(oldest->second);
-    complete_since_ = oldest->first;
-    history_bytes_ -= message_bytes(item->first, item->second.endpoint_);
+    const auto item = states_.find(history_.begin()->second);
+    complete_since_ = history_.begin()->first;
+    forget(item);
     if (!item->second.endpoint_)
     {
         states_.erase(item);
     }
-    history_.erase(oldest);
 }
 
 std::optional<list_changes> endpoint_changes::since(
@@ -156,15 +164,12 @@
     std::uint64_t revision) const
 {
     std::vector<core::endpoint_id> out;
-    for (auto item = history_.rbegin();
-         item != history_.rend() && item->first > revision &&
+    for (auto item = removed_.rbegin();
+         item != removed_.rend() && item->first > revision &&
          out.size() < bounds_.message_entries_;
          ++item)
     {
-        if (!states_.find(item->second)->second.endpoint_)
-        {
-            out.push_back(item->second);
-        }
+        out.push_back(item->second);
     }
     return out;
 }
--- a/node/endpoint_changes.hpp
+++ b/node/endpoint_changes.hpp
@@ -80,13 +80,19 @@
 
     using states = std::map<core::endpoint_id, state>;
 
-    void record(states::iterator item, std::uint64_t revision);
+    void record(
+        states::iterator item,
+        const std::optional<known_endpoint>& endpoint,
+        std::uint64_t revision);
+    void forget(states::iterator item);
     void forget_oldest();
 
     endpoint_change_bounds bounds_;
     states states_;
     /// Endpoints by the revision of their last change, as far back as kept.
     std::set<std::pair<std::uint64_t, core::endpoint_id>> history_;
+    /// Those that were removed.
+    std::set<std::pair<std::uint64_t, core::endpoint_id>> removed_;
     std::size_t history_bytes_ = 0;
     std::uint64_t revision_ = 0;
     std::uint64_t complete_since_ = 0; ///< Oldest revision that can be served.
--- a/node/endpoint_list_follower.cpp
+++ b/node/endpoint_list_follower.cpp
@@ -47,9 +47,22 @@
            !known_epoch_.empty() && is_outdated() && !may_get_changes;
 }
 
+/// \return the oldest revision of the leader's list that is newer than the one
+/// in force.
+std::uint64_t endpoint_list_follower::least_revision() const
+{
+    if (list().epoch_ != known_epoch_)
+    {
+        return 1;
+    }
+    return list().revision_ + (is_altered_ ? 0 : 1);
+}
+
 document_download& endpoint_list_follower::download()
 {
-    download_.want(endpoint_list_document(known_epoch_, known_revision_));
+    const document_id newest =
+        endpoint_list_document(known_epoch_, known_revision_);
+    download_.want(newest, least_revision());
     return download_;
 }
 
@@ -59,9 +72,7 @@
     const document_id id = download_.id();
     const bool is_current =
         id.name_ == endpoint_list_document(known_epoch_, 0).name_;
-    const bool is_older =
-        list().epoch_ == known_epoch_ &&
-        id.revision_ < list().revision_ + (is_altered_ ? 0 : 1);
+    const bool is_older = id.revision_ < least_revision();
     if (!is_current || is_older)
     {
         // Another leader's list has become known meanwhile, or changes have
@@ -115,6 +126,7 @@
     known_revision_ = reply.list_revision_;
     known_read_at_ = read_at;
     leave_out(reply.leaving_);
+    leave_out(reply.withdrawn_);
     if (reply.list_sent_)
     {
         replace(reply.list_, reply.list_revision_, read_at);
@@ -162,8 +174,8 @@
     }
 }
 
-/// Leaves out endpoints that the leader's list shows as leaving, before the
-/// list itself has arrived.
+/// Leaves out endpoints that the leader's list shows as leaving or no longer
+/// shows, before the list itself has arrived.
 void endpoint_list_follower::leave_out(std::span<const core::endpoint_id> names)
 {
     bool changed = false;
--- a/node/endpoint_list_poller.cpp
+++ b/node/endpoint_list_poller.cpp
@@ -1,7 +1,9 @@
 #include "node/endpoint_list_poller.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include "core/digest.hpp"
 #include "drivers/log.hpp"
 
 namespace poplarroute::node
@@ -19,8 +21,11 @@
 /// Time until a failed read is retried.
 constexpr core::duration retry_interval{400};
 constexpr core::duration idle_interval{100};
+
+/// Shortest time between two reads.
+constexpr core::duration min_pause{100};
 constexpr core::duration page_timeout{900};
-constexpr int max_pages = 400;
+constexpr std::size_t max_pages = 400;
 
 /// A list with more endpoints than this is refused.
 constexpr std::size_t max_endpoints = 50'000;
@@ -48,6 +53,7 @@
             co_await drivers::sleep_for(idle_interval);
             continue;
         }
+        const core::time_point started_at = core::steady_now();
         const bool read = co_await read_list();
         if (read != reachable_)
         {
@@ -58,7 +64,11 @@
                   with_.board_.section<endpoint_section>().endpoints_.size()}});
             reachable_ = read;
         }
-        co_await drivers::sleep_for(read ? poll_interval : retry_interval);
+        // The time that a read takes is not added to the interval.
+        const core::time_point due =
+            started_at + (read ? poll_interval : retry_interval);
+        co_await drivers::sleep_for(
+            std::max(due - core::steady_now(), min_pause));
     }
 }
 
@@ -92,18 +102,74 @@
     return false;
 }
 
-awaitable<bool> endpoint_list_poller::read_list()
+/// \return the content of a page; nullptr if it cannot be read.
+/// \param index position of the page in the list.
+const endpoint_page* endpoint_list_poller::decode(
+    std::size_t index, std::string_view text)
+{
+    const std::uint64_t digest = core::stable_hash(text);
+    const bool is_known = index < pages_.size() &&
+                          pages_[index].digest_ == digest &&
+                          pages_[index].bytes_ == text.size();
+    if (is_known)
+    {
+        return &pages_[index].content_;
+    }
+    auto content = codec_.decode_endpoint_page(text);
+    if (!content)
+    {
+        log_event(
+            log_level::warning,
+            "list_unreadable",
+            {{"page", index}, {"bytes", text.size()}});
+        return nullptr;
+    }
+    pages_.resize(std::max(pages_.size(), index + 1));
+    pages_[index] = {digest, text.size(), std::move(*content)};
+    with_.metrics_.count("poplarroute_list_pages_decoded_total");
+    return &pages_[index].content_;
+}
+
+/// Records the entries of the list that could not be read.
+void endpoint_list_poller::record_unreadable()
 {
-    const std::string address =
-        with_.board_.section<settings_section>().settings_.list_address_;
-    const core::time_point started_at = core::steady_now();
-    std::vector<listed_endpoint> list;
-    std::string page;
     std::size_t unreadable = 0;
     std::string first_unreadable;
-    for (int pages = 0; pages < max_pages; ++pages)
+    for (std::size_t index = 0; index < pages_.size(); ++index)
+    {
+        const std::vector<std::size_t>& found =
+            pages_[index].content_.unreadable_;
+        if (unreadable == 0 && !found.empty())
+        {
+            first_unreadable =
+                std::to_string(index) + ":" + std::to_string(found.front());
+        }
+        unreadable += found.size();
+    }
+    if (unreadable != unreadable_entries_)
+    {
+        unreadable_entries_ = unreadable;
+        log_event(
+            log_level::warning,
+            "list_entries_unreadable",
+            {{"entries", unreadable},
+             {"first_page_and_byte", first_unreadable}});
+    }
+    with_.metrics_.set(
+        "poplarroute_list_entries_unreadable",
+        {},
+        static_cast<double>(unreadable));
+}
+
+awaitable<bool> endpoint_list_poller::read_pages()
+{
+    const std::string address =
+        with_.board_.section<settings_section>().settings_.list_address_;
+    std::string next;
+    std::size_t endpoints = 0;
+    for (std::size_t index = 0; index < max_pages; ++index)
     {
-        drivers::http_call call = codec_.endpoint_list_call(address, page);
+        drivers::http_call call = codec_.endpoint_list_call(address, next);
         call.timeout_ = page_timeout;
         const auto reply = co_await with_.http_.request(std::move(call));
         with_.metrics_.count("poplarroute_list_calls_total");
@@ -111,53 +177,48 @@
         {
             co_return false;
         }
-        auto read = codec_.decode_endpoint_page(core::value(reply).body_);
-        if (!read)
+        const endpoint_page* page = decode(index, core::value(reply).body_);
+        if (page == nullptr)
         {
-            log_event(
-                log_level::warning,
-                "list_unreadable",
-                {{"page", pages}, {"bytes", core::value(reply).body_.size()}});
             co_return false;
         }
-        if (unreadable == 0 && !read->unreadable_.empty())
-        {
-            first_unreadable = std::to_string(pages) + ":" +
-                               std::to_string(read->unreadable_.front());
-        }
-        unreadable += read->unreadable_.size();
-        for (listed_endpoint& item : read->endpoints_)
-        {
-            list.push_back(std::move(item));
-        }
-        if (list.size() > max_endpoints)
+        endpoints += page->endpoints_.size();
+        if (endpoints > max_endpoints)
         {
             log_event(
                 log_level::error,
                 "list_too_long",
-                {{"page", pages}, {"endpoints", list.size()}});
+                {{"page", index}, {"endpoints", endpoints}});
             co_return false;
         }
-        page = std::move(read->next_);
-        if (page.empty())
+        next = page->next_;
+        if (next.empty())
         {
+            pages_.resize(index + 1);
             break;
         }
     }
-    if (unreadable != unreadable_entries_)
+    co_return true;
+}
+
+awaitable<bool> endpoint_list_poller::read_list()
+{
+    const core::time_point started_at = core::steady_now();
+    const bool complete = co_await read_pages();
+    if (!complete)
     {
-        unreadable_entries_ = unreadable;
-        log_event(
-            log_level::warning,
-            "list_entries_unreadable",
-            {{"entries", unreadable},
-             {"first_page_and_byte", first_unreadable}});
+        co_return false;
     }
-    with_.metrics_.set(
-        "poplarroute_list_entries_unreadable",
-        {},
-        static_cast<double>(unreadable));
+    record_unreadable();
     endpoint_section& section = with_.board_.section<endpoint_section>();
+    std::vector<listed_endpoint> list;
+    for (const known_page& page : pages_)
+    {
+        list.insert(
+            list.end(),
+            page.content_.endpoints_.begin(),
+            page.content_.endpoints_.end());
+    }
     const core::time_point now = core::steady_now();
     update_notices(section, list, now);
     for (listed_endpoint& item : list)
@@ -176,7 +237,8 @@
         log_level::info,
         "list_changed",
         {{"endpoints", list.size()},
-         {"unreadable", unreadable},
+         {"unreadable", unreadable_entries_},
+         {"read_ms", (now - started_at).ms_},
          {"revision", section.revision_}});
     co_return true;
 }
--- a/node/endpoint_list_poller.hpp
+++ b/node/endpoint_list_poller.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <string_view>
+#include <vector>
 
 #include "node/context.hpp"
 #include "node/fleet_sections.hpp"
@@ -25,12 +28,25 @@
 private:
     awaitable<void> run();
     awaitable<bool> read_list();
+    awaitable<bool> read_pages();
     bool differs_from_known(const std::vector<listed_endpoint>& list) const;
+    const endpoint_page* decode(std::size_t index, std::string_view text);
+    void record_unreadable();
 
     context& with_;
     const wire_codec& codec_;
     std::function<bool()> should_poll_;
     bool reachable_ = true;
+
+    /// The pages that were read last, so that a page is decoded only when its
+    /// text has changed.
+    struct known_page
+    {
+        std::uint64_t digest_ = 0; ///< Of the page's text.
+        std::size_t bytes_ = 0;
+        endpoint_page content_;
+    };
+    std::vector<known_page> pages_;
     std::size_t unreadable_entries_ = 0; ///< In the list read last.
 };
 
--- a/tests/platform/list_changes_test.cpp
+++ b/tests/platform/list_changes_test.cpp
@@ -168,6 +168,38 @@
     EXPECT_EQ(host.list().endpoints_.size(), items_.size());
 }
 
+// A host that has to download the whole list hears first which endpoints have
+// left. Guards against requests to them while the download goes on.
+TEST_F(list_changes, withdrawals_come_before_a_whole_list)
+{
+    entry_host host(io_);
+    run_until_current(host);
+    for (node::listed_endpoint& item : items_)
+    {
+        item.started_at_ms_ = 1;
+    }
+    items_.erase(items_.begin());
+    items_[0].leaving_ = true;
+    node::endpoint_section& section =
+        host.board_.section<node::endpoint_section>();
+    bool was_left_out = false;
+    section.on_change_.emplace_back(
+        [&]()
+        {
+            const auto removed = section.endpoints_.find("i-0");
+            const auto leaving = section.endpoints_.find("i-1");
+            was_left_out =
+                was_left_out || (removed != section.endpoints_.end() &&
+                                 removed->second.listed_.leaving_ &&
+                                 leaving->second.listed_.leaving_ &&
+                                 leaving->second.listed_.started_at_ms_ == 0);
+        });
+    publish();
+    run_until_current(host);
+    EXPECT_TRUE(was_left_out);
+    EXPECT_EQ(host.list().endpoints_.count("i-0"), 0U);
+}
+
 // A cold endpoint may get few calls until a point in time, which a host knows
 // only relative to when the list was read.
 TEST_F(list_changes, cold_times_count_from_when_the_list_was_read)
