Serve whole endpoint lists from members of the host's zone

Members that do not lead download a list that they lack from the leader once and serve its parts. A host asks a member of its own zone first, then others, the leader last, and goes on to the next at once after a failure. A stale relay is noticed by the epoch and revision that its parts name.

--- a/drivers/metrics.cpp
+++ b/drivers/metrics.cpp
@@ -33,6 +33,8 @@
         {"poplarroute_part_failures_total", "Failed parts of documents."},
         {"poplarroute_list_updates_total", "Endpoint lists taken, by kind."},
         {"poplarroute_list_pages_decoded_total", "List pages that changed."},
+        {"poplarroute_relayed_parts_total", "Parts of lists from a relay."},
+        {"poplarroute_relay_refusals_total", "Parts that a relay refused."},
         {"poplarroute_hosts_behind", "Entry hosts with an older catalog."},
         {"poplarroute_control_role", "1 at the control group's leader."},
         {"poplarroute_tokens_moved_total", "Tokens moved between hosts."},
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -69,7 +69,13 @@
       placements_(with, placement_controller::scope::fleet),
       stages_(with, group, codec, placements_),
       group_manager_(with, group),
-      documents_(with, group)
+      documents_(with, group),
+      relay_(
+          with,
+          [&group]()
+          {
+              return group.leader();
+          })
 {
 }
 
@@ -595,6 +601,23 @@
     return out;
 }
 
+awaitable<core::result<document_part_reply>> catalog_controller::answer_part(
+    document_part_request request)
+{
+    core::result<document_part_reply> reply = documents_.answer_part(request);
+    const bool relays =
+        !core::is_ok(reply) && !group_.leads() && is_endpoint_list(request.id_);
+    if (relays)
+    {
+        reply = co_await relay_.answer_part(std::move(request));
+    }
+    if (auto* part = std::get_if<document_part_reply>(&reply))
+    {
+        part->zone_ = with_.identity().zone_;
+    }
+    co_return reply;
+}
+
 awaitable<watch_reply> catalog_controller::answer_watch(watch_request request)
 {
     track_leadership();
@@ -663,7 +686,7 @@
         [this](drivers::peer_identity, document_part_request request)
             -> awaitable<core::result<document_part_reply>>
         {
-            co_return documents_.answer_part(request);
+            co_return co_await answer_part(std::move(request));
         });
     with_.calls_.add(
         method::catalog_submit,
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -9,6 +9,7 @@
 #include "node/catalog_messages.hpp"
 #include "node/context.hpp"
 #include "node/document_publisher.hpp"
+#include "node/document_relay.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/group_manager.hpp"
 #include "node/placement_controller.hpp"
@@ -86,6 +87,8 @@
     awaitable<watch_reply> answer_watch(watch_request request);
     bool has_updates(const watch_request& request);
     watch_reply make_watch_reply(const watch_request& request);
+    awaitable<core::result<document_part_reply>> answer_part(
+        document_part_request request);
     void apply_limits();
     awaitable<placement_reply> charge_and_place(placement_request request);
     settle_reply settle(const settle_request& request);
@@ -126,6 +129,7 @@
     core::time_point leading_since_;
     std::map<core::host_id, watching_host> watching_hosts_;
     document_publisher documents_;
+    document_relay relay_;
     std::vector<std::shared_ptr<drivers::asio::steady_timer>> watchers_;
     bool was_leading_ = false;
     core::host_id last_leader_;
--- a/node/catalog_messages.cpp
+++ b/node/catalog_messages.cpp
@@ -1,10 +1,19 @@
 #include "node/catalog_messages.hpp"
 
+#include <string_view>
 #include <utility>
 
 namespace poplarroute::node
 {
 
+namespace
+{
+
+/// Beginning of the names of documents that hold an endpoint list.
+constexpr std::string_view endpoint_list_prefix = "endpoints/";
+
+} // namespace
+
 endpoint_message to_message(const listed_endpoint& item)
 {
     return {
@@ -97,7 +106,12 @@
 document_id endpoint_list_document(
     std::string_view epoch, std::uint64_t revision)
 {
-    return {"endpoints/" + std::string(epoch), revision};
+    return {std::string(endpoint_list_prefix) + std::string(epoch), revision};
+}
+
+bool is_endpoint_list(const document_id& id)
+{
+    return id.name_.starts_with(endpoint_list_prefix);
 }
 
 placement_reply make_over_rate_reply(std::string inputs, core::duration wait)
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -170,6 +170,7 @@
     std::uint64_t offset_ = 0;
     nlohmann::json bytes_;    ///< As a binary value.
     std::int64_t age_ms_ = 0; ///< Of the document's content.
+    core::zone_id zone_;      ///< Of the member that replies; empty: unknown.
 };
 
 /// The catalog as read at the leader.
@@ -360,7 +361,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     document_part_request, id_, offset_, least_revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    document_part_reply, id_, size_, checksum_, offset_, bytes_, age_ms_)
+    document_part_reply, id_, size_, checksum_, offset_, bytes_, age_ms_, zone_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     catalog_read_reply, version_, text_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
@@ -443,6 +444,9 @@
 document_id endpoint_list_document(
     std::string_view epoch, std::uint64_t revision);
 
+/// \return whether a document is an endpoint list.
+bool is_endpoint_list(const document_id& id);
+
 /// \return the refusal of a stream whose account is over its rate.
 /// \param inputs the values that decided it, for the log.
 /// \param wait time after which the caller may retry.
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -31,8 +31,10 @@
 constexpr core::duration leaderless_report_validity{1'500};
 
 /// Timeout of one part of a document, and the time until a failed one is asked
-/// for again.
+/// for again. A member that may be lost is waited for less long than the
+/// leader, to which the watch is open.
 constexpr core::duration part_timeout{2'000};
+constexpr core::duration relay_timeout{1'000};
 constexpr core::duration part_retry_interval{60};
 
 /// How long the quarantines that a previous leader imposed hold after a change
@@ -62,7 +64,9 @@
 {
     started_at_ = core::steady_now();
     policy::account_meter& meter = with_.board_.section<meter_section>().meter_;
-    meter = policy::account_meter(core::stable_hash(with_.identity().host_));
+    const std::uint64_t seed = core::stable_hash(with_.identity().host_);
+    meter = policy::account_meter(seed);
+    sources_ = document_sources(seed);
     if (!with_.board_.section<settings_section>().settings_.first_start_)
     {
         meter.start_empty();
@@ -79,7 +83,8 @@
            with_.board_.section<catalog_section>().view_ != nullptr;
 }
 
-core::host_id catalog_watcher::next_member()
+/// \return the members of the group and those that the settings name.
+std::vector<core::host_id> catalog_watcher::known_members() const
 {
     const group_section& group = with_.board_.section<group_section>();
     const auto& seeds =
@@ -92,6 +97,12 @@
             all.push_back(seed);
         }
     }
+    return all;
+}
+
+core::host_id catalog_watcher::next_member()
+{
+    const std::vector<core::host_id> all = known_members();
     return all.empty() ? core::host_id()
                        : all[next_member_index_++ % all.size()];
 }
@@ -371,19 +382,25 @@
             co_await download_wake_.async_wait(drivers::asio::redirect_error(
                 drivers::asio::use_awaitable, woken));
             download_started_at_ = core::steady_now();
-            download_source_.clear();
         }
     }
 }
 
-/// Fetches the next part of a document; after a failure, waits a little.
+/// Fetches the next part of a document. After a failure, another member is
+/// asked at once; when the leader has failed, too, after a while.
 awaitable<catalog_watcher::part_result> catalog_watcher::fetch_part(
-    document_download& download, core::host_id source)
+    document_download& download)
 {
+    const core::host_id leader = with_.board_.section<group_section>().leader_;
+    const core::host_id source = sources_.choose(
+        known_members(), leader, with_.identity().zone_, core::steady_now());
+    download_source_ = source;
+    const bool is_last = source == leader || leader.empty();
+    const core::duration timeout = is_last ? part_timeout : relay_timeout;
     const document_part_request request = download.next_request();
     const core::result<document_part_reply> reply =
         co_await ask<document_part_reply>(
-            with_.peers_, source, method::document_part, request, part_timeout);
+            with_.peers_, source, method::document_part, request, timeout);
     core::error problem{core::errc::invalid, "the document is damaged"};
     if (!core::is_ok(reply))
     {
@@ -391,6 +408,7 @@
     }
     else
     {
+        sources_.record_reply(source, core::value(reply).zone_);
         const document_download::progress state =
             download.add(core::value(reply));
         if (state != document_download::progress::damaged)
@@ -400,6 +418,7 @@
                 : part_result::received;
         }
     }
+    sources_.record_failure(source, core::steady_now());
     log_event(
         log_level::warning,
         "part_failed",
@@ -410,43 +429,36 @@
          {"offset", request.offset_},
          {"since_ms", (core::steady_now() - download_started_at_).ms_}});
     with_.metrics_.count("poplarroute_part_failures_total");
-    co_await drivers::sleep_for(part_retry_interval);
+    if (is_last)
+    {
+        co_await drivers::sleep_for(part_retry_interval);
+    }
     co_return part_result::failed;
 }
 
 awaitable<void> catalog_watcher::fetch_list_part()
 {
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
     document_download& download = list_.download();
-    const part_result result = co_await fetch_part(download, leader);
+    const part_result result = co_await fetch_part(download);
     if (result == part_result::completed)
     {
-        list_.finish_download();
+        const bool is_news = list_.finish_download();
+        if (!is_news)
+        {
+            sources_.record_failure(download_source_, core::steady_now());
+        }
     }
 }
 
 awaitable<void> catalog_watcher::fetch_catalog_part()
 {
     catalog_download_.want(catalog_document(known_version_));
-    core::host_id source = download_source_;
-    if (source.empty())
-    {
-        source = with_.board_.section<group_section>().leader_;
-    }
-    if (source.empty())
-    {
-        source = next_member();
-    }
-    const part_result result = co_await fetch_part(catalog_download_, source);
+    const part_result result = co_await fetch_part(catalog_download_);
     if (result == part_result::completed)
     {
         put_in_force(
             catalog_download_.id().revision_, catalog_download_.take_content());
     }
-    if (result == part_result::failed)
-    {
-        download_source_ = next_member();
-    }
 }
 
 void catalog_watcher::put_in_force(std::uint64_t version, std::string_view text)
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -6,6 +6,7 @@
 #include "node/catalog_messages.hpp"
 #include "node/context.hpp"
 #include "node/document_download.hpp"
+#include "node/document_sources.hpp"
 #include "node/endpoint_list_follower.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/running_streams.hpp"
@@ -48,12 +49,12 @@
 
     awaitable<void> watch_loop();
     awaitable<void> download_loop();
-    awaitable<part_result> fetch_part(
-        document_download& download, core::host_id source);
+    awaitable<part_result> fetch_part(document_download& download);
     awaitable<void> fetch_catalog_part();
     awaitable<void> fetch_list_part();
     awaitable<void> settle_loop();
     awaitable<void> settle_once(core::host_id leader);
+    std::vector<core::host_id> known_members() const;
     core::host_id next_member();
     void apply(
         const watch_request& request,
@@ -88,7 +89,8 @@
 
     endpoint_list_follower list_;
     document_download catalog_download_;
-    core::host_id download_source_; ///< Member; empty: the leader.
+    document_sources sources_;
+    core::host_id download_source_; ///< Of the last part.
     core::time_point download_started_at_;
     std::uint64_t unreadable_version_ = 0; ///< Newest that failed to decode.
     drivers::asio::steady_timer download_wake_;
--- a/node/document_download.hpp
+++ b/node/document_download.hpp
@@ -47,6 +47,12 @@
         return age_;
     }
 
+    /// \return the complete document as it was received.
+    const std::string& compressed() const
+    {
+        return received_;
+    }
+
     /// Ends the download.
     /// \return the complete document.
     std::string take_content();
--- a/node/document_parts.cpp
+++ b/node/document_parts.cpp
@@ -1,6 +1,7 @@
 #include "node/document_parts.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/compress.hpp"
 #include "core/digest.hpp"
@@ -20,11 +21,18 @@
 
 void document_parts::put(
     const document_id& id, std::string_view content, core::time_point as_of)
+{
+    put_compressed(
+        id, core::compress(content, core::compression::speed), as_of);
+}
+
+void document_parts::put_compressed(
+    const document_id& id, std::string bytes, core::time_point as_of)
 {
     document added;
     added.as_of_ = as_of;
     added.id_ = id;
-    added.bytes_ = core::compress(content, core::compression::speed);
+    added.bytes_ = std::move(bytes);
     added.checksum_ = core::stable_hash(added.bytes_);
     documents_.push_front(std::move(added));
     if (documents_.size() > max_documents)
--- a/node/document_parts.hpp
+++ b/node/document_parts.hpp
@@ -27,6 +27,10 @@
         std::string_view content,
         core::time_point as_of);
 
+    /// Makes a document available that another member has compressed.
+    void put_compressed(
+        const document_id& id, std::string bytes, core::time_point as_of);
+
     /// \return whether a document is available.
     bool contains(const document_id& id) const;
 
--- a/node/endpoint_list_follower.cpp
+++ b/node/endpoint_list_follower.cpp
@@ -66,7 +66,7 @@
     return download_;
 }
 
-void endpoint_list_follower::finish_download()
+bool endpoint_list_follower::finish_download()
 {
     const std::string content = download_.take_content();
     const document_id id = download_.id();
@@ -77,7 +77,7 @@
     {
         // Another leader's list has become known meanwhile, or changes have
         // arrived.
-        return;
+        return false;
     }
     const auto read = core::decode_cbor<std::vector<endpoint_message>>(content);
     if (!read)
@@ -87,12 +87,13 @@
             "list_unreadable",
             {{"list", id.name_}, {"revision", id.revision_}});
         known_epoch_.clear();
-        return;
+        return false;
     }
     replace(*read, id.revision_, core::steady_now() - download_.age());
     list().read_at_ = std::max(list().read_at_, known_read_at_);
     known_revision_ = std::max(known_revision_, id.revision_);
     with_.metrics_.count("poplarroute_list_updates_total", {{"kind", "whole"}});
+    return true;
 }
 
 void endpoint_list_follower::replace(
--- a/node/endpoint_list_follower.hpp
+++ b/node/endpoint_list_follower.hpp
@@ -38,7 +38,8 @@
     document_download& download();
 
     /// Puts the downloaded list in force.
-    void finish_download();
+    /// \return whether it is newer than the list that was.
+    bool finish_download();
 
 private:
     endpoint_section& list() const;
