Settle only accounts that are used, as often as their level needs

300 hosts settled every limited account ten times per second. A host now settles accounts that it used within 10 s: each 100 ms near the limit or after using half of its share, else every 200 to 300 ms. An account that a host has not used lately has no share there, since others may have used the whole level.

--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -46,17 +46,17 @@
 /// host that reaches no such member has to serve at last.
 constexpr core::duration outdated_catalog_wait{3'000};
 
-/// Interval and timeout of the settlement of accounts' usage.
-constexpr core::duration settle_interval{100};
-constexpr core::duration settle_timeout{500};
-
 /// Age of the endpoint list after which this host reads it itself.
 constexpr core::duration list_stale_after{2'500};
 
 } // namespace
 
 catalog_watcher::catalog_watcher(context& with, const wire_codec& codec)
-    : with_(with), codec_(codec), list_(with), download_wake_(with.io_)
+    : with_(with),
+      codec_(codec),
+      list_(with),
+      settler_(with),
+      download_wake_(with.io_)
 {
 }
 
@@ -73,7 +73,7 @@
     }
     drivers::spawn(with_.io_, watch_loop());
     drivers::spawn(with_.io_, download_loop());
-    drivers::spawn(with_.io_, settle_loop());
+    settler_.start();
 }
 
 bool catalog_watcher::list_is_stale() const
@@ -518,48 +518,4 @@
         core::steady_now());
 }
 
-awaitable<void> catalog_watcher::settle_loop()
-{
-    for (;;)
-    {
-        co_await drivers::sleep_for(settle_interval);
-        drivers::flush_log();
-        const core::host_id leader =
-            with_.board_.section<group_section>().leader_;
-        if (!leader.empty())
-        {
-            co_await settle_once(leader);
-        }
-    }
-}
-
-awaitable<void> catalog_watcher::settle_once(core::host_id leader)
-{
-    policy::account_meter& meter = with_.board_.section<meter_section>().meter_;
-    const std::vector<policy::unsettled_usage> uses =
-        meter.take_unsettled(core::steady_now());
-    if (uses.empty())
-    {
-        co_return;
-    }
-    settle_request request;
-    request.host_ = with_.identity().host_;
-    for (const policy::unsettled_usage& use : uses)
-    {
-        request.uses_.push_back({use.account_, use.used_, use.share_});
-    }
-    const core::result<settle_reply> reply = co_await ask<settle_reply>(
-        with_.peers_, leader, method::meters_settle, request, settle_timeout);
-    if (!core::is_ok(reply))
-    {
-        meter.restore_unsettled(uses);
-        co_return;
-    }
-    const core::time_point now = core::steady_now();
-    for (const account_usage_message& level : core::value(reply).levels_)
-    {
-        meter.settled(level.account_, level.level_, now);
-    }
-}
-
 } // namespace poplarroute::node
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -10,17 +10,11 @@
 #include "node/endpoint_list_follower.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/running_streams.hpp"
-#include "policy/account_meter.hpp"
+#include "node/usage_settler.hpp"
 
 namespace poplarroute::node
 {
 
-/// This host's view of the accounts' token levels.
-struct meter_section
-{
-    policy::account_meter meter_;
-};
-
 /// An entry host's connection to the group: it watches the catalog and the
 /// endpoint list at the leader, and settles the accounts' usage there.
 ///
@@ -52,8 +46,6 @@
     awaitable<part_result> fetch_part(document_download& download);
     awaitable<void> fetch_catalog_part();
     awaitable<void> fetch_list_part();
-    awaitable<void> settle_loop();
-    awaitable<void> settle_once(core::host_id leader);
     std::vector<core::host_id> known_members() const;
     core::host_id next_member();
     void apply(
@@ -88,6 +80,7 @@
     std::uint64_t known_version_ = 0;
 
     endpoint_list_follower list_;
+    usage_settler settler_;
     document_download catalog_download_;
     document_sources sources_;
     core::host_id download_source_; ///< Of the last part.
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -289,15 +289,31 @@
     call.service_ = call.route_.targets_.front().service_;
 }
 
-std::optional<ingress_controller::refusal> ingress_controller::charge(
-    ingress_call& call)
+/// \return whether this host charges a request. The leader charges streams when
+/// it places them.
+bool ingress_controller::is_charged_here(const ingress_call& call)
 {
     const control::catalog_service* service =
         call.catalog_->find_service(call.service_);
     const bool is_stream = service != nullptr && service->engine_;
-    if (call.account_.empty() || is_stream)
+    return !call.account_.empty() && !is_stream;
+}
+
+awaitable<void> ingress_controller::refresh_level(const ingress_call& call)
+{
+    const meter_section& section = with_.board_.section<meter_section>();
+    if (!section.refresh_ || !is_charged_here(call))
+    {
+        co_return;
+    }
+    co_await section.refresh_(call.account_);
+}
+
+std::optional<ingress_controller::refusal> ingress_controller::charge(
+    ingress_call& call)
+{
+    if (!is_charged_here(call))
     {
-        // The leader charges streams when it places them.
         return std::nullopt;
     }
     policy::account_meter& meter = with_.board_.section<meter_section>().meter_;
@@ -389,7 +405,7 @@
             "digest " + call.digest_ + ", parts " +
                 core::join_list(call.request_.shared_parts_, ',')};
     }
-    return charge(call);
+    return std::nullopt;
 }
 
 bool ingress_controller::is_ready() const
@@ -434,7 +450,12 @@
     call.request_ = ingress_.codec_.decode_request(exchange.request());
     ingress_result result;
     co_await wait_until_ready();
-    const std::optional<refusal> refused = admit(call);
+    std::optional<refusal> refused = admit(call);
+    if (!refused)
+    {
+        co_await refresh_level(call);
+        refused = charge(call);
+    }
     if (refused)
     {
         result.status_ = refused->status_;
--- a/node/ingress_controller.hpp
+++ b/node/ingress_controller.hpp
@@ -52,6 +52,8 @@
     std::optional<refusal> admit(ingress_call& call);
     std::optional<refusal> find_account(ingress_call& call);
     std::optional<refusal> check_stop(const ingress_call& call);
+    static bool is_charged_here(const ingress_call& call);
+    awaitable<void> refresh_level(const ingress_call& call);
     std::optional<refusal> charge(ingress_call& call);
     void choose_service(ingress_call& call) const;
     awaitable<void> forward(
--- a/node/placement_client.cpp
+++ b/node/placement_client.cpp
@@ -92,6 +92,8 @@
     using namespace drivers::asio::experimental::awaitable_operators;
     const core::time_point started_at = core::steady_now();
     const core::host_id leader = with_.board_.section<group_section>().leader_;
+    with_.board_.section<meter_section>().meter_.record_use(
+        request.account_, started_at);
     if (!leader.empty())
     {
         const auto reply = co_await (
--- a/policy/account_meter.cpp
+++ b/policy/account_meter.cpp
@@ -27,6 +27,20 @@
 /// come every 100 ms.
 constexpr core::duration settlement_overdue_after{150};
 
+/// Age of the last settlement above which an account that is far from its limit
+/// is settled again. With a check each 100 ms, settlements come every 200 ms,
+/// and at most every 300 ms, within their validity.
+constexpr core::duration far_settlement_age{180};
+
+/// Fraction of its share of the level that a host may use before it settles at
+/// the next check. What all hosts have used unsettled then stays below the
+/// level, apart from what arrives within one check's interval.
+constexpr double early_settlement_fraction = 0.5;
+
+/// How long after its last use at a host an account's level is kept up to date
+/// there. A new ledger adds up the shares of the hosts that do so.
+constexpr core::duration recent_use_time{10'000};
+
 /// Expected tokens admitted between two settlements if every host has a
 /// request, as a multiple of the level. Above 1, since not every host has one.
 constexpr double overbooking_factor = 3;
@@ -313,6 +327,7 @@
     }
     entry& item = found->second;
     refill(item, now);
+    item.used_at_ = now;
     item.largest_price_ = std::max(item.largest_price_, tokens);
     const auto price = static_cast<double>(tokens);
     const bool large = tokens * 2 > item.largest_price_;
@@ -361,7 +376,43 @@
         lacking, static_cast<double>(item.limit_.rate_) * share, random_);
 }
 
+unsettled_usage account_meter::take_usage(
+    const core::account_id& account, entry& item, core::time_point now)
+{
+    refill(item, now);
+    const unsettled_usage out{
+        account, item.unsettled_, static_cast<std::int64_t>(share_of(item))};
+    item.unsettled_ = 0;
+    return out;
+}
+
 std::vector<unsettled_usage> account_meter::take_unsettled(core::time_point now)
+{
+    std::vector<unsettled_usage> out;
+    for (auto& [account, item] : entries_)
+    {
+        if (item.limit_.rate_ != 0)
+        {
+            out.push_back(take_usage(account, item, now));
+        }
+    }
+    return out;
+}
+
+bool account_meter::is_settlement_due(
+    const entry& item, core::time_point now) const
+{
+    const bool is_old = now - item.settled_at_ >= far_settlement_age;
+    const bool is_near =
+        item.level_ <
+        low_level_fraction * static_cast<double>(item.limit_.burst_);
+    const auto used = static_cast<double>(item.unsettled_);
+    const double share = (item.level_ + used) * own_fraction();
+    return !item.was_settled_ || is_old || is_near ||
+           (used > 0 && used >= share * early_settlement_fraction);
+}
+
+std::vector<unsettled_usage> account_meter::take_due(core::time_point now)
 {
     std::vector<unsettled_usage> out;
     for (auto& [account, item] : entries_)
@@ -370,16 +421,55 @@
         {
             continue;
         }
-        refill(item, now);
-        out.push_back(
-            {account,
-             item.unsettled_,
-             static_cast<std::int64_t>(share_of(item))});
-        item.unsettled_ = 0;
+        const bool is_recent =
+            item.used_at_.ms_ > 0 && now - item.used_at_ <= recent_use_time;
+        const bool is_idle = !is_recent && item.unsettled_ == 0;
+        if (is_idle && item.was_settled_)
+        {
+            // Others may have used the whole level meanwhile. The host's own
+            // share begins to accrue when the leader is lost.
+            refill(item, now);
+            item.level_ = std::min(item.level_, 0.0);
+            item.ticket_expires_at_ = {};
+            continue;
+        }
+        if (is_settlement_due(item, now))
+        {
+            out.push_back(take_usage(account, item, now));
+        }
     }
     return out;
 }
 
+std::vector<unsettled_usage> account_meter::take(
+    const core::account_id& account, core::time_point now)
+{
+    const auto found = entries_.find(account);
+    if (found == entries_.end())
+    {
+        return {};
+    }
+    return {take_usage(account, found->second, now)};
+}
+
+bool account_meter::needs_level(
+    const core::account_id& account, core::time_point now) const
+{
+    const auto found = entries_.find(account);
+    return found != entries_.end() && found->second.limit_.rate_ != 0 &&
+           now - found->second.settled_at_ > settlement_overdue_after;
+}
+
+void account_meter::record_use(
+    const core::account_id& account, core::time_point now)
+{
+    const auto found = entries_.find(account);
+    if (found != entries_.end())
+    {
+        found->second.used_at_ = now;
+    }
+}
+
 void account_meter::settled(
     const core::account_id& account, std::int64_t level, core::time_point now)
 {
--- a/policy/account_meter.hpp
+++ b/policy/account_meter.hpp
@@ -145,6 +145,22 @@
     /// Takes the usage to settle, which then counts as settled.
     std::vector<unsettled_usage> take_unsettled(core::time_point now);
 
+    /// Takes the usage of the accounts whose settlement is due, while a leader
+    /// is known. Accounts without recent use are left out once they have been
+    /// settled, and get no share of their limit until their level is asked for.
+    std::vector<unsettled_usage> take_due(core::time_point now);
+
+    /// Takes one account's usage, before a request is charged to it.
+    std::vector<unsettled_usage> take(
+        const core::account_id& account, core::time_point now);
+
+    /// \return whether an account's level is too old to admit a request by.
+    bool needs_level(
+        const core::account_id& account, core::time_point now) const;
+
+    /// Records a use of an account that is charged elsewhere.
+    void record_use(const core::account_id& account, core::time_point now);
+
     /// Applies the level that a settlement returned.
     void settled(
         const core::account_id& account,
@@ -171,6 +187,7 @@
         std::int64_t unsettled_ = 0;
         core::time_point filled_at_;
         core::time_point settled_at_;
+        core::time_point used_at_;       ///< 0: not used yet.
         bool was_settled_ = false;       ///< Whether a ledger has told a level.
         bool isolated_ = false;          ///< Without recent settlements.
         std::int64_t largest_price_ = 0; ///< Of all requests so far, in tokens.
@@ -178,6 +195,9 @@
         core::time_point ticket_expires_at_;
     };
 
+    bool is_settlement_due(const entry& item, core::time_point now) const;
+    unsettled_usage take_usage(
+        const core::account_id& account, entry& item, core::time_point now);
     bool draw_with_probability(double probability);
     void refill_isolated(
         entry& item, double burst, double gain, core::time_point now);
