--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -3,15 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/redirect_error.hpp>
-
 #include "core/ini.hpp"
 #include "drivers/log.hpp"
 
 namespace poplarroute::node
 {
 
-namespace asio = drivers::asio;
 using core::errc;
 using core::error;
 using drivers::log_event;
@@ -75,7 +72,8 @@
           [&group]()
           {
               return group.leader();
-          })
+          }),
+      queues_(with)
 {
 }
 
@@ -87,13 +85,13 @@
         [this]()
         {
             apply_catalog();
-            wake_watchers();
+            queues_.wake_watches();
         });
     with_.board_.section<endpoint_section>().on_change_.emplace_back(
         [this]()
         {
             documents_.record_list();
-            wake_watchers();
+            queues_.wake_watches();
         });
     apply_catalog();
     placements_.start();
@@ -156,14 +154,6 @@
     }
 }
 
-void catalog_controller::wake_watchers()
-{
-    for (const auto& timer : watchers_)
-    {
-        timer->cancel();
-    }
-}
-
 void catalog_controller::track_leadership()
 {
     if (group_.leads() != was_leading_)
@@ -183,7 +173,7 @@
             apply_limits();
             group_manager_.begin_leading();
         }
-        wake_watchers();
+        queues_.wake_watches();
     }
     if (group_.leader() != last_leader_)
     {
@@ -192,7 +182,7 @@
             log_level::info,
             last_leader_.empty() ? "leader_lost" : "leader_known",
             {{"leader", last_leader_}, {"term", group_.member()->term()}});
-        wake_watchers();
+        queues_.wake_watches();
     }
 }
 
@@ -260,7 +250,7 @@
     {
         has_suspects_ = has_suspects;
         ++crash_revision_;
-        wake_watchers();
+        queues_.wake_watches();
     }
 }
 
@@ -604,6 +594,11 @@
 awaitable<core::result<document_part_reply>> catalog_controller::answer_part(
     document_part_request request)
 {
+    const auto dropped = queues_.check(policy::call_kind::part);
+    if (dropped)
+    {
+        co_return *dropped;
+    }
     core::result<document_part_reply> reply = documents_.answer_part(request);
     const bool relays =
         !core::is_ok(reply) && !group_.leads() && is_endpoint_list(request.id_);
@@ -635,16 +630,11 @@
     const core::duration max_wait{
         std::min(request.wait_ms_, max_watch_wait.ms_)};
     const core::time_point until = core::steady_now() + max_wait;
-    auto timer = std::make_shared<asio::steady_timer>(with_.io_);
-    watchers_.push_back(timer);
-    while (!has_updates(request) && core::steady_now() < until)
+    bool is_newest = true;
+    while (is_newest && !has_updates(request) && core::steady_now() < until)
     {
-        timer->expires_after((until - core::steady_now()).chrono());
-        drivers::error_code woken;
-        co_await timer->async_wait(
-            asio::redirect_error(asio::use_awaitable, woken));
+        is_newest = co_await queues_.hold_watch(request.host_, until);
     }
-    std::erase(watchers_, timer);
     track_leadership();
     watching_hosts_[request.host_] = {
         core::steady_now(), request.revision_, request.hosts_};
@@ -678,6 +668,11 @@
         [this](drivers::peer_identity, watch_request request)
             -> awaitable<core::result<watch_reply>>
         {
+            const auto dropped = queues_.check_watch(request.host_);
+            if (dropped)
+            {
+                co_return *dropped;
+            }
             co_return co_await answer_watch(std::move(request));
         });
     with_.calls_.add_typed<document_part_request, document_part_reply>(
@@ -813,6 +808,11 @@
             {
                 co_return error{errc::not_leader, group_.leader()};
             }
+            const auto dropped = queues_.check(policy::call_kind::settlement);
+            if (dropped)
+            {
+                co_return *dropped;
+            }
             co_return settle(request);
         });
     with_.calls_.add_typed<crash_message, empty_reply>(
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -12,6 +12,7 @@
 #include "node/document_relay.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/group_manager.hpp"
+#include "node/leader_queues.hpp"
 #include "node/placement_controller.hpp"
 #include "node/replica.hpp"
 #include "node/stage_controller.hpp"
@@ -93,7 +94,6 @@
     awaitable<placement_reply> charge_and_place(placement_request request);
     settle_reply settle(const settle_request& request);
     void apply_catalog();
-    void wake_watchers();
 
     /// Starts anew what a leader decides with, when this member has become one.
     /// It comes before each decision: what a follower kept counts nothing.
@@ -130,7 +130,7 @@
     std::map<core::host_id, watching_host> watching_hosts_;
     document_publisher documents_;
     document_relay relay_;
-    std::vector<std::shared_ptr<drivers::asio::steady_timer>> watchers_;
+    leader_queues queues_;
     bool was_leading_ = false;
     core::host_id last_leader_;
 };
--- a/node/fleet_settings.hpp
+++ b/node/fleet_settings.hpp
@@ -20,6 +20,10 @@
     core::duration order_lease_{3'000};
     double rate_excess_ = 0;      ///< Fraction by which a rate may be exceeded.
     std::int64_t rate_slack_ = 0; ///< Additional tokens in a window.
+    /// Calls of hosts that a leader answers; a part of a document counts as
+    /// ten.
+    std::int64_t leader_calls_per_second_ = 6'000;
+    std::int64_t max_watches_ = 2'048; ///< Held at a group member.
 };
 
 /// Settings of a process of a fleet that the platform deploys.
--- a/policy/account_meter.cpp
+++ b/policy/account_meter.cpp
@@ -11,8 +11,9 @@
 constexpr double ms_per_second = 1'000;
 
 /// After this time without a settlement a host falls back to its own share of
-/// each limit. Settlements come every 100 ms; three may be missed, since what
-/// all hosts admit without them can exceed the limit.
+/// each limit. Settlements come every 100 ms near the limit, where three may be
+/// missed, and at most every 300 ms far from it, since what all hosts admit
+/// without them can exceed the limit.
 constexpr core::duration settlement_validity{350};
 
 /// Fraction of its share that a host uses while it may be partitioned from a
@@ -23,8 +24,8 @@
 /// they share the level.
 constexpr double low_level_fraction = 0.5;
 
-/// Age of the last settlement above which the next one is overdue; settlements
-/// come every 100 ms.
+/// Age of the last settlement above which it alone admits no request;
+/// near the limit settlements come every 100 ms.
 constexpr core::duration settlement_overdue_after{150};
 
 /// Age of the last settlement above which an account that is far from its limit
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -52,6 +52,28 @@
     EXPECT_NE(text.find("file:3"), std::string::npos) << text;
 }
 
+TEST(platform_settings, refuses_bounds_at_the_leader_that_a_small_fleet_reaches)
+{
+    core::finding_list findings;
+    const auto defaults = parse_settings("file", entry_host_settings, findings);
+    EXPECT_EQ(defaults.bounds_.leader_calls_per_second_, 6'000);
+    EXPECT_EQ(defaults.bounds_.max_watches_, 2'048);
+    const std::string text = entry_host_settings;
+    const auto read = parse_settings(
+        "file",
+        text + "bounds.leaderCallsPerS=900\nbounds.maxWatches=70\n",
+        findings);
+    EXPECT_TRUE(findings.empty()) << findings.text();
+    EXPECT_EQ(read.bounds_.leader_calls_per_second_, 900);
+    EXPECT_EQ(read.bounds_.max_watches_, 70);
+    parse_settings(
+        "file",
+        text + "bounds.leaderCallsPerS=0\nbounds.maxWatches=-1\n",
+        findings);
+    EXPECT_NE(findings.text().find("leaderCallsPerS"), std::string::npos);
+    EXPECT_NE(findings.text().find("maxWatches"), std::string::npos);
+}
+
 RC_GTEST_PROP(platform_settings, survives_any_bytes, (std::string bytes))
 {
     core::finding_list findings;
