--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -72,6 +72,10 @@
 
     /// Number of live entry hosts, as last told to the host; 0: unknown.
     std::int64_t hosts_ = 0;
+
+    /// Whether the host takes changes of the endpoint list in the reply, from
+    /// list_revision_ on.
+    bool takes_changes_ = false;
 };
 
 /// An endpoint of the platform's list.
@@ -88,6 +92,16 @@
     std::int64_t started_at_ms_ = 0; ///< Unix time; 0: unknown.
 };
 
+/// Changes of an endpoint list between two revisions. They apply to each
+/// revision from the first on.
+struct list_changes
+{
+    std::uint64_t from_ = 0;
+    std::uint64_t to_ = 0;
+    std::vector<endpoint_message> changed_; ///< Added ones, too.
+    std::vector<core::endpoint_id> removed_;
+};
+
 /// Reply to watch_request.
 struct watch_reply
 {
@@ -110,7 +124,8 @@
     std::vector<endpoint_message> list_;
     std::int64_t list_age_ms_ = 0;
     /// Endpoints of the list that are leaving, which hosts heed at once: the
-    /// list itself is fetched by another call.
+    /// list itself is fetched by another call. Not stated to a host that has
+    /// the newest list or gets changes to it.
     std::vector<core::endpoint_id> leaving_;
     std::int64_t hosts_ = 0; ///< Number of live entry hosts; 0: unknown.
     std::uint64_t crash_revision_ = 0;
@@ -118,6 +133,12 @@
     std::vector<std::string> crashers_;
     /// Whether hosts report the requests and prompts that are answered.
     bool suspects_parts_ = false;
+    /// An encoded list_changes as a binary value, with times relative to when
+    /// the list was read; null: none are sent.
+    nlohmann::json list_changes_;
+    /// Endpoints that have left the list since the host's revision, for a host
+    /// that has to download the list.
+    std::vector<core::endpoint_id> withdrawn_;
 };
 
 /// Identifies a document that hosts fetch in parts.
@@ -134,6 +155,9 @@
 {
     document_id id_;
     std::uint64_t offset_ = 0; ///< In bytes of the compressed document.
+    /// Oldest revision that will do, since changes can bring it up to date; 0:
+    /// only the requested one or a newer one.
+    std::uint64_t least_revision_ = 0;
 };
 
 /// Part of a compressed document. It is of another revision than requested when
@@ -146,6 +170,7 @@
     std::uint64_t offset_ = 0;
     nlohmann::json bytes_;    ///< As a binary value.
     std::int64_t age_ms_ = 0; ///< Of the document's content.
+    core::zone_id zone_;      ///< Of the member that replies; empty: unknown.
 };
 
 /// The catalog as read at the leader.
@@ -306,7 +331,8 @@
     fetches_parts_,
     crashers_,
     leaving_,
-    hosts_)
+    hosts_,
+    takes_changes_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     endpoint_message,
     name_,
@@ -338,12 +364,16 @@
     hosts_,
     crash_revision_,
     crashers_,
-    suspects_parts_)
+    suspects_parts_,
+    list_changes_,
+    withdrawn_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    list_changes, from_, to_, changed_, removed_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_id, name_, revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    document_part_request, id_, offset_)
+    document_part_request, id_, offset_, least_revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    document_part_reply, id_, size_, checksum_, offset_, bytes_, age_ms_)
+    document_part_reply, id_, size_, checksum_, offset_, bytes_, age_ms_, zone_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     catalog_read_reply, version_, text_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
@@ -431,6 +461,9 @@
 document_id endpoint_list_document(
     std::string_view epoch, std::uint64_t revision);
 
+/// \return whether a document is an endpoint list.
+bool is_endpoint_list(const document_id& id);
+
 /// \return the refusal of a stream whose account is over its rate.
 /// \param inputs the values that decided it, for the log.
 /// \param wait time after which the caller may retry.
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -31,8 +31,10 @@
 constexpr core::duration leaderless_report_validity{1'500};
 
 /// Timeout of one part of a document, and the time until a failed one is asked
-/// for again.
+/// for again. A member that may be lost is waited for less long than the
+/// leader, to which the watch is open.
 constexpr core::duration part_timeout{2'000};
+constexpr core::duration relay_timeout{1'000};
 constexpr core::duration part_retry_interval{60};
 
 /// How long the quarantines that a previous leader imposed hold after a change
@@ -44,17 +46,17 @@
 /// host that reaches no such member has to serve at last.
 constexpr core::duration outdated_catalog_wait{3'000};
 
-/// Interval and timeout of the settlement of accounts' usage.
-constexpr core::duration settle_interval{100};
-constexpr core::duration settle_timeout{500};
-
 /// Age of the endpoint list after which this host reads it itself.
 constexpr core::duration list_stale_after{2'500};
 
 } // namespace
 
 catalog_watcher::catalog_watcher(context& with, const wire_codec& codec)
-    : with_(with), codec_(codec), download_wake_(with.io_)
+    : with_(with),
+      codec_(codec),
+      list_(with),
+      settler_(with),
+      download_wake_(with.io_)
 {
 }
 
@@ -62,14 +64,16 @@
 {
     started_at_ = core::steady_now();
     policy::account_meter& meter = with_.board_.section<meter_section>().meter_;
-    meter = policy::account_meter(core::stable_hash(with_.identity().host_));
+    const std::uint64_t seed = core::stable_hash(with_.identity().host_);
+    meter = policy::account_meter(seed);
+    sources_ = document_sources(seed);
     if (!with_.board_.section<settings_section>().settings_.first_start_)
     {
         meter.start_empty();
     }
     drivers::spawn(with_.io_, watch_loop());
     drivers::spawn(with_.io_, download_loop());
-    drivers::spawn(with_.io_, settle_loop());
+    settler_.start();
 }
 
 bool catalog_watcher::list_is_stale() const
@@ -79,7 +83,8 @@
            with_.board_.section<catalog_section>().view_ != nullptr;
 }
 
-core::host_id catalog_watcher::next_member()
+/// \return the members of the group and those that the settings name.
+std::vector<core::host_id> catalog_watcher::known_members() const
 {
     const group_section& group = with_.board_.section<group_section>();
     const auto& seeds =
@@ -92,6 +97,12 @@
             all.push_back(seed);
         }
     }
+    return all;
+}
+
+core::host_id catalog_watcher::next_member()
+{
+    const std::vector<core::host_id> all = known_members();
     return all.empty() ? core::host_id()
                        : all[next_member_index_++ % all.size()];
 }
@@ -102,12 +113,9 @@
     watch_request out;
     out.host_ = with_.identity().host_;
     out.revision_ = with_.board_.section<catalog_section>().revision_;
-    out.list_epoch_ = list.epoch_;
-    out.list_revision_ = list.revision_;
+    list_.add_to(out);
     out.crash_revision_ = crash_revision_;
     out.known_revision_ = known_revision_;
-    out.known_list_epoch_ = known_list_epoch_;
-    out.known_list_revision_ = known_list_revision_;
     out.fetches_parts_ = true;
     const auto& crashers = with_.board_.section<group_section>().crashers_;
     out.crashers_.assign(crashers.begin(), crashers.end());
@@ -213,7 +221,7 @@
             co_await drivers::sleep_for(leader_search_interval);
             continue;
         }
-        apply(core::value(reply), member);
+        apply(request, core::value(reply), member);
         record_leader_report(member, !core::value(reply).leader_.empty());
         wait = core::value(reply).leads_;
         if (!wait)
@@ -223,7 +231,10 @@
     }
 }
 
-void catalog_watcher::apply(const watch_reply& reply, const core::host_id& from)
+void catalog_watcher::apply(
+    const watch_request& request,
+    const watch_reply& reply,
+    const core::host_id& from)
 {
     group_section& group = with_.board_.section<group_section>();
     if (!reply.members_.empty())
@@ -253,7 +264,11 @@
     }
     group.leader_contact_at_ = core::steady_now();
     apply_quarantines(reply);
-    apply_endpoints(reply);
+    list_.apply(request, reply);
+    if (list_.needs_download())
+    {
+        download_wake_.cancel();
+    }
 }
 
 /// Takes the number of entry hosts from the leader; from another member, which
@@ -347,22 +362,11 @@
     return known_version_ > std::max(version, unreadable_version_);
 }
 
-/// \return whether the leader has another endpoint list. Only the leader has
-/// its list.
-bool catalog_watcher::needs_list() const
-{
-    const endpoint_section& list = with_.board_.section<endpoint_section>();
-    return !with_.board_.section<group_section>().leader_.empty() &&
-           !known_list_epoch_.empty() &&
-           (known_list_epoch_ != list.epoch_ ||
-            known_list_revision_ != list.revision_);
-}
-
 awaitable<void> catalog_watcher::download_loop()
 {
     for (;;)
     {
-        if (needs_list())
+        if (list_.needs_download())
         {
             co_await fetch_list_part();
         }
@@ -370,7 +374,7 @@
         {
             co_await fetch_catalog_part();
         }
-        if (!needs_list() && !needs_catalog())
+        if (!list_.needs_download() && !needs_catalog())
         {
             download_wake_.expires_at(
                 drivers::asio::steady_timer::time_point::max());
@@ -378,19 +382,25 @@
             co_await download_wake_.async_wait(drivers::asio::redirect_error(
                 drivers::asio::use_awaitable, woken));
             download_started_at_ = core::steady_now();
-            download_source_.clear();
         }
     }
 }
 
-/// Fetches the next part of a document; after a failure, waits a little.
+/// Fetches the next part of a document. After a failure, another member is
+/// asked at once; when the leader has failed, too, after a while.
 awaitable<catalog_watcher::part_result> catalog_watcher::fetch_part(
-    document_download& download, core::host_id source)
+    document_download& download)
 {
+    const core::host_id leader = with_.board_.section<group_section>().leader_;
+    const core::host_id source = sources_.choose(
+        known_members(), leader, with_.identity().zone_, core::steady_now());
+    download_source_ = source;
+    const bool is_last = source == leader || leader.empty();
+    const core::duration timeout = is_last ? part_timeout : relay_timeout;
     const document_part_request request = download.next_request();
     const core::result<document_part_reply> reply =
         co_await ask<document_part_reply>(
-            with_.peers_, source, method::document_part, request, part_timeout);
+            with_.peers_, source, method::document_part, request, timeout);
     core::error problem{core::errc::invalid, "the document is damaged"};
     if (!core::is_ok(reply))
     {
@@ -398,6 +408,7 @@
     }
     else
     {
+        sources_.record_reply(source, core::value(reply).zone_);
         const document_download::progress state =
             download.add(core::value(reply));
         if (state != document_download::progress::damaged)
@@ -407,6 +418,7 @@
                 : part_result::received;
         }
     }
+    sources_.record_failure(source, core::steady_now());
     log_event(
         log_level::warning,
         "part_failed",
@@ -417,80 +429,36 @@
          {"offset", request.offset_},
          {"since_ms", (core::steady_now() - download_started_at_).ms_}});
     with_.metrics_.count("poplarroute_part_failures_total");
-    co_await drivers::sleep_for(part_retry_interval);
+    if (is_last)
+    {
+        co_await drivers::sleep_for(part_retry_interval);
+    }
     co_return part_result::failed;
 }
 
 awaitable<void> catalog_watcher::fetch_list_part()
 {
-    list_download_.want(
-        endpoint_list_document(known_list_epoch_, known_list_revision_));
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
-    const part_result result = co_await fetch_part(list_download_, leader);
+    document_download& download = list_.download();
+    const part_result result = co_await fetch_part(download);
     if (result == part_result::completed)
     {
-        put_list_in_force(list_download_.take_content());
+        const bool is_news = list_.finish_download();
+        if (!is_news)
+        {
+            sources_.record_failure(download_source_, core::steady_now());
+        }
     }
 }
 
 awaitable<void> catalog_watcher::fetch_catalog_part()
 {
     catalog_download_.want(catalog_document(known_version_));
-    core::host_id source = download_source_;
-    if (source.empty())
-    {
-        source = with_.board_.section<group_section>().leader_;
-    }
-    if (source.empty())
-    {
-        source = next_member();
-    }
-    const part_result result = co_await fetch_part(catalog_download_, source);
+    const part_result result = co_await fetch_part(catalog_download_);
     if (result == part_result::completed)
     {
         put_in_force(
             catalog_download_.id().revision_, catalog_download_.take_content());
     }
-    if (result == part_result::failed)
-    {
-        download_source_ = next_member();
-    }
-}
-
-void catalog_watcher::put_list_in_force(std::string_view content)
-{
-    const document_id id = list_download_.id();
-    const bool is_current =
-        id.name_ == endpoint_list_document(known_list_epoch_, 0).name_;
-    if (!is_current)
-    {
-        // Another leader's list has become known meanwhile.
-        return;
-    }
-    const auto read = core::decode_cbor<std::vector<endpoint_message>>(content);
-    if (!read)
-    {
-        log_event(
-            log_level::error,
-            "list_unreadable",
-            {{"list", id.name_}, {"revision", id.revision_}});
-        known_list_epoch_.clear();
-        return;
-    }
-    std::vector<listed_endpoint> all;
-    all.reserve(read->size());
-    for (const endpoint_message& item : *read)
-    {
-        all.push_back(from_message(item));
-    }
-    endpoint_section& list = with_.board_.section<endpoint_section>();
-    list.epoch_ = known_list_epoch_;
-    const core::time_point now = core::steady_now();
-    update_notices(list, all, now);
-    replace_endpoints(list, all, now - list_download_.age());
-    list.read_at_ = std::max(list.read_at_, known_list_read_at_);
-    list.revision_ = id.revision_;
-    known_list_revision_ = std::max(known_list_revision_, id.revision_);
 }
 
 void catalog_watcher::put_in_force(std::uint64_t version, std::string_view text)
@@ -550,107 +518,4 @@
         core::steady_now());
 }
 
-/// Leaves out endpoints that the leader's list shows as leaving, before the
-/// list itself has arrived.
-void catalog_watcher::leave_out(std::span<const core::endpoint_id> names)
-{
-    endpoint_section& list = with_.board_.section<endpoint_section>();
-    bool changed = false;
-    for (const core::endpoint_id& name : names)
-    {
-        const auto found = list.endpoints_.find(name);
-        if (found != list.endpoints_.end() && !found->second.listed_.leaving_)
-        {
-            found->second.listed_.leaving_ = true;
-            changed = true;
-        }
-    }
-    if (changed)
-    {
-        for (const auto& call : list.on_change_)
-        {
-            call();
-        }
-    }
-}
-
-void catalog_watcher::apply_endpoints(const watch_reply& reply)
-{
-    endpoint_section& list = with_.board_.section<endpoint_section>();
-    const core::time_point read_at =
-        core::steady_now() - core::duration{reply.list_age_ms_};
-    if (reply.list_epoch_.empty())
-    {
-        return;
-    }
-    known_list_epoch_ = reply.list_epoch_;
-    known_list_revision_ = reply.list_revision_;
-    known_list_read_at_ = read_at;
-    leave_out(reply.leaving_);
-    if (!reply.list_sent_)
-    {
-        if (needs_list())
-        {
-            download_wake_.cancel();
-            return;
-        }
-        list.read_at_ = std::max(list.read_at_, read_at);
-        return;
-    }
-    std::vector<listed_endpoint> all;
-    all.reserve(reply.list_.size());
-    for (const endpoint_message& item : reply.list_)
-    {
-        all.push_back(from_message(item));
-    }
-    list.epoch_ = reply.list_epoch_;
-    update_notices(list, all, core::steady_now());
-    replace_endpoints(list, all, read_at);
-    list.revision_ = reply.list_revision_;
-}
-
-awaitable<void> catalog_watcher::settle_loop()
-{
-    for (;;)
-    {
-        co_await drivers::sleep_for(settle_interval);
-        drivers::flush_log();
-        const core::host_id leader =
-            with_.board_.section<group_section>().leader_;
-        if (!leader.empty())
-        {
-            co_await settle_once(leader);
-        }
-    }
-}
-
-awaitable<void> catalog_watcher::settle_once(core::host_id leader)
-{
-    policy::account_meter& meter = with_.board_.section<meter_section>().meter_;
-    const std::vector<policy::unsettled_usage> uses =
-        meter.take_unsettled(core::steady_now());
-    if (uses.empty())
-    {
-        co_return;
-    }
-    settle_request request;
-    request.host_ = with_.identity().host_;
-    for (const policy::unsettled_usage& use : uses)
-    {
-        request.uses_.push_back({use.account_, use.used_, use.share_});
-    }
-    const core::result<settle_reply> reply = co_await ask<settle_reply>(
-        with_.peers_, leader, method::meters_settle, request, settle_timeout);
-    if (!core::is_ok(reply))
-    {
-        meter.restore_unsettled(uses);
-        co_return;
-    }
-    const core::time_point now = core::steady_now();
-    for (const account_usage_message& level : core::value(reply).levels_)
-    {
-        meter.settled(level.account_, level.level_, now);
-    }
-}
-
 } // namespace poplarroute::node
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -1,25 +1,20 @@
 #pragma once
 
-#include <span>
 #include <string>
 #include <vector>
 
 #include "node/catalog_messages.hpp"
 #include "node/context.hpp"
 #include "node/document_download.hpp"
+#include "node/document_sources.hpp"
+#include "node/endpoint_list_follower.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/running_streams.hpp"
-#include "policy/account_meter.hpp"
+#include "node/usage_settler.hpp"
 
 namespace poplarroute::node
 {
 
-/// This host's view of the accounts' token levels.
-struct meter_section
-{
-    policy::account_meter meter_;
-};
-
 /// An entry host's connection to the group: it watches the catalog and the
 /// endpoint list at the leader, and settles the accounts' usage there.
 ///
@@ -48,24 +43,21 @@
 
     awaitable<void> watch_loop();
     awaitable<void> download_loop();
-    awaitable<part_result> fetch_part(
-        document_download& download, core::host_id source);
+    awaitable<part_result> fetch_part(document_download& download);
     awaitable<void> fetch_catalog_part();
     awaitable<void> fetch_list_part();
-    awaitable<void> settle_loop();
-    awaitable<void> settle_once(core::host_id leader);
+    std::vector<core::host_id> known_members() const;
     core::host_id next_member();
-    void apply(const watch_reply& reply, const core::host_id& from);
+    void apply(
+        const watch_request& request,
+        const watch_reply& reply,
+        const core::host_id& from);
     void apply_host_count(const watch_reply& reply);
     void apply_quarantines(const watch_reply& reply);
     void apply_catalog(const watch_reply& reply);
     bool may_be_outdated(const watch_reply& reply) const;
     bool needs_catalog() const;
-    bool needs_list() const;
-    void put_list_in_force(std::string_view content);
     void put_in_force(std::uint64_t version, std::string_view text);
-    void leave_out(std::span<const core::endpoint_id> names);
-    void apply_endpoints(const watch_reply& reply);
     void refresh_limits();
     watch_request next_watch_request(bool wait) const;
     void record_leader_report(const core::host_id& member, bool leader_known);
@@ -87,14 +79,11 @@
     std::uint64_t known_revision_ = 0;
     std::uint64_t known_version_ = 0;
 
-    /// The endpoint list that the leader has announced.
-    std::string known_list_epoch_;
-    std::uint64_t known_list_revision_ = 0;
-    core::time_point known_list_read_at_; ///< Last read, changed or not.
-
-    document_download list_download_;
+    endpoint_list_follower list_;
+    usage_settler settler_;
     document_download catalog_download_;
-    core::host_id download_source_; ///< Member; empty: the leader.
+    document_sources sources_;
+    core::host_id download_source_; ///< Of the last part.
     core::time_point download_started_at_;
     std::uint64_t unreadable_version_ = 0; ///< Newest that failed to decode.
     drivers::asio::steady_timer download_wake_;
