Bound what the connections of a process hold, together and each

drivers/connection_budget limits the connections and bytes of each listener and closes by a stated order; drivers/request_framing limits one request: read buffer, header, trailers (discarded), chunk framing and body. Calls of peers are counted until they are closed and their handler has ended, and peers that do not read are closed. Settings clients.* (platform) and client_* (product); counters and a log line for each reason.

--- a/drivers/appended_body.hpp
+++ b/drivers/appended_body.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/buffer_traits.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/optional.hpp>
--- a/drivers/byte_budget.hpp
+++ b/drivers/byte_budget.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <utility>
 
 namespace poplarroute::drivers
 {
@@ -23,10 +25,18 @@
         return used_;
     }
 
+    /// Sets what tries to free bytes when the budget does not suffice.
+    /// \param reclaim gets the number of bytes that are needed.
+    void set_reclaimer(std::function<void(std::size_t)> reclaim)
+    {
+        reclaim_ = std::move(reclaim);
+    }
+
 private:
     friend class byte_hold;
 
     std::size_t limit_;
+    std::function<void(std::size_t)> reclaim_;
     std::size_t used_ = 0;
 };
 
@@ -50,17 +60,26 @@
     /// \return false, without any change, if the budget does not suffice.
     bool resize(std::size_t bytes)
     {
-        const std::size_t others = budget_->used_ - bytes_;
-        if (bytes > bytes_ && others + bytes > budget_->limit_)
+        if (!suffices(bytes) && budget_->reclaim_)
+        {
+            budget_->reclaim_(bytes - bytes_);
+        }
+        if (!suffices(bytes))
         {
             return false;
         }
-        budget_->used_ = others + bytes;
+        budget_->used_ = budget_->used_ - bytes_ + bytes;
         bytes_ = bytes;
         return true;
     }
 
 private:
+    bool suffices(std::size_t bytes) const
+    {
+        return bytes <= bytes_ ||
+               budget_->used_ - bytes_ + bytes <= budget_->limit_;
+    }
+
     byte_budget_ptr budget_;
     std::size_t bytes_ = 0;
 };
--- a/drivers/host_settings.cpp
+++ b/drivers/host_settings.cpp
@@ -17,8 +17,16 @@
 constexpr std::int64_t default_drain_limit_ms = 120'000;
 constexpr std::int64_t default_body_bytes = 4LL * 1024 * 1024;
 constexpr std::int64_t max_body_bytes = 64LL * 1024 * 1024;
-constexpr std::int64_t default_max_connections = 4'096;
 constexpr std::int64_t max_connections = 100'000;
+constexpr std::int64_t min_memory_mb = 32;
+constexpr std::int64_t max_memory_mb = 1024LL * 1024;
+constexpr std::int64_t min_percent = 5;
+constexpr std::int64_t max_memory_percent = 60;
+constexpr std::int64_t max_descriptor_percent = 95;
+constexpr std::int64_t min_framing_bytes = 1'024;
+constexpr std::int64_t max_framing_bytes = 16LL * 1024 * 1024;
+constexpr std::int64_t min_write_timeout_ms = 100;
+constexpr std::int64_t max_write_timeout_ms = 600'000;
 constexpr std::int64_t default_platform_retire_delay_ms = 10'000;
 
 bool is_loopback(const std::string& address)
@@ -26,6 +34,48 @@
     return address.starts_with("127.");
 }
 
+/// Reads a size whose default is its current value.
+void read_size(
+    section_reader& reader,
+    const std::string& key,
+    std::int64_t least,
+    std::int64_t most,
+    std::size_t& value)
+{
+    value = static_cast<std::size_t>(
+        reader.number(key, least, most, static_cast<std::int64_t>(value)));
+}
+
+void read_clients(section_reader& reader, client_settings& clients)
+{
+    read_size(
+        reader, "memory_mb", min_memory_mb, max_memory_mb, clients.memory_mb_);
+    read_size(
+        reader,
+        "client_memory_percent",
+        min_percent,
+        max_memory_percent,
+        clients.memory_percent_);
+    read_size(
+        reader,
+        "client_descriptor_percent",
+        min_percent,
+        max_descriptor_percent,
+        clients.descriptor_percent_);
+    read_size(reader, "connections", 1, max_connections, clients.connections_);
+    read_size(
+        reader,
+        "client_framing_bytes",
+        min_framing_bytes,
+        max_framing_bytes,
+        clients.framing_bytes_);
+    clients.write_timeout_.ms_ = reader.number(
+        "client_write_timeout_ms",
+        min_write_timeout_ms,
+        max_write_timeout_ms,
+        clients.write_timeout_.ms_);
+}
+
 void read_host(section_reader& reader, host_settings_file& settings)
 {
     settings.name_ = reader.required("name");
@@ -46,8 +96,7 @@
         "reserve_first");
     settings.body_bytes_ =
         reader.number("body_bytes", 1'024, max_body_bytes, default_body_bytes);
-    settings.max_connections_ = reader.number(
-        "connections", 1, max_connections, default_max_connections);
+    read_clients(reader, settings.clients_);
     settings.allow_fault_injection_ = reader.flag("torture", false);
     if (settings.name_.find_first_of(" .:|") != std::string::npos)
     {
--- a/drivers/host_settings.hpp
+++ b/drivers/host_settings.hpp
@@ -7,6 +7,7 @@
 #include "core/clock.hpp"
 #include "core/finding.hpp"
 #include "core/ids.hpp"
+#include "drivers/connection_budget.hpp"
 
 namespace poplarroute::drivers
 {
@@ -38,8 +39,8 @@
     std::string tls_key_;
     std::string log_level_;
     bool log_json_ = false;
-    std::int64_t body_bytes_ = 0;      ///< Largest body of a request.
-    std::int64_t max_connections_ = 0; ///< From clients, open at a time.
+    std::int64_t body_bytes_ = 0; ///< Largest body of a request.
+    client_settings clients_;     ///< Limits on what clients take.
     /// "ip:port" of the platform's list of hosts; empty when there is none.
     std::string platform_list_address_;
     /// How long a host may be missing from that list before it is retired.
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -1,7 +1,9 @@
 #include "drivers/http_server.hpp"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <optional>
 #include <set>
 #include <stdexcept>
 
@@ -14,8 +16,8 @@
 
 #include "core/counted.hpp"
 #include "core/invariant.hpp"
-#include "drivers/appended_body.hpp"
 #include "drivers/log.hpp"
+#include "drivers/request_framing.hpp"
 
 namespace poplarroute::drivers
 {
@@ -30,12 +32,12 @@
         const tcp::endpoint& at,
         http_limits limits,
         http_handler handler,
-        byte_budget_ptr budget)
+        connection_group_ptr group)
         : context_(context),
           acceptor_(context, at),
           limits_(limits),
           handler_(std::move(handler)),
-          budget_(std::move(budget))
+          group_(std::move(group))
     {
     }
 
@@ -43,7 +45,7 @@
     tcp::acceptor acceptor_;
     http_limits limits_;
     http_handler handler_;
-    byte_budget_ptr budget_;
+    connection_group_ptr group_;
     bool stopping_ = false;
     bool keep_alive_disabled_ = false; ///< Each response closes its connection.
     std::size_t active_requests_ = 0;
@@ -63,6 +65,16 @@
 
 constexpr int status_unavailable = 503;
 
+/// What an open connection takes besides what it receives: coroutines, stream
+/// and bookkeeping.
+constexpr std::size_t connection_cost_bytes = 4 * 1024;
+
+/// Time to send a refusal.
+constexpr core::duration max_refusal_time{500};
+
+/// Responses up to this size are not counted.
+constexpr std::size_t small_response_bytes = 4 * 1024;
+
 std::string encode_chunk(std::string_view piece)
 {
     static constexpr char digits[] = "0123456789abcdef";
@@ -81,9 +93,11 @@
     beast_exchange(
         beast::tcp_stream& stream,
         const http_server::state& shared,
+        held_connection& held,
         http_request request,
         bool keep_alive)
         : stream_(stream),
+          held_(held),
           limits_(shared.limits_),
           keep_alive_disabled_(shared.keep_alive_disabled_),
           keep_alive_(keep_alive)
@@ -95,6 +109,14 @@
         int status, header_list headers, std::string body) override
     {
         mark_response_started();
+        if (limits_.counts_responses_ && body.size() > small_response_bytes &&
+            !held_.hold_body(request_.body_.size() + body.size()))
+        {
+            held_.group().report("response_memory", held_.remote());
+            status = status_unavailable;
+            headers = {{"Retry-After", "1"}};
+            body.clear();
+        }
         http::response<http::string_body> response;
         set_header_fields(response, status, headers);
         response.body() = std::move(body);
@@ -105,6 +127,7 @@
             stream_,
             response,
             asio::redirect_error(asio::use_awaitable, failed));
+        report_unread(failed);
         keep_alive_ = keep_alive_ && !failed;
     }
 
@@ -121,6 +144,7 @@
             stream_,
             serializer,
             asio::redirect_error(asio::use_awaitable, failed));
+        report_unread(failed);
         connection_broken_ = static_cast<bool>(failed);
     }
 
@@ -210,9 +234,18 @@
             stream_,
             asio::buffer(data),
             asio::redirect_error(asio::use_awaitable, failed));
+        report_unread(failed);
         connection_broken_ = static_cast<bool>(failed);
     }
 
+    void report_unread(const error_code& failed)
+    {
+        if (failed == beast::error::timeout)
+        {
+            held_.group().report("write_timeout", held_.remote());
+        }
+    }
+
     template <class Response>
     void set_header_fields(
         Response& response, int status, const header_list& headers)
@@ -228,36 +261,13 @@
     }
 
     beast::tcp_stream& stream_;
+    held_connection& held_;
     const http_limits& limits_;
     const bool& keep_alive_disabled_;
     bool keep_alive_;
     bool connection_broken_ = false;
 };
 
-http_request to_http_request(
-    http::request<appended_body>& message, std::string remote)
-{
-    http_request request;
-    request.method_ = std::string(message.method_string());
-    request.target_ = std::string(message.target());
-    request.remote_ = std::move(remote);
-    for (const auto& field : message)
-    {
-        request.headers_.emplace_back(field.name_string(), field.value());
-    }
-    request.body_ = std::move(message.body());
-    return request;
-}
-
-int status_of_read_error(const error_code& failed)
-{
-    if (failed == http::error::body_limit)
-    {
-        return 413;
-    }
-    return failed == http::error::header_limit ? 431 : 400;
-}
-
 /// Sends an error response to a request that is not read, and states that
 /// nothing was run.
 /// \param error JSON members that say what is wrong.
@@ -282,13 +292,10 @@
         stream, response, asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-bool is_malformed_request(const error_code& failed)
-{
-    return failed.category() ==
-               make_error_code(http::error::bad_method).category() &&
-           failed != http::error::end_of_stream &&
-           failed != http::error::partial_message;
-}
+constexpr request_refusal no_memory{
+    "memory",
+    status_unavailable,
+    R"("code":"overloaded","message":"Too many large requests.")"};
 
 /// Waits until a request begins to arrive on an idle connection.
 /// \return whether one does.
@@ -314,58 +321,126 @@
     co_return !failed;
 }
 
-/// Reads the next request of a connection.
-/// \param held counts its body towards the budget.
-/// \return whether a request was read.
-asio::awaitable<bool> read_request(
-    http_server::state& shared,
-    beast::tcp_stream& stream,
-    beast::flat_buffer& buffer,
-    http::request_parser<appended_body>& parser,
-    byte_hold& held)
+/// A request that has been read.
+struct read_result
 {
-    parser.header_limit(
-        static_cast<std::uint32_t>(shared.limits_.header_bytes_));
-    parser.body_limit(shared.limits_.body_bytes_);
-    error_code failed;
-    if (buffer.size() == 0)
+    http_request request_;
+    bool keep_alive_ = false;
+};
+
+request_limits limits_of_request(const http_limits& limits)
+{
+    return {limits.header_bytes_, limits.body_bytes_, limits.framing_bytes_};
+}
+
+/// Reads one request, within the limits of the server and the group.
+class request_reader
+{
+public:
+    request_reader(
+        const http_limits& limits,
+        beast::tcp_stream& stream,
+        beast::flat_buffer& buffer,
+        held_connection& held)
+        : read_timeout_(limits.read_timeout_),
+          stream_(stream),
+          buffer_(buffer),
+          held_(held),
+          framing_(limits_of_request(limits), buffer, held.remote())
     {
-        const bool arrives = co_await wait_for_request(shared, stream);
-        if (!arrives)
+    }
+
+    /// \return the request; nothing if the connection has to be closed.
+    asio::awaitable<std::optional<read_result>> read()
+    {
+        stream_.expires_after(read_timeout_.chrono());
+        std::optional<request_refusal> refused = parse();
+        while (!refused && !framing_.is_done())
         {
-            co_return false;
+            const bool received = co_await receive();
+            if (!received && !held_.ended())
+            {
+                co_return std::nullopt;
+            }
+            refused = parse();
         }
+        if (refused)
+        {
+            co_await refuse(*refused);
+            co_return std::nullopt;
+        }
+        const bool keep_alive = framing_.keep_alive();
+        co_return read_result{framing_.take(), keep_alive};
     }
-    stream.expires_after(shared.limits_.read_timeout_.chrono());
-    co_await http::async_read_header(
-        stream,
-        buffer,
-        parser,
-        asio::redirect_error(asio::use_awaitable, failed));
-    while (!failed && !parser.is_done())
+
+private:
+    /// \return whether bytes have arrived.
+    asio::awaitable<bool> receive()
     {
-        co_await http::async_read_some(
-            stream,
-            buffer,
-            parser,
+        error_code failed;
+        const std::size_t received = co_await stream_.async_read_some(
+            framing_.prepare(),
             asio::redirect_error(asio::use_awaitable, failed));
-        if (!failed && !held.resize(parser.get().body().size()))
+        buffer_.commit(received);
+        if (failed == beast::error::timeout)
+        {
+            held_.group().report("request_timeout", held_.remote());
+        }
+        co_return !failed;
+    }
+
+    std::optional<request_refusal> parse()
+    {
+        const std::optional<request_refusal> refused = framing_.parse();
+        const bool has_room =
+            held_.hold(connection_cost_bytes + framing_.held_bytes()) &&
+            held_.hold_body(framing_.body_bytes());
+        if (!refused && !has_room)
         {
-            co_await reject_unread_request(
-                stream,
-                status_unavailable,
-                R"("code":"overloaded","message":"Too many large requests.")");
-            co_return false;
+            return no_memory;
         }
+        return refused;
     }
-    if (failed && is_malformed_request(failed))
+
+    asio::awaitable<void> refuse(request_refusal refused)
     {
+        if (!held_.ended())
+        {
+            held_.group().report(refused.reason_, held_.remote());
+        }
+        stream_.expires_after(max_refusal_time.chrono());
         co_await reject_unread_request(
-            stream,
-            status_of_read_error(failed),
-            R"("code":"bad_request","message":"The request could not be read.")");
+            stream_, refused.status_, refused.error_);
     }
-    co_return !failed;
+
+    core::duration read_timeout_;
+    beast::tcp_stream& stream_;
+    beast::flat_buffer& buffer_;
+    held_connection& held_;
+    request_framing framing_;
+};
+
+/// Reads the next request of a connection.
+/// \return the request; nothing if the connection has to be closed.
+asio::awaitable<std::optional<read_result>> read_request(
+    http_server::state& shared,
+    beast::tcp_stream& stream,
+    beast::flat_buffer& buffer,
+    held_connection& held)
+{
+    if (buffer.size() == 0)
+    {
+        held.enter(held_connection::phase::idle);
+        const bool arrives = co_await wait_for_request(shared, stream);
+        if (!arrives || held.ended())
+        {
+            co_return std::nullopt;
+        }
+    }
+    held.enter(held_connection::phase::arriving);
+    request_reader reader(shared.limits_, stream, buffer, held);
+    std::optional<read_result> out = co_await reader.read();
+    co_return out;
 }
 
 /// Runs the handler of a request. An exception, such as one for lack of memory,
@@ -408,39 +483,86 @@
     }
 }
 
-asio::awaitable<void> serve(
-    std::shared_ptr<http_server::state> shared, tcp::socket socket)
+/// Ends a connection for its group. A request that is being read is refused
+/// first.
+bool end_connection(beast::tcp_stream& stream, held_connection::phase phase)
 {
-    const core::counted open(shared->open_connections_);
     error_code ignored;
-    const std::string remote =
-        socket.remote_endpoint(ignored).address().to_string();
-    socket.set_option(tcp::no_delay(true), ignored);
-    beast::tcp_stream stream(std::move(socket));
+    if (phase == held_connection::phase::idle)
+    {
+        if (stream.socket().available(ignored) > 0)
+        {
+            return false;
+        }
+        stream.close();
+        return true;
+    }
+    stream.cancel();
+    return true;
+}
+
+/// Serves the requests of a connection until it has to be closed.
+asio::awaitable<void> serve_requests(
+    http_server::state& shared,
+    beast::tcp_stream& stream,
+    held_connection& held)
+{
     beast::flat_buffer buffer;
     // A connection that is accepted while the server stops may still send one
     // request.
     bool keep_open = true;
     bool is_first = true;
-    while (keep_open && (is_first || !shared->stopping_))
+    while (keep_open && (is_first || !shared.stopping_))
     {
         is_first = false;
-        http::request_parser<appended_body> parser;
-        byte_hold held(shared->budget_);
-        const bool is_complete =
-            co_await read_request(*shared, stream, buffer, parser, held);
-        if (!is_complete)
+        std::optional<read_result> read =
+            co_await read_request(shared, stream, buffer, held);
+        if (!read)
         {
             break;
         }
         stream.expires_never();
-        const bool keep_alive = parser.get().keep_alive();
+        held.enter(held_connection::phase::running);
+        if (buffer.size() == 0)
+        {
+            buffer.shrink_to_fit();
+        }
         beast_exchange exchange(
-            stream, *shared, to_http_request(parser.get(), remote), keep_alive);
-        const core::counted active(shared->active_requests_);
-        co_await handle(*shared, exchange);
+            stream, shared, held, std::move(read->request_), read->keep_alive_);
+        const core::counted active(shared.active_requests_);
+        co_await handle(shared, exchange);
         keep_open = exchange.keep_alive();
+        held.hold_body(0);
+        held.hold(connection_cost_bytes + buffer.capacity());
     }
+}
+
+asio::awaitable<void> serve(
+    std::shared_ptr<http_server::state> shared, tcp::socket socket)
+{
+    const core::counted open(shared->open_connections_);
+    error_code ignored;
+    std::string remote = socket.remote_endpoint(ignored).address().to_string();
+    socket.set_option(tcp::no_delay(true), ignored);
+    beast::tcp_stream stream(std::move(socket));
+    held_connection held(
+        shared->group_,
+        std::move(remote),
+        [&stream](held_connection::phase phase)
+        {
+            return end_connection(stream, phase);
+        });
+    if (!held.hold(connection_cost_bytes))
+    {
+        shared->group_->report("memory", held.remote());
+        co_return;
+    }
+    co_await serve_requests(*shared, stream, held);
+    if (held.ended())
+    {
+        co_return;
+    }
+    held.enter(held_connection::phase::arriving);
     co_await lingering_close(stream);
 }
 
@@ -451,8 +573,7 @@
 {
     error_code failed;
     shared->acceptor_.non_blocking(true, failed);
-    while (!failed &&
-           shared->open_connections_ < shared->limits_.max_connections_)
+    while (!failed && shared->group_->admit())
     {
         tcp::socket socket(shared->context_);
         shared->acceptor_.accept(socket, failed);
@@ -478,8 +599,12 @@
             co_await sleep_for(accept_retry_delay);
             continue;
         }
-        if (shared->open_connections_ >= shared->limits_.max_connections_)
+        if (!shared->group_->admit())
         {
+            error_code ignored;
+            shared->group_->report(
+                "connections",
+                socket.remote_endpoint(ignored).address().to_string());
             continue;
         }
         spawn(shared->context_, serve(shared, std::move(socket)));
@@ -532,8 +657,26 @@
           parse_endpoint(address),
           limits,
           std::move(handler),
-          budget ? std::move(budget)
-                 : std::make_shared<byte_budget>(default_budget_bytes)))
+          std::make_shared<connection_group>(
+              "http",
+              listener_limits{limits.max_connections_, default_budget_bytes},
+              budget ? std::move(budget)
+                     : std::make_shared<byte_budget>(default_budget_bytes))))
+{
+}
+
+http_server::http_server(
+    asio::io_context& context,
+    const std::string& address,
+    http_limits limits,
+    http_handler handler,
+    connection_group_ptr group)
+    : state_(std::make_shared<state>(
+          context,
+          parse_endpoint(address),
+          limits,
+          std::move(handler),
+          std::move(group)))
 {
 }
 
--- a/drivers/http_server.hpp
+++ b/drivers/http_server.hpp
@@ -9,27 +9,12 @@
 
 #include "drivers/asio.hpp"
 #include "drivers/byte_budget.hpp"
+#include "drivers/connection_budget.hpp"
+#include "drivers/http_message.hpp"
 
 namespace poplarroute::drivers
 {
 
-/// A header list in the order it was received or is to be sent.
-using header_list = std::vector<std::pair<std::string, std::string>>;
-
-/// \return the first value of a header, whose name is compared without regard
-/// to case; empty if absent.
-std::string_view find_header(const header_list& headers, std::string_view name);
-
-/// A caller's request with its whole body.
-struct http_request
-{
-    std::string method_;
-    std::string target_;
-    header_list headers_;
-    std::string body_;
-    std::string remote_; ///< The caller's address, for logs.
-};
-
 /// One request of a caller, and its response.
 ///
 /// The response can be started once: starting it again is a programming error
@@ -97,9 +82,13 @@
     std::size_t header_bytes_ = 16 * 1024;     ///< Largest request header.
     std::size_t body_bytes_ = 4 * 1024 * 1024; ///< Largest request body.
     std::size_t max_connections_ = 4096;       ///< Open at a time.
+    std::size_t framing_bytes_ = 64 * 1024;    ///< Around a request's body.
     core::duration read_timeout_{15'000};      ///< For a whole request.
     core::duration idle_timeout_{60'000};      ///< Between two requests.
     core::duration write_timeout_{15'000};     ///< For one write of a response.
+    /// Whether large responses count towards the budget. Those of callers are
+    /// counted where they are received from endpoints.
+    bool counts_responses_ = false;
 };
 
 /// An HTTP/1.1 server with keep-alive.
@@ -118,6 +107,15 @@
         http_handler handler,
         byte_budget_ptr budget = nullptr);
 
+    /// Binds the port. The connections and their requests are limited by a
+    /// group, as documented there.
+    http_server(
+        asio::io_context& context,
+        const std::string& address,
+        http_limits limits,
+        http_handler handler,
+        connection_group_ptr group);
+
     /// Accepts connections until stop_accepting().
     void start();
 
--- a/drivers/peer_channel.cpp
+++ b/drivers/peer_channel.cpp
@@ -25,7 +25,11 @@
 /// Bounds of the time between two attempts to connect to an unreachable host.
 constexpr core::duration min_backoff{50};
 constexpr core::duration max_backoff{200};
-constexpr std::size_t max_connections = 2'048;
+
+/// Limits of a server that is given none.
+constexpr listener_limits default_limits{2'048, 256 * 1024 * 1024};
+
+constexpr core::duration unread_check_interval{500};
 constexpr int common_name_capacity_bytes = 256;
 
 /// Returns the identity "role:name" from the common name in the other side's
@@ -130,11 +134,15 @@
         asio::io_context& context,
         const std::string& address,
         tls_context tls,
-        peer_handler handler)
+        peer_handler handler,
+        connection_group_ptr group,
+        core::duration write_timeout)
         : context_(context),
           acceptor_(context, parse_endpoint(address)),
           tls_(std::move(tls)),
-          handler_(std::move(handler))
+          handler_(std::move(handler)),
+          group_(std::move(group)),
+          write_timeout_(write_timeout)
     {
     }
 
@@ -142,8 +150,9 @@
     tcp::acceptor acceptor_;
     tls_context tls_;
     peer_handler handler_;
+    connection_group_ptr group_;
+    core::duration write_timeout_;
     std::set<std::weak_ptr<peer_connection>, std::owner_less<>> connections_;
-    std::size_t handshakes_in_progress_ = 0;
 };
 
 namespace
@@ -163,13 +172,26 @@
 asio::awaitable<void> accept_peer(
     std::shared_ptr<peer_server::state> shared, tcp::socket socket)
 {
+    error_code ignored;
+    std::string address = socket.remote_endpoint(ignored).address().to_string();
     peer_stream stream =
         make_peer_stream(plain_stream(std::move(socket)), shared->tls_);
-    ++shared->handshakes_in_progress_;
+    auto held = std::make_unique<held_connection>(
+        shared->group_,
+        std::move(address),
+        [&stream](held_connection::phase)
+        {
+            std::visit(
+                [](auto& open)
+                {
+                    boost::beast::get_lowest_layer(open).close();
+                },
+                stream);
+            return true;
+        });
     const bool authenticated =
         co_await handshake(stream, asio::ssl::stream_base::server);
-    --shared->handshakes_in_progress_;
-    if (!authenticated)
+    if (!authenticated || held->ended())
     {
         co_return;
     }
@@ -179,12 +201,33 @@
         co_return;
     }
     auto connection = std::make_shared<peer_connection>(
-        shared->context_, std::move(stream), remote, shared->handler_);
-    remove_closed_connections(*shared);
+        shared->context_,
+        std::move(stream),
+        remote,
+        shared->handler_,
+        std::move(held));
     shared->connections_.insert(connection);
     connection->start();
 }
 
+/// Closes connections that are not read from, and forgets closed ones.
+asio::awaitable<void> check_connections(
+    std::shared_ptr<peer_server::state> shared)
+{
+    while (shared->acceptor_.is_open())
+    {
+        co_await sleep_for(unread_check_interval);
+        for (const auto& entry : shared->connections_)
+        {
+            if (const auto connection = entry.lock())
+            {
+                connection->close_if_unread(shared->write_timeout_);
+            }
+        }
+        remove_closed_connections(*shared);
+    }
+}
+
 asio::awaitable<void> accept_loop(std::shared_ptr<peer_server::state> shared)
 {
     static constexpr core::duration accept_retry_delay{20};
@@ -198,10 +241,12 @@
             co_await sleep_for(accept_retry_delay);
             continue;
         }
-        if (shared->connections_.size() + shared->handshakes_in_progress_ >=
-            max_connections)
+        if (!shared->group_->admit())
         {
-            remove_closed_connections(*shared);
+            error_code ignored;
+            shared->group_->report(
+                "connections",
+                socket.remote_endpoint(ignored).address().to_string());
             continue;
         }
         spawn(shared->context_, accept_peer(shared, std::move(socket)));
@@ -214,15 +259,26 @@
     asio::io_context& context,
     const std::string& address,
     tls_context tls,
-    peer_handler handler)
+    peer_handler handler,
+    connection_group_ptr group,
+    core::duration write_timeout)
     : state_(std::make_shared<state>(
-          context, address, std::move(tls), std::move(handler)))
+          context,
+          address,
+          std::move(tls),
+          std::move(handler),
+          group
+              ? std::move(group)
+              : std::make_shared<connection_group>(
+                    "peers", default_limits, std::make_shared<byte_budget>(0)),
+          write_timeout))
 {
 }
 
 void peer_server::start()
 {
     spawn(state_->context_, accept_loop(state_));
+    spawn(state_->context_, check_connections(state_));
 }
 
 void peer_server::stop()
--- a/drivers/peer_channel.hpp
+++ b/drivers/peer_channel.hpp
@@ -11,6 +11,7 @@
 
 #include "core/result.hpp"
 #include "drivers/asio.hpp"
+#include "drivers/connection_budget.hpp"
 #include "drivers/metrics.hpp"
 
 namespace poplarroute::drivers
@@ -63,11 +64,15 @@
 public:
     /// \param tls the certificates; null for plain text, which is allowed on
     /// loopback only.
+    /// \param group limits the connections; null: a group of the server's own.
+    /// \param write_timeout how long the other side may not read.
     peer_server(
         asio::io_context& context,
         const std::string& address,
         tls_context tls,
-        peer_handler handler);
+        peer_handler handler,
+        connection_group_ptr group = nullptr,
+        core::duration write_timeout = core::duration{15'000});
 
     void start();
     void stop();
--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -19,11 +19,19 @@
 constexpr std::int32_t window_bytes = 4 * 1024 * 1024;
 constexpr std::size_t max_body_bytes = 32 * 1024 * 1024;
 constexpr std::size_t write_batch_bytes = 256 * 1024;
-constexpr std::size_t read_buffer_bytes = 64 * 1024;
+constexpr std::size_t read_buffer_bytes = 16 * 1024;
+
+/// What an open connection takes besides its streams: read buffer, coroutines
+/// and the state of nghttp2.
+constexpr std::size_t connection_cost_bytes = 32 * 1024;
 constexpr int status_ok = 200;
 constexpr int status_error_base = 500;
 constexpr const char* path_prefix = "/call/";
 
+/// Longer than the name of any method. A longer one is not kept, so that the
+/// call is refused as one of an unknown method.
+constexpr std::size_t max_path_bytes = 256;
+
 nghttp2_nv make_header(std::string_view key, std::string_view text)
 {
     // nghttp2 copies both before it returns, and does not write to them.
@@ -78,12 +86,14 @@
     asio::io_context& context,
     peer_stream stream,
     peer_identity remote,
-    peer_handler handler)
+    peer_handler handler,
+    std::unique_ptr<held_connection> held)
     : context_(context),
       stream_(std::move(stream)),
       remote_(std::move(remote)),
       handler_(std::move(handler)),
-      writer_timer_(context)
+      writer_timer_(context),
+      held_(std::move(held))
 {
     make_session();
 }
@@ -123,6 +133,22 @@
         session_, NGHTTP2_FLAG_NONE, 0, window_bytes);
 }
 
+/// Counts what the connection holds, on the server side.
+/// \return false if there is no room for it, or the connection has been ended.
+bool peer_connection::hold_bytes()
+{
+    if (!held_)
+    {
+        return true;
+    }
+    const bool has_room = held_->hold(connection_cost_bytes + *stream_bytes_);
+    if (!has_room && !held_->ended())
+    {
+        held_->group().report("memory", held_->remote());
+    }
+    return has_room;
+}
+
 bool peer_connection::is_server() const
 {
     return static_cast<bool>(handler_);
@@ -131,6 +157,19 @@
 void peer_connection::start()
 {
     auto self = shared_from_this();
+    if (held_)
+    {
+        held_->set_ender(
+            [connection = weak_from_this()](held_connection::phase)
+            {
+                if (const auto ended = connection.lock())
+                {
+                    ended->close();
+                }
+                return true;
+            });
+        held_->enter(held_connection::phase::idle);
+    }
     spawn(
         context_,
         [](std::shared_ptr<peer_connection> connection) -> asio::awaitable<void>
@@ -165,6 +204,16 @@
     writer_timer_.cancel();
 }
 
+void peer_connection::close_if_unread(core::duration limit)
+{
+    if (!closed_ && writing_since_ &&
+        core::steady_now() - *writing_since_ > limit)
+    {
+        held_->group().report("write_timeout", held_->remote());
+        close();
+    }
+}
+
 asio::awaitable<core::result<std::string>> peer_connection::call(
     std::string method, std::string body, core::duration deadline)
 {
@@ -177,7 +226,7 @@
         co_return core::error{core::errc::overloaded, "too many calls"};
     }
     auto self = shared_from_this();
-    auto state = std::make_shared<stream_state>(context_);
+    auto state = std::make_shared<stream_state>(context_, stream_bytes_);
     state->outgoing_ = std::move(body);
     const core::time_point started_at = core::steady_now();
     const std::string path = path_prefix + method;
@@ -247,7 +296,13 @@
     if (connection.is_server() && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
     {
         connection.streams_[frame->hd.stream_id] =
-            std::make_shared<stream_state>(connection.context_);
+            std::make_shared<stream_state>(
+                connection.context_, connection.stream_bytes_);
+        connection.held_->enter(held_connection::phase::arriving);
+        if (!connection.hold_bytes())
+        {
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
     }
     return 0;
 }
@@ -272,7 +327,8 @@
         reinterpret_cast<const char*>(key), key_size);
     const std::string_view text_view(
         reinterpret_cast<const char*>(text), text_size);
-    if (key_view == ":path" && text_view.starts_with(path_prefix))
+    if (key_view == ":path" && text_view.starts_with(path_prefix) &&
+        text_view.size() <= max_path_bytes)
     {
         found->method_ = text_view.substr(std::strlen(path_prefix));
     }
@@ -291,7 +347,8 @@
     std::size_t size,
     void* user_data)
 {
-    const stream_state_ptr found = connection_of(user_data).find_stream(stream);
+    peer_connection& connection = connection_of(user_data);
+    const stream_state_ptr found = connection.find_stream(stream);
     if (!found)
     {
         return 0;
@@ -300,6 +357,11 @@
     {
         return NGHTTP2_ERR_CALLBACK_FAILURE;
     }
+    found->add_bytes(size);
+    if (!connection.hold_bytes())
+    {
+        return NGHTTP2_ERR_CALLBACK_FAILURE;
+    }
     found->incoming_.append(reinterpret_cast<const char*>(data), size);
     return 0;
 }
@@ -342,6 +404,11 @@
         found->finished_timer_.cancel();
     }
     connection.streams_.erase(stream);
+    if (connection.held_ && connection.streams_.empty())
+    {
+        connection.held_->enter(held_connection::phase::idle);
+        connection.hold_bytes();
+    }
     return 0;
 }
 
@@ -386,6 +453,12 @@
         status = status_of(core::failure(reply).code_);
         call->outgoing_ = core::failure(reply).message_;
     }
+    call->add_bytes(call->outgoing_.size());
+    if (!hold_bytes())
+    {
+        close();
+        co_return;
+    }
     const std::string status_text = std::to_string(status);
     const std::array<nghttp2_nv, 1> headers{
         make_header(":status", status_text)};
@@ -434,6 +507,7 @@
             continue;
         }
         traffic().bytes_out_ += out.size();
+        writing_since_ = core::steady_now();
         co_await std::visit(
             [&](auto& stream) -> asio::awaitable<void>
             {
@@ -443,6 +517,7 @@
                     asio::redirect_error(asio::use_awaitable, failed));
             },
             stream_);
+        writing_since_.reset();
         if (failed)
         {
             close();
--- a/drivers/peer_connection.hpp
+++ b/drivers/peer_connection.hpp
@@ -2,13 +2,16 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <nghttp2/nghttp2.h>
 
+#include "drivers/connection_budget.hpp"
 #include "drivers/peer_channel.hpp"
 
 namespace poplarroute::drivers
@@ -24,11 +27,14 @@
 public:
     /// \param handler handles calls on the server side; empty on the client
     /// side.
+    /// \param held limits what the connection holds, on the server side; null
+    /// on the client side, where deadlines and own calls do.
     peer_connection(
         asio::io_context& context,
         peer_stream stream,
         peer_identity remote,
-        peer_handler handler);
+        peer_handler handler,
+        std::unique_ptr<held_connection> held = nullptr);
     ~peer_connection();
     peer_connection(const peer_connection&) = delete;
     peer_connection& operator=(const peer_connection&) = delete;
@@ -45,6 +51,9 @@
         return closed_;
     }
 
+    /// Closes the connection if the other side has not read for a time.
+    void close_if_unread(core::duration limit);
+
     /// Makes a call and waits for its reply.
     asio::awaitable<core::result<std::string>> call(
         std::string method, std::string body, core::duration deadline);
@@ -53,9 +62,25 @@
     /// State of one HTTP/2 stream, on either side.
     struct stream_state
     {
-        explicit stream_state(asio::io_context& context)
-            : finished_timer_(context)
+        stream_state(
+            asio::io_context& context, std::shared_ptr<std::size_t> all_bytes)
+            : finished_timer_(context), all_bytes_(std::move(all_bytes))
+        {
+            *all_bytes_ += bytes_;
+        }
+
+        ~stream_state()
+        {
+            *all_bytes_ -= bytes_;
+        }
+
+        stream_state(const stream_state&) = delete;
+        stream_state& operator=(const stream_state&) = delete;
+
+        void add_bytes(std::size_t bytes)
         {
+            bytes_ += bytes;
+            *all_bytes_ += bytes;
         }
 
         std::string method_;
@@ -65,6 +90,13 @@
         int status_ = 0;
         bool finished_ = false;
         asio::steady_timer finished_timer_; ///< Cancelled to wake the caller.
+
+    private:
+        /// What a stream takes, here and in nghttp2, besides its bodies.
+        static constexpr std::size_t stream_cost_bytes_ = 1024;
+
+        std::size_t bytes_ = stream_cost_bytes_;
+        std::shared_ptr<std::size_t> all_bytes_; ///< Of the connection.
     };
 
     using stream_state_ptr = std::shared_ptr<stream_state>;
@@ -104,6 +136,7 @@
         void* user_data);
 
     void make_session();
+    bool hold_bytes();
     asio::awaitable<void> read_loop();
     asio::awaitable<void> write_loop();
     asio::awaitable<void> handle_call(
@@ -119,7 +152,13 @@
     peer_handler handler_;
     nghttp2_session* session_ = nullptr;
     asio::steady_timer writer_timer_; ///< Cancelled to wake write_loop().
+    std::unique_ptr<held_connection> held_;
+    /// Bytes of all streams, also of those whose handler still runs after they
+    /// were reset.
+    std::shared_ptr<std::size_t> stream_bytes_ =
+        std::make_shared<std::size_t>(0);
     std::map<std::int32_t, stream_state_ptr> streams_;
+    std::optional<core::time_point> writing_since_;
     bool closed_ = false;
     core::time_point last_read_at_;
 };
--- /dev/null
+++ b/drivers/request_framing.cpp
@@ -0,0 +1,159 @@
+#include "drivers/request_framing.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace poplarroute::drivers
+{
+
+namespace http = boost::beast::http;
+
+namespace
+{
+
+/// Largest read while a header, and while a body is received.
+constexpr std::size_t header_read_bytes = 4 * 1024;
+constexpr std::size_t body_read_bytes = 16 * 1024;
+
+/// Bytes of framing that are allowed for each byte of a body: a chunk of one
+/// byte takes six.
+constexpr std::size_t framing_bytes_per_byte = 8;
+
+/// What each received header takes besides its text, in the request and in what
+/// a handler derives from it.
+constexpr std::size_t header_cost_bytes = 192;
+
+constexpr std::string_view unreadable =
+    R"("code":"bad_request","message":"The request could not be read.")";
+constexpr request_refusal header_too_large{"header_limit", 431, unreadable};
+constexpr request_refusal body_too_large{"body_limit", 413, unreadable};
+constexpr request_refusal too_much_framing{"framing_limit", 400, unreadable};
+constexpr request_refusal malformed{"malformed", 400, unreadable};
+
+request_refusal refusal_of(const boost::beast::error_code& failed)
+{
+    if (failed == http::error::body_limit)
+    {
+        return body_too_large;
+    }
+    return failed == http::error::header_limit ? header_too_large : malformed;
+}
+
+} // namespace
+
+request_framing::request_framing(
+    request_limits limits, buffer_type& buffer, std::string remote)
+    : limits_(limits), buffer_(buffer)
+{
+    request_.remote_ = std::move(remote);
+    parser_.header_limit(static_cast<std::uint32_t>(limits_.header_bytes_));
+    parser_.body_limit(limits_.body_bytes_);
+    buffer_.max_size(limits_.header_bytes_ + header_read_bytes);
+}
+
+boost::asio::mutable_buffer request_framing::prepare()
+{
+    const std::size_t wanted =
+        parser_.is_header_done() ? body_read_bytes : header_read_bytes;
+    return buffer_.prepare(
+        std::min(wanted, buffer_.max_size() - buffer_.size()));
+}
+
+std::optional<request_refusal> request_framing::parse()
+{
+    while (buffer_.size() > 0 && !parser_.is_done())
+    {
+        const bool header_was_done = parser_.is_header_done();
+        // The parser adds trailers to the headers, so these are taken first.
+        parser_.eager(header_was_done);
+        boost::beast::error_code failed;
+        const std::size_t used = parser_.put(buffer_.data(), failed);
+        if (!header_was_done)
+        {
+            count_header(used);
+        }
+        buffer_.consume(used);
+        wire_bytes_ += used;
+        if (failed && failed != http::error::need_more)
+        {
+            return refusal_of(failed);
+        }
+        if (header_was_done)
+        {
+            drop_trailers();
+        }
+        else if (parser_.is_header_done())
+        {
+            take_header();
+        }
+        if (failed)
+        {
+            break;
+        }
+    }
+    return check_limits();
+}
+
+/// Counts what the parser keeps of a header, of which each line may be parsed
+/// before the next one arrives.
+void request_framing::count_header(std::size_t used)
+{
+    const auto* const begin = static_cast<const char*>(buffer_.data().data());
+    const auto lines =
+        static_cast<std::size_t>(std::count(begin, begin + used, '\n'));
+    parsed_cost_ += header_cost_bytes * lines + 2 * used;
+}
+
+void request_framing::drop_trailers()
+{
+    http::request<appended_body>& message = parser_.get();
+    if (message.begin() == message.end())
+    {
+        return;
+    }
+    for (const auto& field : message)
+    {
+        trailer_bytes_ += field.name_string().size() + field.value().size();
+    }
+    message.base().clear();
+}
+
+std::optional<request_refusal> request_framing::check_limits() const
+{
+    const std::size_t allowed = limits_.header_bytes_ + limits_.framing_bytes_ +
+                                (1 + framing_bytes_per_byte) * body_bytes();
+    if (wire_bytes_ > allowed)
+    {
+        return too_much_framing;
+    }
+    const bool is_full =
+        !parser_.is_done() && buffer_.size() >= buffer_.max_size();
+    if (is_full || trailer_bytes_ > limits_.header_bytes_)
+    {
+        return header_too_large;
+    }
+    return std::nullopt;
+}
+
+void request_framing::take_header()
+{
+    http::request<appended_body>& message = parser_.get();
+    request_.method_ = std::string(message.method_string());
+    request_.target_ = std::string(message.target());
+    request_.headers_.reserve(static_cast<std::size_t>(
+        std::distance(message.begin(), message.end())));
+    for (const auto& field : message)
+    {
+        request_.headers_.emplace_back(field.name_string(), field.value());
+    }
+    message.base().clear();
+}
+
+http_request request_framing::take()
+{
+    request_.body_ = std::move(parser_.get().body());
+    return std::move(request_);
+}
+
+} // namespace poplarroute::drivers
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -49,17 +49,25 @@
 
 /// Part of the process's memory that the requests and responses which it holds
 /// may take. Each may be copied once on its way.
-constexpr std::int64_t http_memory_divisor = 6;
-constexpr std::int64_t default_memory_mb = 144;
+constexpr std::size_t http_memory_divisor = 6;
+constexpr std::size_t default_memory_mb = 144;
 
-/// \return the budget of requests and responses.
 /// \param memory_mb memory of the process; 0: not stated.
+std::size_t known_memory_mb(std::int64_t memory_mb)
+{
+    return memory_mb > 0 ? static_cast<std::size_t>(memory_mb)
+                         : default_memory_mb;
+}
+
+/// \return the budget of requests and responses.
 std::size_t http_budget_bytes(std::int64_t memory_mb)
 {
-    const std::int64_t known = memory_mb > 0 ? memory_mb : default_memory_mb;
-    return static_cast<std::size_t>(known * 1024 * 1024 / http_memory_divisor);
+    return known_memory_mb(memory_mb) * 1024 * 1024 / http_memory_divisor;
 }
 
+/// Largest body of a request for readiness or metrics, which has none.
+constexpr std::size_t max_service_body_bytes = 1024;
+
 constexpr int status_ok = 200;
 constexpr int exit_status_connections_cut = 4;
 
@@ -106,6 +114,11 @@
     }
 
     core::result<core::done> build();
+    void divide_limits();
+    drivers::connection_group_ptr make_group(
+        const char* listener, const drivers::listener_limits& limits);
+    drivers::http_limits limits_of_clients();
+    drivers::http_limits limits_of_service();
     void open_ports();
     void open_entry_ports();
     void start();
@@ -126,6 +139,8 @@
     drivers::metrics metrics_;
     call_dispatcher calls_;
     drivers::byte_budget_ptr budget_; ///< Of requests and responses.
+    drivers::process_limits limits_;
+    std::vector<drivers::connection_group_ptr> groups_;
     drivers::http_client http_;
     drivers::peer_client peers_;
     context with_;
@@ -179,31 +194,75 @@
     return core::done();
 }
 
+void fleet_process::parts::divide_limits()
+{
+    drivers::client_settings clients = settings().clients_;
+    clients.memory_mb_ = known_memory_mb(settings().memory_mb_);
+    limits_ = drivers::divide_limits(clients, is_entry());
+}
+
+drivers::connection_group_ptr fleet_process::parts::make_group(
+    const char* listener, const drivers::listener_limits& limits)
+{
+    auto out = std::make_shared<drivers::connection_group>(
+        listener, limits, budget_, &metrics_);
+    groups_.push_back(out);
+    return out;
+}
+
+drivers::http_limits fleet_process::parts::limits_of_clients()
+{
+    drivers::http_limits out;
+    out.framing_bytes_ = settings().clients_.framing_bytes_;
+    out.write_timeout_ = settings().clients_.write_timeout_;
+    return out;
+}
+
+drivers::http_limits fleet_process::parts::limits_of_service()
+{
+    drivers::http_limits out = limits_of_clients();
+    out.body_bytes_ = max_service_body_bytes;
+    out.counts_responses_ = true;
+    return out;
+}
+
 void fleet_process::parts::open_entry_ports()
 {
+    const drivers::connection_group_ptr callers =
+        make_group("callers", limits_.callers_);
+    // Requests that still arrive give way to responses of those that run.
+    budget_->set_reclaimer(
+        [group = std::weak_ptr(callers)](std::size_t bytes)
+        {
+            if (const auto requests = group.lock())
+            {
+                requests->free_bodies(bytes);
+            }
+        });
     client_port_ = std::make_unique<drivers::http_server>(
         io_,
         settings().client_listen_,
-        drivers::http_limits(),
+        limits_of_clients(),
         [this](drivers::http_exchange& exchange)
         {
             return ingress_->handle(exchange);
         },
-        budget_);
+        callers);
     ready_port_ = std::make_unique<drivers::http_server>(
         io_,
         settings().ready_listen_,
-        drivers::http_limits(),
+        limits_of_service(),
         [this](drivers::http_exchange& exchange)
         {
             return answer_ready(exchange);
-        });
+        },
+        make_group("ready", limits_.service_));
     board_.section<catalog_section>().on_change_.emplace_back(
         [this]()
         {
             const control::caller_limits& configured =
                 board_.section<catalog_section>().view_->whole().limits_;
-            drivers::http_limits limits;
+            drivers::http_limits limits = limits_of_clients();
             limits.header_bytes_ =
                 static_cast<std::size_t>(configured.header_bytes_);
             limits.body_bytes_ =
@@ -216,26 +275,31 @@
 
 void fleet_process::parts::open_ports()
 {
+    divide_limits();
     if (is_entry())
     {
         open_entry_ports();
     }
     else
     {
+        drivers::http_limits limits = limits_of_clients();
+        limits.counts_responses_ = true;
         control_port_ = std::make_unique<drivers::http_server>(
             io_,
             settings().control_listen_,
-            drivers::http_limits(),
-            make_operator_handler_(*catalog_controller_));
+            limits,
+            make_operator_handler_(*catalog_controller_),
+            make_group("control", limits_.service_));
     }
     metrics_port_ = std::make_unique<drivers::http_server>(
         io_,
         settings().metrics_listen_,
-        drivers::http_limits(),
+        limits_of_service(),
         [this](drivers::http_exchange& exchange)
         {
             return answer_metrics(exchange);
-        });
+        },
+        make_group("metrics", limits_.service_));
     peer_port_ = std::make_unique<drivers::peer_server>(
         io_,
         settings().peer_listen_,
@@ -244,7 +308,9 @@
         {
             return calls_.answer(
                 std::move(from), std::move(name), std::move(body));
-        });
+        },
+        make_group("peers", limits_.peers_),
+        settings().clients_.write_timeout_);
 }
 
 awaitable<void> fleet_process::parts::answer_ready(
@@ -287,6 +353,18 @@
         {},
         static_cast<double>(board_.section<catalog_section>().revision_));
     drivers::set_traffic_metrics(metrics_);
+    for (const drivers::connection_group_ptr& group : groups_)
+    {
+        const drivers::metric_labels labels{{"listener", group->listener()}};
+        metrics_.set(
+            "poplarroute_connections",
+            labels,
+            static_cast<double>(group->connections()));
+        metrics_.set(
+            "poplarroute_connection_bytes",
+            labels,
+            static_cast<double>(group->bytes()));
+    }
     if (ingress_)
     {
         metrics_.set(
--- a/node/fleet_settings.hpp
+++ b/node/fleet_settings.hpp
@@ -5,6 +5,7 @@
 
 #include "core/clock.hpp"
 #include "core/ids.hpp"
+#include "drivers/connection_budget.hpp"
 
 namespace poplarroute::node
 {
@@ -40,6 +41,7 @@
     std::vector<core::zone_id> zones_;
     std::int64_t memory_mb_ = 0; ///< Memory of this process; 0: not stated.
     fleet_bounds bounds_;
+    drivers::client_settings clients_; ///< Its memory is memory_mb_.
 };
 
 } // namespace poplarroute::node
--- a/node/host_process.cpp
+++ b/node/host_process.cpp
@@ -41,6 +41,10 @@
 constexpr core::duration final_message_delay{200};
 
 constexpr int exit_status_requests_cut = 4;
+constexpr std::size_t bytes_per_mb = 1024 * 1024;
+
+/// Part of the process's memory that the bodies of requests may take.
+constexpr std::size_t body_memory_divisor = 6;
 
 core::result<drivers::tls_context> make_tls(
     const drivers::host_settings_file& settings)
@@ -174,10 +178,23 @@
 
 void host_process::parts::open_ports()
 {
+    const drivers::client_settings& clients = settings().clients_;
+    const drivers::process_limits shares =
+        drivers::divide_limits(clients, true);
+    const auto bodies = std::make_shared<drivers::byte_budget>(
+        clients.memory_mb_ * bytes_per_mb / body_memory_divisor);
+    const auto make_group =
+        [&](const char* listener, const drivers::listener_limits& share)
+    {
+        return std::make_shared<drivers::connection_group>(
+            listener, share, bodies, &metrics_);
+    };
     drivers::http_limits limits;
+    limits.framing_bytes_ = clients.framing_bytes_;
+    limits.write_timeout_ = clients.write_timeout_;
+    drivers::http_limits admin_limits = limits;
+    admin_limits.counts_responses_ = true;
     limits.body_bytes_ = static_cast<std::size_t>(settings().body_bytes_);
-    limits.max_connections_ =
-        static_cast<std::size_t>(settings().max_connections_);
     client_port_ = std::make_unique<drivers::http_server>(
         io_,
         settings().client_listen_,
@@ -185,15 +202,17 @@
         [this](drivers::http_exchange& exchange)
         {
             return entry_->answer(exchange);
-        });
+        },
+        make_group("callers", shares.callers_));
     admin_port_ = std::make_unique<drivers::http_server>(
         io_,
         settings().admin_listen_,
-        drivers::http_limits(),
+        admin_limits,
         [this](drivers::http_exchange& exchange)
         {
             return admin_->answer(exchange);
-        });
+        },
+        make_group("admin", shares.service_));
     peer_port_ = std::make_unique<drivers::peer_server>(
         io_,
         settings().peer_listen_,
@@ -202,7 +221,9 @@
         {
             return calls_.answer(
                 std::move(from), std::move(name), std::move(body));
-        });
+        },
+        make_group("peers", shares.peers_),
+        clients.write_timeout_);
 }
 
 void host_process::parts::register_block_peers()
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -52,6 +52,35 @@
     EXPECT_NE(text.find("file:3"), std::string::npos) << text;
 }
 
+TEST(platform_settings, reads_and_checks_the_limits_on_clients)
+{
+    core::finding_list findings;
+    const std::string with_limits =
+        std::string(entry_host_settings) +
+        "clients.memoryPercent=20\nclients.descriptorPercent=50\n"
+        "clients.connections=300\nclients.framingBytes=2048\n"
+        "clients.writeTimeoutMs=2000\n";
+    const auto read = parse_settings("file", with_limits, findings);
+    EXPECT_TRUE(findings.empty()) << findings.text();
+    EXPECT_EQ(read.clients_.memory_percent_, 20U);
+    EXPECT_EQ(read.clients_.descriptor_percent_, 50U);
+    EXPECT_EQ(read.clients_.connections_, 300U);
+    EXPECT_EQ(read.clients_.framing_bytes_, 2'048U);
+    EXPECT_EQ(read.clients_.write_timeout_.ms_, 2'000);
+    for (const char* wrong :
+         {"clients.memoryPercent=61",
+          "clients.connections=0",
+          "clients.framingBytes=1.5e3x",
+          "clients.writeTimeoutMs=2000.5",
+          "limits.memoryMb=nan",
+          "bounds.graceS=1e300"})
+    {
+        core::finding_list found;
+        parse_settings("file", std::string(entry_host_settings) + wrong, found);
+        EXPECT_FALSE(found.empty()) << wrong;
+    }
+}
+
 RC_GTEST_PROP(platform_settings, survives_any_bytes, (std::string bytes))
 {
     core::finding_list findings;
