--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -13,6 +13,7 @@
 #include "node/group_manager.hpp"
 #include "node/placement_controller.hpp"
 #include "node/replica.hpp"
+#include "node/rollout_orders.hpp"
 #include "node/stage_controller.hpp"
 #include "policy/account_meter.hpp"
 #include "policy/crash_counter.hpp"
@@ -22,14 +23,6 @@
 namespace poplarroute::node
 {
 
-/// Result of an operator's call.
-struct operator_call_result
-{
-    bool accepted_ = false;
-    bool invalid_ = false; ///< It cannot be accepted, even if retried.
-    std::string problem_;  ///< Error message for the operator.
-};
-
 /// Version and text of the newest catalog, read at the leader.
 struct catalog_contents
 {
@@ -59,6 +52,12 @@
     /// Reads the newest catalog (linearizable read).
     awaitable<core::result<catalog_contents>> read();
 
+    /// \return what starts, withdraws and shows roll-outs for operators.
+    rollout_orders& rollout_calls()
+    {
+        return rollout_orders_;
+    }
+
     bool leads()
     {
         track_leadership();
@@ -118,6 +117,7 @@
     placement_controller placements_;
     stage_controller stages_;
     group_manager group_manager_;
+    rollout_orders rollout_orders_;
     policy::meter_ledger ledger_;
     std::map<core::service_id, policy::retry_allowance> retry_allowances_;
     policy::crash_counter crashes_;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -86,6 +86,7 @@
     std::int64_t cold_ms_ = 0;
     bool reads_prompts_ = false;
     std::int64_t started_at_ms_ = 0; ///< Unix time; 0: unknown.
+    std::string version_;            ///< Of its software; empty: not stated.
 };
 
 /// Reply to watch_request.
@@ -305,7 +306,8 @@
     leaving_,
     cold_ms_,
     reads_prompts_,
-    started_at_ms_)
+    started_at_ms_,
+    version_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     watch_reply,
     leads_,
--- a/node/fleet_settings.hpp
+++ b/node/fleet_settings.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,15 @@
     core::duration order_lease_{3'000};
     double rate_excess_ = 0;      ///< Fraction by which a rate may be exceeded.
     std::int64_t rate_slack_ = 0; ///< Additional tokens in a window.
+
+    /// Share of a service's requests that a bad target of a roll-out may get.
+    /// Absent: no roll-outs are served.
+    std::optional<double> rollout_share_;
+    std::int64_t rollout_slack_ = 50; ///< Requests besides that share.
+    /// Time after its fiftieth bad answer in which a bad target is withdrawn.
+    core::duration rollback_time_{5'000};
+    /// Time for which an operator sends an order again that was not answered.
+    core::duration operator_ack_time_{5'000};
 };
 
 /// Settings of a process of a fleet that the platform deploys.
--- a/node/wire_codec.hpp
+++ b/node/wire_codec.hpp
@@ -87,6 +87,7 @@
     std::int64_t started_at_ms_ = 0; ///< Unix time of its start; 0: unknown.
     core::duration cold_time_left_;
     bool reads_prompts_ = false; ///< It prefills; other engines decode.
+    std::string version_;        ///< Of its software; empty: not stated.
 };
 
 /// A page of the platform's endpoint list.
