--- a/control/rollouts.hpp
+++ b/control/rollouts.hpp
@@ -148,6 +148,10 @@
 /// \return the phase with a name, or nothing.
 std::optional<rollout_phase> parse_rollout_phase(std::string_view name);
 
+/// \return whether an order is a repeat of the one that started a roll-out.
+/// \pre the times of both are at most 10^15 ms.
+bool is_repeat(const start_rollout& order, const rollout& item);
+
 /// \return a new roll-out in the phase trial.
 /// \param id of the new roll-out.
 /// \param earlier the service's latest roll-out, which has ended, or nullptr.
--- a/node/rollout_orders.hpp
+++ b/node/rollout_orders.hpp
@@ -29,8 +29,7 @@
 {
 
 /// Calls of operators, which each member takes.
-inline constexpr const char* rollouts_start = "rollouts.start";
-inline constexpr const char* rollouts_cancel = "rollouts.cancel";
+inline constexpr const char* rollouts_order = "rollouts.order";
 inline constexpr const char* rollouts_show = "rollouts.show";
 
 /// Calls of members to the leader, which it does not forward.
@@ -46,7 +45,7 @@
     std::string target_;
     std::int64_t deadline_ms_ = 0;   ///< Duration since ordered_at_ms_.
     std::int64_t ordered_at_ms_ = 0; ///< Unix time of the member that took it.
-    bool withdraws_ = false;         ///< The fields between are then unused.
+    bool withdraws_ = false; ///< Whether it withdraws the running roll-out.
 };
 
 /// The leader's decision on an order.
@@ -130,6 +129,11 @@
     awaitable<core::result<rollout_history>> read_here(
         core::service_id service);
 
+    /// \return why an order can never be accepted; empty if nothing is wrong
+    /// with it.
+    std::string find_problem(const rollout_order& order) const;
+    control::start_rollout make_command(const rollout_order& order) const;
+    void log_started(const rollout_order& order, bool is_new) const;
     std::vector<std::string> listed_versions(
         const core::service_id& service) const;
 
