--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -83,7 +83,15 @@
       codec_(codec),
       placements_(with, placement_controller::scope::fleet),
       stages_(with, group, codec, placements_),
-      group_manager_(with, group)
+      group_manager_(with, group),
+      rollout_orders_(with, group),
+      rollouts_(
+          with,
+          group,
+          [this]()
+          {
+              return watching_host_names();
+          })
 {
 }
 
@@ -106,6 +114,7 @@
     placements_.start();
     stages_.start();
     group_manager_.start();
+    rollouts_.start();
     drivers::spawn(with_.io_, maintenance_loop());
 }
 
@@ -188,6 +197,7 @@
             retry_allowances_.clear();
             apply_limits();
             group_manager_.begin_leading();
+            rollouts_.begin_leading();
         }
         wake_watchers();
     }
@@ -388,6 +398,21 @@
     return led < host_timeout ? std::max(told, watching) : watching;
 }
 
+std::vector<core::host_id> catalog_controller::watching_host_names() const
+{
+    std::vector<core::host_id> out;
+    out.reserve(watching_hosts_.size());
+    const core::time_point now = core::steady_now();
+    for (const auto& [host, item] : watching_hosts_)
+    {
+        if (now - item.seen_at_ <= host_timeout)
+        {
+            out.push_back(host);
+        }
+    }
+    return out;
+}
+
 std::int64_t catalog_controller::hosts_behind() const
 {
     const std::uint64_t newest = group_.state().revision();
@@ -644,6 +669,7 @@
         quarantined_parts_.begin(),
         quarantined_parts_.end());
     out.suspects_parts_ = has_suspects_;
+    out.rollouts_ = rollouts_.to_tell();
     return out;
 }
 
@@ -795,6 +821,39 @@
         });
 }
 
+/// Places a stream on engines of the role that a roll-out has for it. One that
+/// the target of a trial has no room for goes to the replaced versions.
+awaitable<placement_reply> catalog_controller::place_in_role(
+    placement_request request)
+{
+    const core::time_point began_at = core::steady_now();
+    placement_request first = request;
+    const rollout_controller::placement_role role =
+        rollouts_.restrict_placement(first, true);
+    if (role.is_trial_)
+    {
+        first.give_up_ms_ /= 2;
+    }
+    placement_reply reply = co_await placements_.place(std::move(first));
+    reply.is_target_ = role.is_target_ && reply.placed_;
+    if (reply.placed_ || !role.is_trial_)
+    {
+        co_return reply;
+    }
+    rollouts_.return_exposure(request);
+    const core::duration waited = core::steady_now() - began_at;
+    request.on_time_ms_ -= waited.ms_;
+    request.give_up_ms_ -= waited.ms_;
+    if (request.pins_version_ || request.give_up_ms_ <= 0)
+    {
+        co_return reply;
+    }
+    rollouts_.restrict_placement(request, false);
+    reply = co_await placements_.place(std::move(request));
+    reply.waited_ms_ += waited.ms_;
+    co_return reply;
+}
+
 awaitable<placement_reply> catalog_controller::charge_and_place(
     placement_request request)
 {
@@ -820,7 +879,7 @@
             ledger_.inputs(account, price, now),
             ledger_.wait_for(account, price, now));
     }
-    placement_reply reply = co_await placements_.place(std::move(request));
+    placement_reply reply = co_await place_in_role(std::move(request));
     if (price > 0 && !reply.placed_)
     {
         ledger_.refund(account, price);
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -13,6 +13,7 @@
 #include "node/group_manager.hpp"
 #include "node/placement_controller.hpp"
 #include "node/replica.hpp"
+#include "node/rollout_controller.hpp"
 #include "node/rollout_orders.hpp"
 #include "node/stage_controller.hpp"
 #include "policy/account_meter.hpp"
@@ -91,6 +92,7 @@
         const document_part_request& request);
     void apply_limits();
     awaitable<placement_reply> charge_and_place(placement_request request);
+    awaitable<placement_reply> place_in_role(placement_request request);
     settle_reply settle(const settle_request& request);
     void apply_catalog();
     void wake_watchers();
@@ -110,6 +112,7 @@
     void adopt_quarantines(const watch_request& request);
     void publish_quarantines(bool requests_changed);
     std::int64_t live_hosts() const;
+    std::vector<core::host_id> watching_host_names() const;
 
     context& with_;
     catalog_replica& group_;
@@ -118,6 +121,7 @@
     stage_controller stages_;
     group_manager group_manager_;
     rollout_orders rollout_orders_;
+    rollout_controller rollouts_;
     policy::meter_ledger ledger_;
     std::map<core::service_id, policy::retry_allowance> retry_allowances_;
     policy::crash_counter crashes_;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "control/rollouts.hpp"
 #include "core/codec.hpp"
 #include "core/ids.hpp"
 #include "node/wire_codec.hpp"
@@ -119,6 +120,8 @@
     std::vector<std::string> crashers_;
     /// Whether hosts report the requests and prompts that are answered.
     bool suspects_parts_ = false;
+    /// The latest roll-out of each service, without its history.
+    std::vector<control::rollout> rollouts_;
 };
 
 /// Identifies a document that hosts fetch in parts.
@@ -191,6 +194,10 @@
     core::account_id account_;
     std::int64_t price_ = 0; ///< Charged to the account; 0: nothing to charge.
     std::int64_t resends_ = 0; ///< Number of retries that the placement is for.
+    /// Whether only engines of kv_version_ may serve it: one of them has
+    /// prefilled the prompt.
+    bool pins_version_ = false;
+    std::string kv_version_;
 };
 
 /// A placement, or the refusal of one.
@@ -205,6 +212,9 @@
     std::int64_t waited_ms_ = 0;
     std::int64_t waiting_ = 0;     ///< Number of queued streams.
     bool decided_locally_ = false; ///< Decided without a leader; not sent.
+    /// Whether its engines are of a running roll-out's target, which the leader
+    /// permits for rollout_grant_validity.
+    bool is_target_ = false;
 };
 
 /// Reports that a stream ended and how.
@@ -328,7 +338,8 @@
     hosts_,
     crash_revision_,
     crashers_,
-    suspects_parts_)
+    suspects_parts_,
+    rollouts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_id, name_, revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     document_part_request, id_, offset_)
@@ -357,7 +368,9 @@
     avoid_,
     account_,
     price_,
-    resends_)
+    resends_,
+    pins_version_,
+    kv_version_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     placement_reply,
     placed_,
@@ -367,7 +380,8 @@
     reason_,
     retry_ms_,
     waited_ms_,
-    waiting_)
+    waiting_,
+    is_target_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     stream_end_message,
     service_,
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -53,8 +53,9 @@
 
 } // namespace
 
-catalog_watcher::catalog_watcher(context& with, const wire_codec& codec)
-    : with_(with), codec_(codec), download_wake_(with.io_)
+catalog_watcher::catalog_watcher(
+    context& with, const wire_codec& codec, rollout_client& rollouts)
+    : with_(with), codec_(codec), rollouts_(rollouts), download_wake_(with.io_)
 {
 }
 
@@ -230,6 +231,9 @@
     {
         group.members_ = reply.members_;
     }
+    // Before the endpoint list, which may contain versions that a roll-out is
+    // about.
+    rollouts_.apply(reply.rollouts_);
     if (!may_be_outdated(reply))
     {
         apply_catalog(reply);
@@ -490,6 +494,10 @@
     replace_endpoints(list, all, now - list_download_.age());
     list.read_at_ = std::max(list.read_at_, known_list_read_at_);
     list.revision_ = id.revision_;
+    if (id.revision_ <= known_list_revision_)
+    {
+        rollouts_.confirm_versions();
+    }
     known_list_revision_ = std::max(known_list_revision_, id.revision_);
 }
 
@@ -595,6 +603,7 @@
             return;
         }
         list.read_at_ = std::max(list.read_at_, read_at);
+        rollouts_.confirm_versions();
         return;
     }
     std::vector<listed_endpoint> all;
@@ -607,6 +616,7 @@
     update_notices(list, all, core::steady_now());
     replace_endpoints(list, all, read_at);
     list.revision_ = reply.list_revision_;
+    rollouts_.confirm_versions();
 }
 
 awaitable<void> catalog_watcher::settle_loop()
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -8,6 +8,7 @@
 #include "node/context.hpp"
 #include "node/document_download.hpp"
 #include "node/fleet_sections.hpp"
+#include "node/rollout_client.hpp"
 #include "node/running_streams.hpp"
 #include "policy/account_meter.hpp"
 
@@ -29,7 +30,8 @@
 class catalog_watcher
 {
 public:
-    catalog_watcher(context& with, const wire_codec& codec);
+    catalog_watcher(
+        context& with, const wire_codec& codec, rollout_client& rollouts);
 
     void start();
 
@@ -79,6 +81,7 @@
 
     context& with_;
     const wire_codec& codec_;
+    rollout_client& rollouts_;
     core::time_point started_at_;
     std::size_t next_member_index_ = 0;
     std::uint64_t crash_revision_ = 0;
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -11,6 +11,7 @@
 #include "node/catalog_watcher.hpp"
 #include "node/endpoint_list_poller.hpp"
 #include "node/ingress_controller.hpp"
+#include "node/rollout_client.hpp"
 
 namespace poplarroute::node
 {
@@ -136,6 +137,7 @@
     std::unique_ptr<catalog_replica> group_;
     std::unique_ptr<catalog_controller> catalog_controller_;
     std::unique_ptr<endpoint_list_poller> list_poller_;
+    std::unique_ptr<rollout_client> rollout_client_;
     std::unique_ptr<catalog_watcher> catalog_watcher_;
     std::unique_ptr<ingress_controller> ingress_;
     std::unique_ptr<drivers::http_server> client_port_;
@@ -149,8 +151,11 @@
 {
     if (is_entry())
     {
-        catalog_watcher_ = std::make_unique<catalog_watcher>(with_, *codec_);
-        ingress_ = std::make_unique<ingress_controller>(with_, *codec_);
+        rollout_client_ = std::make_unique<rollout_client>(with_);
+        catalog_watcher_ =
+            std::make_unique<catalog_watcher>(with_, *codec_, *rollout_client_);
+        ingress_ = std::make_unique<ingress_controller>(
+            with_, *codec_, *rollout_client_);
         list_poller_ = std::make_unique<endpoint_list_poller>(
             with_,
             *codec_,
@@ -324,6 +329,7 @@
     }
     if (ingress_)
     {
+        rollout_client_->start();
         catalog_watcher_->start();
         ingress_->start();
         client_port_->start();
--- a/node/fleet_sections.cpp
+++ b/node/fleet_sections.cpp
@@ -74,6 +74,7 @@
         policy::engine_info facts;
         facts.name_ = name;
         facts.zone_ = item.listed_.zone_;
+        facts.version_ = item.listed_.version_;
         facts.reads_prompts_ = item.listed_.reads_prompts_;
         facts.usable_ = is_usable(catalog, endpoints, item.listed_, now);
         facts.slots_ = service->engine_->slots_;
@@ -116,6 +117,31 @@
     return out;
 }
 
+policy::trial_endpoints trial_endpoints_of(
+    const control::rollout& item,
+    const catalog_section& catalog,
+    const endpoint_section& endpoints,
+    double share,
+    bool prefills)
+{
+    std::vector<core::endpoint_id> targets;
+    const core::time_point now = core::steady_now();
+    for (const auto& [name, known] : endpoints.endpoints_)
+    {
+        const listed_endpoint& listed = known.listed_;
+        const bool is_target = listed.service_ == item.service_ &&
+                               control::role_of(item, listed.version_) ==
+                                   control::rollout_role::target;
+        if (is_target && listed.reads_prompts_ == prefills &&
+            is_usable(catalog, endpoints, listed, now))
+        {
+            targets.push_back(name);
+        }
+    }
+    const core::duration elapsed{core::wall_ms() - item.ordered_at_ms_};
+    return policy::choose_trial_endpoints(targets, item.id_, share, elapsed);
+}
+
 std::map<core::account_id, policy::rate_limit> limits_of(
     const control::catalog& catalog, const fleet_bounds& bounds)
 {
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "control/catalog.hpp"
+#include "control/rollouts.hpp"
 #include "core/clock.hpp"
 #include "node/fleet_settings.hpp"
 #include "node/wire_codec.hpp"
@@ -19,6 +20,7 @@
 #include "policy/retry_allowance.hpp"
 #include "policy/stream_scheduler.hpp"
 #include "policy/token_bucket.hpp"
+#include "policy/trial_endpoints.hpp"
 
 namespace poplarroute::node
 {
@@ -108,6 +110,18 @@
     std::optional<std::int64_t> hosts,
     core::time_point now);
 
+/// \return the endpoints of a roll-out's target that get the trial's requests
+/// now.
+/// \param share of the service's requests that the trial may take.
+/// \param prefills whether to choose among prefill engines, else among all
+/// others.
+policy::trial_endpoints trial_endpoints_of(
+    const control::rollout& item,
+    const catalog_section& catalog,
+    const endpoint_section& endpoints,
+    double share,
+    bool prefills);
+
 /// \return the accounts' limits, raised by the excess that the fleet allows.
 std::map<core::account_id, policy::rate_limit> limits_of(
     const control::catalog& catalog, const fleet_bounds& bounds);
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -8,6 +8,7 @@
 #include "node/context.hpp"
 #include "node/endpoint_client.hpp"
 #include "node/fleet_sections.hpp"
+#include "node/rollout_client.hpp"
 #include "node/wire_codec.hpp"
 #include "policy/prompt_part_quarantine.hpp"
 #include "policy/quarantine.hpp"
@@ -56,6 +57,7 @@
 {
     context& with_;
     const wire_codec& codec_;
+    rollout_client& rollouts_;
     std::map<core::service_id, policy::retry_allowance> retry_allowances_;
     std::map<core::service_id, policy::plain_balancer> balancers_;
     endpoint_client endpoints_;
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -192,11 +192,12 @@
                });
 }
 
-ingress_controller::ingress_controller(context& with, const wire_codec& codec)
+ingress_controller::ingress_controller(
+    context& with, const wire_codec& codec, rollout_client& rollouts)
     : with_(with),
-      ingress_{with, codec, {}, {}, endpoint_client(with, codec)},
+      ingress_{with, codec, rollouts, {}, {}, endpoint_client(with, codec)},
       local_placements_(with, placement_controller::scope::own_host),
-      placements_(with, local_placements_),
+      placements_(with, local_placements_, rollouts),
       stop_(with.io_)
 {
 }
--- a/node/ingress_controller.hpp
+++ b/node/ingress_controller.hpp
@@ -17,7 +17,8 @@
 class ingress_controller
 {
 public:
-    ingress_controller(context& with, const wire_codec& codec);
+    ingress_controller(
+        context& with, const wire_codec& codec, rollout_client& rollouts);
 
     void start();
 
--- a/node/placement_client.cpp
+++ b/node/placement_client.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-placement_client::placement_client(context& with, placement_controller& local)
-    : with_(with), local_controller_(local)
+placement_client::placement_client(
+    context& with, placement_controller& local, rollout_client& rollouts)
+    : with_(with), local_controller_(local), rollouts_(rollouts)
 {
 }
 
@@ -78,6 +79,7 @@
             meter.inputs(account, price, now),
             meter.wait_for(account, price, now));
     }
+    rollouts_.restrict_local_placement(request);
     placement_reply reply =
         co_await local_controller_.place(std::move(request));
     if (price > 0 && !reply.placed_)
--- a/node/placement_client.hpp
+++ b/node/placement_client.hpp
@@ -6,6 +6,7 @@
 #include "node/catalog_watcher.hpp"
 #include "node/context.hpp"
 #include "node/placement_controller.hpp"
+#include "node/rollout_client.hpp"
 
 namespace poplarroute::node
 {
@@ -15,7 +16,8 @@
 class placement_client
 {
 public:
-    placement_client(context& with, placement_controller& local);
+    placement_client(
+        context& with, placement_controller& local, rollout_client& rollouts);
 
     /// Requests a placement. Also charges the stream's account when the request
     /// contains a price.
@@ -39,6 +41,7 @@
 
     context& with_;
     placement_controller& local_controller_;
+    rollout_client& rollouts_;
 };
 
 } // namespace poplarroute::node
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -52,6 +52,24 @@
             endpoint_, outcome, attempt_started_at_, core::steady_now());
         endpoint_.clear();
     }
+    if (!counted_send_)
+    {
+        return;
+    }
+    switch (outcome)
+    {
+    case policy::call_outcome::answered:
+        counted_send_->record_good(core::steady_now() - attempt_started_at_);
+        break;
+    case policy::call_outcome::errored:
+    case policy::call_outcome::broken:
+        counted_send_->record_bad();
+        break;
+    case policy::call_outcome::shed:
+    case policy::call_outcome::unreachable:
+        break;
+    }
+    counted_send_.reset();
 }
 
 bool plain_forwarder::choose_endpoint()
@@ -65,8 +83,29 @@
         with.board_.section<group_section>().hosts_,
         now);
     balancer_.set_endpoints(endpoints);
+    const std::vector<control::rollout_role> roles =
+        ingress_.rollouts_.choose_roles(call_.service_, target_failed_);
+    return std::any_of(
+        roles.begin(),
+        roles.end(),
+        [this](control::rollout_role role)
+        {
+            return choose_endpoint_of(role);
+        });
+}
+
+/// Chooses an endpoint of a role, and takes the permission to send the call
+/// there.
+bool plain_forwarder::choose_endpoint_of(control::rollout_role role)
+{
+    const core::time_point now = core::steady_now();
+    std::set<core::endpoint_id> avoid =
+        ingress_.rollouts_.excluded_endpoints(call_.service_, role);
+    avoid.insert(avoid_.begin(), avoid_.end());
     const auto chosen = balancer_.begin(
-        with.board_.section<settings_section>().settings_.zone_, avoid_, now);
+        ingress_.with_.board_.section<settings_section>().settings_.zone_,
+        avoid,
+        now);
     if (!chosen)
     {
         return false;
@@ -74,6 +113,17 @@
     endpoint_ = *chosen;
     result_.endpoint_ = endpoint_;
     attempt_started_at_ = now;
+    const known_endpoint* endpoint = ingress_.find_endpoint(endpoint_);
+    const auto permission = endpoint != nullptr
+                                ? ingress_.rollouts_.permit(*endpoint)
+                                : std::nullopt;
+    if (!permission)
+    {
+        finish_attempt(policy::call_outcome::shed);
+        return false;
+    }
+    permission_ = *permission;
+    target_failed_ = target_failed_ || role == control::rollout_role::target;
     return true;
 }
 
@@ -89,7 +139,9 @@
     drivers::http_call out = ingress_.codec_.encode_call(call_.request_, plan);
     out.timeout_ = retry_state_.patience(plan.deadline_);
     out.connect_timeout_ = std::min(max_connect_timeout, out.timeout_);
+    out.send_before_ = permission_.until_;
     ++result_.sends_;
+    counted_send_.emplace(ingress_.rollouts_, *endpoint, call_.route_.name_);
     const core::endpoint_id to = endpoint_;
     core::result<drivers::http_response> reply =
         co_await ingress_.endpoints_.request(
@@ -109,6 +161,7 @@
             error.code_ == core::errc::withheld)
         {
             --result_.sends_;
+            counted_send_->record_not_sent();
             finish_attempt(
                 error.code_ == core::errc::withheld
                     ? call_outcome::shed
--- a/node/plain_forwarder.hpp
+++ b/node/plain_forwarder.hpp
@@ -21,6 +21,7 @@
 
 private:
     bool choose_endpoint();
+    bool choose_endpoint_of(control::rollout_role role);
     awaitable<policy::send_result> send();
     policy::send_result classify_reply(
         core::result<drivers::http_response> reply);
@@ -36,6 +37,9 @@
     std::set<core::endpoint_id> avoid_;
     core::endpoint_id endpoint_; ///< Of the current attempt; empty: none.
     core::time_point attempt_started_at_;
+    send_permission permission_; ///< Of the current attempt.
+    std::optional<rollout_send> counted_send_;
+    bool target_failed_ = false; ///< That of a roll-out, in this call.
     drivers::http_response reply_;
 };
 
--- a/node/stage_controller.cpp
+++ b/node/stage_controller.cpp
@@ -130,6 +130,13 @@
     {
         co_return;
     }
+    const control::rollout* rollout = group_.state().find_rollout(service);
+    if (rollout != nullptr && rollout->is_running())
+    {
+        // The engines of both versions serve, so the rates say nothing of the
+        // stages that either of them needs.
+        co_return;
+    }
     const auto all =
         engines_of(catalog, with_.board_.section<endpoint_section>(), 1, now);
     const auto engines = all.find(service);
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -56,6 +56,11 @@
 
 constexpr int status_ok = 200;
 constexpr int min_error_status = 300;
+constexpr int min_failure_status = 500; ///< Of an engine's own failures.
+
+/// Appended to the route's name where roll-outs compare prefills, which take
+/// another time than decoding.
+constexpr const char* prefill_route_suffix = "/prefill";
 
 /// \return how long callers wait for the next event, the first included.
 core::duration caller_event_timeout(const control::catalog_route& route)
@@ -205,6 +210,8 @@
     const bool prefills_again =
         prefills_sent_ > 0 && !kv_handle_ && !decode_reads_prompt_;
     out.resends_ = (prefills_again ? 1 : 0) + (result_.sends_ > 0 ? 1 : 0);
+    out.pins_version_ = kv_handle_ && ingress_.rollouts_.is_enabled();
+    out.kv_version_ = out.pins_version_ ? kv_version_ : "";
     if (!call_.charged_ && !call_.account_.empty())
     {
         out.account_ = call_.account_;
@@ -237,6 +244,15 @@
         result_.detail_ = placement_.reason_;
         co_return step_result::refused;
     }
+    permission_ = {!placement_.decided_locally_, std::nullopt};
+    if (placement_.is_target_)
+    {
+        // The leader decided no earlier than the request's queue time after it
+        // was sent.
+        permission_.target_until_ = requested_at +
+                                    core::duration{placement_.waited_ms_} +
+                                    rollout_grant_validity;
+    }
     call_.charged_ = true;
     result_.endpoint_ = placement_.decoder_;
     running_stream running;
@@ -263,11 +279,19 @@
         result_.detail_ = "the reader is leaving or gone";
         co_return step_result::retry;
     }
+    const auto permission =
+        ingress_.rollouts_.permit_stream(*endpoint, permission_, std::nullopt);
+    if (!permission)
+    {
+        result_.detail_ = "a roll-out withholds the prefill engine";
+        co_return step_result::retry;
+    }
     send_plan plan = make_send_plan(*endpoint, call_);
     plan.stage_ = request_stage::prefill_prompt;
     drivers::http_call out = ingress_.codec_.encode_call(call_.request_, plan);
     out.timeout_ = std::min(prefill_timeout, plan.deadline_);
     out.connect_timeout_ = connect_timeout;
+    out.send_before_ = permission->until_;
     result_.reader_ = placement_.reader_;
     if (prefills_sent_ > 0 && placement_.decided_locally_ &&
         !ingress_.take_retry_allowance(call_.service_))
@@ -276,6 +300,11 @@
         co_return step_result::refused;
     }
     ++prefills_sent_;
+    counted_send_.emplace(
+        ingress_.rollouts_,
+        *endpoint,
+        call_.route_.name_ + prefill_route_suffix);
+    const std::string version = endpoint->listed_.version_;
     const core::time_point started_at = core::steady_now();
     const core::endpoint_id reader = placement_.reader_;
     const core::result<drivers::http_response> reply =
@@ -287,11 +316,18 @@
         if (core::failure(reply).code_ == errc::withheld)
         {
             --prefills_sent_;
+            counted_send_->record_not_sent();
+            counted_send_.reset();
             avoid_.insert(reader);
             co_return step_result::retry;
         }
-        prefills_sent_ -=
-            core::failure(reply).code_ == errc::unreachable ? 1 : 0;
+        if (core::failure(reply).code_ == errc::unreachable)
+        {
+            --prefills_sent_;
+            counted_send_->record_not_sent();
+            counted_send_.reset();
+        }
+        record_stream_failure();
         report_failure(placement_.reader_);
         co_return step_result::retry;
     }
@@ -303,6 +339,13 @@
         result_.detail_ =
             "prefill answered " + std::to_string(response.status_);
         avoid_.insert(placement_.reader_);
+        const bool is_failure = !metadata.misdirected_ && !metadata.not_run_ &&
+                                response.status_ >= min_failure_status;
+        if (is_failure)
+        {
+            record_stream_failure();
+        }
+        counted_send_.reset();
         if (metadata.misdirected_)
         {
             report_replaced(placement_.reader_);
@@ -317,13 +360,17 @@
     if (!handle)
     {
         result_.detail_ = "the prefill response contains no KV handle";
+        record_stream_failure();
         report_failure(placement_.reader_);
         co_return step_result::retry;
     }
     kv_handle_ = std::move(handle);
     kv_handle_address_ = plan.address_;
+    kv_version_ = version;
     prefilled_at_ = core::steady_now();
     prefill_time_ = prefilled_at_ - started_at;
+    counted_send_->record_good(prefill_time_);
+    counted_send_.reset();
     result_.read_ms_ = prefill_time_.ms_;
     engine_event_message event;
     event.service_ = call_.service_;
@@ -342,6 +389,18 @@
         result_.detail_ = "the decode engine is leaving or gone";
         co_return step_result::retry;
     }
+    const auto permission = ingress_.rollouts_.permit_stream(
+        *endpoint,
+        permission_,
+        kv_handle_ ? std::optional(kv_version_) : std::nullopt);
+    if (!permission)
+    {
+        // The version that has prefilled the prompt may take no calls any more,
+        // and no other may decode it.
+        release_kv_handle();
+        result_.detail_ = "a roll-out withholds the decode engine";
+        co_return step_result::retry;
+    }
     send_plan plan = make_send_plan(*endpoint, call_);
     plan.resume_after_ = sequence_.last();
     if (kv_handle_)
@@ -352,6 +411,7 @@
     drivers::http_call out = ingress_.codec_.encode_call(call_.request_, plan);
     out.timeout_ = std::min(open_timeout, plan.deadline_);
     out.connect_timeout_ = connect_timeout;
+    out.send_before_ = permission->until_;
     if (result_.sends_ > 0 && placement_.decided_locally_ &&
         !ingress_.take_retry_allowance(call_.service_))
     {
@@ -359,6 +419,7 @@
         co_return step_result::refused;
     }
     ++result_.sends_;
+    counted_send_.emplace(ingress_.rollouts_, *endpoint, call_.route_.name_);
     sent_at_ = core::steady_now();
     const core::endpoint_id decoder = placement_.decoder_;
     core::result<std::unique_ptr<drivers::http_stream>> opened =
@@ -370,6 +431,8 @@
         if (core::failure(opened).code_ == errc::withheld)
         {
             --result_.sends_;
+            counted_send_->record_not_sent();
+            counted_send_.reset();
             avoid_.insert(decoder);
             co_return step_result::retry;
         }
@@ -377,8 +440,11 @@
         if (core::failure(opened).code_ == errc::unreachable)
         {
             --result_.sends_;
+            counted_send_->record_not_sent();
+            counted_send_.reset();
             co_return step_result::retry;
         }
+        record_stream_failure();
         may_have_run_ = true;
         if (core::failure(opened).code_ == errc::broken)
         {
@@ -404,6 +470,7 @@
         result_.detail_ =
             "decode answered " + std::to_string(stream_->status());
         stream_.reset();
+        counted_send_.reset();
         avoid_.insert(placement_.decoder_);
         if (metadata.misdirected_)
         {
@@ -439,6 +506,7 @@
     if (!metadata.signed_ || !metadata.echoes_attempt_)
     {
         result_.detail_ = "the response does not match the request";
+        record_stream_failure();
         stream_.reset();
         may_have_run_ = true;
         report_failure(placement_.decoder_);
@@ -454,6 +522,10 @@
     if (events_from_engine_ == 0)
     {
         engine_began_at_ = now;
+        if (counted_send_)
+        {
+            counted_send_->record_good(now - sent_at_);
+        }
     }
     switch (sequence_.add(event.id_, event.has_data_))
     {
@@ -566,6 +638,17 @@
     }
 }
 
+/// Counts the running call as failed by its engine. A stream that breaks after
+/// its first event counts as answered, too.
+void stream_forwarder::record_stream_failure()
+{
+    if (counted_send_)
+    {
+        counted_send_->record_bad();
+        counted_send_.reset();
+    }
+}
+
 /// Checks whether the engine whose stream broke has crashed.
 void stream_forwarder::check_for_crash()
 {
@@ -672,12 +755,17 @@
     {
         result_.detail_ = "the engine did not resume the stream: status " +
                           std::to_string(stream_->status());
+        record_stream_failure();
         stream_.reset();
         report_failure(placement_.decoder_);
         co_return may_resume() ? step_result::retry : step_result::failed;
     }
     if (stream_->status() >= min_error_status)
     {
+        if (stream_->status() >= min_failure_status)
+        {
+            record_stream_failure();
+        }
         result_.status_ = stream_->status();
         result_.outcome_ = "answered";
         drivers::header_list headers =
@@ -706,6 +794,11 @@
     }
     const step_result relayed = co_await relay_events(exchange);
     stream_.reset();
+    if (relayed == step_result::retry)
+    {
+        record_stream_failure();
+    }
+    counted_send_.reset();
     if (relayed == step_result::done)
     {
         result_.outcome_ = "answered";
--- a/node/stream_forwarder.hpp
+++ b/node/stream_forwarder.hpp
@@ -48,6 +48,7 @@
     bool may_place_again();
     bool refuse_if_quarantined();
     void check_for_crash();
+    void record_stream_failure();
     void record_times();
     bool has_just_begun() const;
     void report_answered_parts();
@@ -66,12 +67,15 @@
     ingress_result& result_;
     placement_reply placement_;
     bool has_placement_ = false;
+    placement_permission permission_;          ///< Of the placement.
+    std::optional<rollout_send> counted_send_; ///< The call that runs now.
     std::string placement_id_;
     int placement_attempts_ = 0;
     std::set<core::endpoint_id> avoid_;
     bool decode_reads_prompt_ = false;
     std::optional<kv_handle> kv_handle_;
     std::string kv_handle_address_;
+    std::string kv_version_; ///< Of the engine that keeps the KV handle.
     core::time_point prefilled_at_;
     core::duration prefill_time_;
     std::unique_ptr<drivers::http_stream> stream_;
--- a/policy/stream_scheduler.cpp
+++ b/policy/stream_scheduler.cpp
@@ -470,7 +470,9 @@
 }
 
 bool stream_scheduler::has_prefill_engine(
-    const stream_request& request, core::time_point now) const
+    const stream_request& request,
+    const std::string& version,
+    core::time_point now) const
 {
     return std::any_of(
         engines_.begin(),
@@ -478,6 +480,7 @@
         [&](const auto& item)
         {
             return item.second.info_.reads_prompts_ &&
+                   item.second.info_.version_ == version &&
                    request.avoid_.count(item.first) == 0 &&
                    is_available_to(item.second, request.host_, now);
         });
@@ -498,7 +501,7 @@
 
 stream_scheduler::engine* stream_scheduler::choose_prefill_engine(
     const stream_request& request,
-    const core::zone_id& decode_zone,
+    const engine_info& decode_engine,
     core::time_point now)
 {
     const double rate = prefill_tokens_per_ms_ > 0
@@ -509,6 +512,7 @@
     for (auto& [name, item] : engines_)
     {
         if (!item.info_.reads_prompts_ ||
+            item.info_.version_ != decode_engine.version_ ||
             !is_available_to(item, request.host_, now) ||
             request.avoid_.count(name) != 0 || !within_start_rate(item, now))
         {
@@ -520,7 +524,7 @@
         {
             continue;
         }
-        const bool other_zone = item.info_.zone_ != decode_zone;
+        const bool other_zone = item.info_.zone_ != decode_engine.zone_;
         const double score = backlog / max_prefill_backlog_ms +
                              (other_zone ? prefill_zone_penalty : 0) +
                              random_score_offset();
@@ -601,10 +605,11 @@
     if (needs_prefill)
     {
         prefill_engine =
-            choose_prefill_engine(request, decode_engine->info_.zone_, now);
+            choose_prefill_engine(request, decode_engine->info_, now);
         // Decode engines prefill prompts only while no prefill engine is
         // available, since it slows their streams down.
-        if (prefill_engine == nullptr && has_prefill_engine(request, now))
+        if (prefill_engine == nullptr &&
+            has_prefill_engine(request, decode_engine->info_.version_, now))
         {
             return false;
         }
--- a/policy/stream_scheduler.hpp
+++ b/policy/stream_scheduler.hpp
@@ -24,6 +24,9 @@
 {
     core::endpoint_id name_;
     core::zone_id zone_;
+    /// Version of its software. A prompt is decoded by the version that has
+    /// prefilled it.
+    std::string version_;
     bool reads_prompts_ = false; ///< Whether it is a prefill engine.
     bool usable_ = true;     ///< Neither leaving nor in a zone out of service.
     std::int64_t slots_ = 1; ///< Maximum number of concurrent streams.
@@ -248,13 +251,15 @@
         const core::host_id& host,
         core::time_point now) const;
     bool has_prefill_engine(
-        const stream_request& request, core::time_point now) const;
+        const stream_request& request,
+        const std::string& version,
+        core::time_point now) const;
     bool within_start_rate(engine& item, core::time_point now) const;
     engine* choose_decode_engine(
         const stream_request& request, bool is_late, core::time_point now);
     engine* choose_prefill_engine(
         const stream_request& request,
-        const core::zone_id& decode_zone,
+        const engine_info& decode_engine,
         core::time_point now);
     bool try_place(
         waiting_stream& item,
