--- a/control/catalog_state_machine.cpp
+++ b/control/catalog_state_machine.cpp
@@ -1,5 +1,6 @@
 #include "control/catalog_state_machine.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/codec.hpp"
@@ -15,8 +16,28 @@
 {
     submit = 0,
     zone = 1,
+    start_rollout = 2,
+    reserve_exposure = 3,
+    advance_rollout = 4,
 };
 
+/// Largest time and duration that a command may give; sums and differences of
+/// such values do not overflow.
+constexpr std::int64_t max_command_ms = 1'000'000'000'000'000;
+
+bool is_valid_time(std::int64_t ms)
+{
+    return ms >= 0 && ms <= max_command_ms;
+}
+
+bool is_valid(const start_rollout& order)
+{
+    return !order.service_.empty() && !order.target_.empty() &&
+           is_valid_time(order.ordered_at_ms_) && order.deadline_ms_ > 0 &&
+           is_valid_time(order.deadline_ms_) &&
+           is_valid_time(order.repeat_window_ms_);
+}
+
 } // namespace
 
 std::string encode(const catalog_command& command)
@@ -25,10 +46,16 @@
         core::overloaded{
             [](const submit_catalog& item) -> nlohmann::json
             {
-                return nlohmann::json::array(
+                nlohmann::json out = nlohmann::json::array(
                     {command_kind::submit,
                      item.version_,
                      core::binary(item.text_)});
+                if (item.services_)
+                {
+                    out.push_back(*item.services_);
+                    out.push_back(item.at_ms_);
+                }
+                return out;
             },
             [](const set_zone_out_of_service& item) -> nlohmann::json
             {
@@ -39,6 +66,21 @@
                     out.push_back(*item.base_);
                 }
                 return out;
+            },
+            [](const start_rollout& item)
+            {
+                return nlohmann::json::array(
+                    {command_kind::start_rollout, item});
+            },
+            [](const reserve_exposure& item)
+            {
+                return nlohmann::json::array(
+                    {command_kind::reserve_exposure, item});
+            },
+            [](const advance_rollout& item)
+            {
+                return nlohmann::json::array(
+                    {command_kind::advance_rollout, item});
             }},
         command);
     return core::encode_cbor(out);
@@ -66,18 +108,21 @@
     const nlohmann::json& command)
 {
     reply out;
+    bool is_told_to_hosts = true;
     switch (command.at(0).get<command_kind>())
     {
     case command_kind::submit:
     {
-        const auto version = command.at(1).get<std::uint64_t>();
-        if (version > version_)
+        submit_catalog request;
+        request.version_ = command.at(1).get<std::uint64_t>();
+        request.text_ = core::text_of(command.at(2));
+        if (command.size() > 3)
         {
-            text_ = core::text_of(command.at(2));
-            version_ = version;
-            out.changed_ = true;
+            request.services_ =
+                command.at(3).get<std::vector<core::service_id>>();
+            request.at_ms_ = command.at(4).get<std::int64_t>();
         }
-        out.number_ = version_;
+        out = apply_catalog(request);
         break;
     }
     case command_kind::zone:
@@ -92,11 +137,151 @@
         out = apply_zone(request);
         break;
     }
+    case command_kind::start_rollout:
+        out = apply_start(command.at(1).get<start_rollout>());
+        break;
+    case command_kind::reserve_exposure:
+        out = apply_reservation(command.at(1).get<reserve_exposure>());
+        is_told_to_hosts = false;
+        break;
+    case command_kind::advance_rollout:
+        out = apply_advance(command.at(1).get<advance_rollout>());
+        break;
     }
-    revision_ += out.changed_ ? 1 : 0;
+    revision_ += out.changed_ && is_told_to_hosts ? 1 : 0;
     return out;
 }
 
+catalog_state_machine::reply catalog_state_machine::apply_catalog(
+    const submit_catalog& request)
+{
+    if (request.version_ <= version_)
+    {
+        return {false, false, version_};
+    }
+    text_ = request.text_;
+    version_ = request.version_;
+    if (request.services_)
+    {
+        end_rollouts_of_others(
+            *request.services_,
+            std::clamp<std::int64_t>(request.at_ms_, 0, max_command_ms));
+    }
+    return {true, false, version_};
+}
+
+/// Rolls back the roll-outs of services that the catalog does not have, and
+/// forgets those that ended long ago.
+void catalog_state_machine::end_rollouts_of_others(
+    const std::vector<core::service_id>& services, std::int64_t at_ms)
+{
+    for (auto next = rollouts_.begin(); next != rollouts_.end();)
+    {
+        const auto current = next++;
+        rollout& item = current->second;
+        const bool is_in_catalog =
+            std::find(services.begin(), services.end(), current->first) !=
+            services.end();
+        if (is_in_catalog)
+        {
+            continue;
+        }
+        if (item.is_running())
+        {
+            control::apply(
+                advance_rollout{
+                    item.service_,
+                    item.id_,
+                    rollout_phase::rolled_back,
+                    at_ms,
+                    "configuration " + std::to_string(version_) +
+                        " removed the service",
+                    {}},
+                item);
+        }
+        else if (
+            at_ms - item.steps_.back().at_ms_ > orphaned_rollout_retention.ms_)
+        {
+            earlier_rollouts_.erase(current->first);
+            rollouts_.erase(current);
+        }
+    }
+}
+
+catalog_state_machine::reply catalog_state_machine::apply_start(
+    const start_rollout& order)
+{
+    reply out{false, true, version_};
+    if (!is_valid(order))
+    {
+        return out;
+    }
+    const rollout* latest = find_rollout(order.service_);
+    if (latest != nullptr && is_repeat(order, *latest))
+    {
+        out.conflicts_ = false;
+        return out;
+    }
+    const bool is_outdated =
+        latest != nullptr &&
+        (latest->is_running() || order.ordered_at_ms_ < latest->ordered_at_ms_);
+    if (is_outdated)
+    {
+        return out;
+    }
+    rollout next = make_rollout(order, revision_ + 1, latest);
+    if (latest != nullptr)
+    {
+        std::vector<rollout>& earlier = earlier_rollouts_[order.service_];
+        earlier.push_back(*latest);
+        if (earlier.size() > max_earlier_rollouts)
+        {
+            earlier.erase(earlier.begin());
+        }
+    }
+    rollouts_[order.service_] = std::move(next);
+    return {true, false, version_};
+}
+
+catalog_state_machine::reply catalog_state_machine::apply_reservation(
+    const reserve_exposure& request)
+{
+    const auto found = rollouts_.find(request.service_);
+    if (found == rollouts_.end())
+    {
+        return {false, true, version_};
+    }
+    const rollout_change change = control::apply(request, found->second);
+    return {change.changed_, change.conflicts_, version_};
+}
+
+catalog_state_machine::reply catalog_state_machine::apply_advance(
+    const advance_rollout& request)
+{
+    const auto found = rollouts_.find(request.service_);
+    if (found == rollouts_.end() || !is_valid_time(request.at_ms_))
+    {
+        return {false, true, version_};
+    }
+    const rollout_change change = control::apply(request, found->second);
+    return {change.changed_, change.conflicts_, version_};
+}
+
+const rollout* catalog_state_machine::find_rollout(
+    const core::service_id& service) const
+{
+    const auto found = rollouts_.find(service);
+    return found == rollouts_.end() ? nullptr : &found->second;
+}
+
+std::vector<rollout> catalog_state_machine::earlier_rollouts(
+    const core::service_id& service) const
+{
+    const auto found = earlier_rollouts_.find(service);
+    return found == earlier_rollouts_.end() ? std::vector<rollout>()
+                                            : found->second;
+}
+
 catalog_state_machine::reply catalog_state_machine::apply_zone(
     const set_zone_out_of_service& request)
 {
@@ -133,7 +318,9 @@
          version_,
          core::binary(text_),
          zones_out_,
-         zone_revisions_}));
+         zone_revisions_,
+         rollouts_,
+         earlier_rollouts_}));
 }
 
 std::optional<catalog_state_machine> catalog_state_machine::decode(
@@ -157,6 +344,11 @@
         {
             document->at(4).get_to(out.zone_revisions_);
         }
+        if (document->size() > 5)
+        {
+            document->at(5).get_to(out.rollouts_);
+            document->at(6).get_to(out.earlier_rollouts_);
+        }
         return out;
     }
     catch (const nlohmann::json::exception&)
--- a/main/ctl/cli_context.hpp
+++ b/main/ctl/cli_context.hpp
@@ -35,6 +35,7 @@
     std::string answers_path_;    ///< Empty: "team" asks on the terminal.
     std::string html_path_;       ///< Empty: no HTML report is written.
     int objective_per_mille_ = 0; ///< Good requests per thousand.
+    double deadline_s_ = 0;       ///< Of a roll-out, in seconds.
 
     /// \return the origin of a new command, with a fresh command id.
     control::command_origin make_origin() const;
--- a/main/ctl/subcommands.hpp
+++ b/main/ctl/subcommands.hpp
@@ -43,6 +43,11 @@
 int status(cli_context& context, const argument_list& arguments);
 int report_burn(cli_context& context, const argument_list& arguments);
 
+int rollout_start(cli_context& context, const argument_list& arguments);
+int rollout_status(cli_context& context, const argument_list& arguments);
+int rollout_history(cli_context& context, const argument_list& arguments);
+int rollout_cancel(cli_context& context, const argument_list& arguments);
+
 int init(cli_context& context, const argument_list& arguments);
 int control_replace(cli_context& context, const argument_list& arguments);
 int certificates(cli_context& context, const argument_list& arguments);
--- a/main/poplarctl.cpp
+++ b/main/poplarctl.cpp
@@ -48,7 +48,10 @@
         value<std::string>()->default_value(""))(
         "objective",
         "service-level objective: good requests per thousand",
-        value<int>()->default_value("950"))("version", "print the version")(
+        value<int>()->default_value("950"))(
+        "deadline",
+        "seconds after which an undecided roll-out is rolled back",
+        value<double>()->default_value("60"))("version", "print the version")(
         "help",
         "print this help")("words", "", value<std::vector<std::string>>());
     options.parse_positional({"words"});
@@ -69,7 +72,9 @@
                  "team --answers answers.ini --submit\n"
                  "  poplarctl key issue harbour\n"
                  "  poplarctl zone out galway-a\n"
-                 "  poplarctl report burn --html burn.html\n\n"
+                 "  poplarctl report burn --html burn.html\n"
+                 "  poplarctl --hosts 10.0.0.1:7500 --plain "
+                 "rollout start chat v2 --deadline 30\n\n"
                  "Exit status: 0 done, 1 refused, 2 wrong arguments or "
                  "problems in a file, 3 no host answered.\n";
 }
@@ -115,6 +120,7 @@
     context.answers_path_ = parsed["answers"].as<std::string>();
     context.html_path_ = parsed["html"].as<std::string>();
     context.objective_per_mille_ = parsed["objective"].as<int>();
+    context.deadline_s_ = parsed["deadline"].as<double>();
     return ctl::run_subcommand(
         context, parsed["words"].as<ctl::argument_list>());
 }
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -83,7 +83,8 @@
       codec_(codec),
       placements_(with, placement_controller::scope::fleet),
       stages_(with, group, codec, placements_),
-      group_manager_(with, group)
+      group_manager_(with, group),
+      rollout_orders_(with, group)
 {
 }
 
@@ -106,6 +107,7 @@
     placements_.start();
     stages_.start();
     group_manager_.start();
+    rollout_orders_.start();
     drivers::spawn(with_.io_, maintenance_loop());
 }
 
@@ -470,8 +472,14 @@
         co_return operator_call_result{false, true, findings.text()};
     }
     const std::uint64_t version = read->version_;
-    std::string command = control::encode(control::catalog_command(
-        control::submit_catalog{version, std::move(text)}));
+    std::vector<core::service_id> services;
+    for (const auto& [name, service] : read->services_)
+    {
+        services.push_back(name);
+    }
+    std::string command =
+        control::encode(control::catalog_command(control::submit_catalog{
+            version, std::move(text), std::move(services), core::wall_ms()}));
     const core::result<submit_reply> reply =
         co_await submit(std::move(command));
     const bool accepted = core::is_ok(reply);
--- a/node/catalog_messages.cpp
+++ b/node/catalog_messages.cpp
@@ -16,7 +16,8 @@
         item.leaving_,
         item.cold_time_left_.ms_,
         item.reads_prompts_,
-        item.started_at_ms_};
+        item.started_at_ms_,
+        item.version_};
 }
 
 listed_endpoint from_message(const endpoint_message& item)
@@ -30,7 +31,8 @@
         item.leaving_,
         item.started_at_ms_,
         core::duration{item.cold_ms_},
-        item.reads_prompts_};
+        item.reads_prompts_,
+        item.version_};
 }
 
 policy::stream_request from_message(
--- a/node/endpoint_list_poller.cpp
+++ b/node/endpoint_list_poller.cpp
@@ -83,6 +83,7 @@
             held.zone_ == item.zone_ && held.leaving_ == item.leaving_ &&
             held.reads_prompts_ == item.reads_prompts_ &&
             held.started_at_ms_ == item.started_at_ms_ &&
+            held.version_ == item.version_ &&
             (held.cold_time_left_.ms_ > 0) == (item.cold_time_left_.ms_ > 0);
         if (!same)
         {
--- a/node/rollout_orders.hpp
+++ b/node/rollout_orders.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
-#include <set>
+#include <map>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "control/rollouts.hpp"
@@ -98,7 +98,8 @@
     void start();
 
     /// Starts a roll-out. A copy of an order that this member is still deciding
-    /// conflicts.
+    /// conflicts; the member then tries for the time of an operator's repeats
+    /// until the order is decided.
     awaitable<operator_call_result> order(
         core::service_id service, std::string target, core::duration deadline);
 
@@ -113,6 +114,7 @@
 
 private:
     void register_calls();
+    void log_new_steps();
 
     /// Has the leader decide an order, and logs the outcome.
     awaitable<operator_call_result> decide(rollout_order order);
@@ -140,8 +142,16 @@
     context& with_;
     catalog_replica& group_;
 
-    /// Service, target and deadline of the orders that are being decided.
-    std::set<std::tuple<core::service_id, std::string, std::int64_t>> deciding_;
+    /// Service, target and deadline of an order.
+    using order_key = std::tuple<core::service_id, std::string, std::int64_t>;
+
+    /// Orders that are being decided, and whether a copy was told so.
+    std::map<order_key, bool> deciding_;
+
+    /// Id of each service's latest roll-out, and how many of its steps are in
+    /// the log.
+    std::map<core::service_id, std::pair<std::uint64_t, std::size_t>>
+        logged_steps_;
 };
 
 } // namespace poplarroute::node
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "node/catalog_messages.hpp"
 #include "platform/catalog_json.hpp"
 
 namespace poplarroute::platform
@@ -180,6 +181,11 @@
     ASSERT_EQ(page->endpoints_.size(), 2U);
     EXPECT_EQ(page->unreadable_.size(), 5U);
     EXPECT_EQ(page->next_, "p-50");
+    EXPECT_EQ(page->endpoints_[0].version_, "v1");
+    EXPECT_TRUE(page->endpoints_[1].version_.empty());
+    EXPECT_EQ(
+        node::from_message(node::to_message(page->endpoints_[0])).version_,
+        "v1");
     EXPECT_FALSE(page->endpoints_[0].leaving_);
     EXPECT_TRUE(page->endpoints_[1].leaving_);
     EXPECT_TRUE(page->endpoints_[1].reads_prompts_);
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -40,6 +40,33 @@
     EXPECT_TRUE(read.data_folder_.empty());
 }
 
+TEST(platform_settings, reads_the_bounds_of_roll_outs)
+{
+    core::finding_list findings;
+    const std::string text = entry_host_settings;
+    const auto without = parse_settings("file", text, findings).bounds_;
+    EXPECT_FALSE(without.rollout_share_);
+    const auto read = parse_settings(
+                          "file",
+                          text + "bounds.exposeShare=0.2\n"
+                                 "bounds.exposeSlack=30\n"
+                                 "bounds.rollbackMs=4000\n"
+                                 "bounds.ackMs=6000\n",
+                          findings)
+                          .bounds_;
+    EXPECT_TRUE(findings.empty()) << findings.text();
+    EXPECT_EQ(read.rollout_share_, 0.2);
+    EXPECT_EQ(read.rollout_slack_, 30);
+    EXPECT_EQ(read.rollback_time_.ms_, 4'000);
+    EXPECT_EQ(read.operator_ack_time_.ms_, 6'000);
+    parse_settings(
+        "file",
+        text + "bounds.exposeShare=1.5\nbounds.ackMs=0\n"
+               "bounds.exposeSlack=-1\nbounds.rollbackMs=nan\n",
+        findings);
+    EXPECT_EQ(findings.all().size(), 4U) << findings.text();
+}
+
 TEST(platform_settings, reports_every_line_that_is_wrong)
 {
     core::finding_list findings;
