--- a/tests/platform/catalog_transfer_test.cpp
+++ b/tests/platform/catalog_transfer_test.cpp
@@ -124,11 +124,14 @@
 struct entry_host : process
 {
     explicit entry_host(asio::io_context& io)
-        : process(io, "127.0.0.1:19487", link_address), watcher_(with_, codec_)
+        : process(io, "127.0.0.1:19487", link_address),
+          rollouts_(with_),
+          watcher_(with_, codec_, rollouts_)
     {
         watcher_.start();
     }
 
+    node::rollout_client rollouts_;
     node::catalog_watcher watcher_;
 };
 
--- a/tests/platform/endpoint_answers_test.cpp
+++ b/tests/platform/endpoint_answers_test.cpp
@@ -58,7 +58,8 @@
 protected:
     endpoint_answers()
         : host_(io_, "127.0.0.1:19491", "127.0.0.1:19492"),
-          ingress_(host_.with_, host_.codec_),
+          rollouts_(host_.with_),
+          ingress_(host_.with_, host_.codec_, rollouts_),
           port_(
               io_,
               host_address,
@@ -187,6 +188,7 @@
 
     asio::io_context io_{1};
     process host_;
+    node::rollout_client rollouts_;
     node::ingress_controller ingress_;
     drivers::http_server port_;
     tcp::acceptor prefill_;
--- a/tests/platform/first_catalog_test.cpp
+++ b/tests/platform/first_catalog_test.cpp
@@ -48,11 +48,14 @@
 struct starting_host : process
 {
     explicit starting_host(drivers::asio::io_context& io)
-        : process(io, host_address, member_address), watcher_(with_, codec_)
+        : process(io, host_address, member_address),
+          rollouts_(with_),
+          watcher_(with_, codec_, rollouts_)
     {
         watcher_.start();
     }
 
+    node::rollout_client rollouts_;
     node::catalog_watcher watcher_;
 };
 
--- a/tests/platform/ingress_fixture.hpp
+++ b/tests/platform/ingress_fixture.hpp
@@ -101,7 +101,8 @@
 
     ingress_fixture()
         : host_(io_, "127.0.0.1:19511", "127.0.0.1:19512"),
-          ingress_(host_.with_, host_.codec_),
+          rollouts_(host_.with_),
+          ingress_(host_.with_, host_.codec_, rollouts_),
           port_(
               io_,
               host_address_,
@@ -228,6 +229,7 @@
 
     drivers::asio::io_context io_{1};
     process host_;
+    node::rollout_client rollouts_;
     node::ingress_controller ingress_;
     drivers::http_server port_;
     drivers::http_client caller_;
