--- a/node/rollout_controller.cpp
+++ b/node/rollout_controller.cpp
@@ -17,10 +17,13 @@
 namespace
 {
 
-/// Time after its election in which a leader grants and decides nothing:
-/// earlier leaders' grants and leases end, and hosts report.
+/// Time after its election in which a leader grants no exposure and decides on
+/// no trial: earlier leaders' grants end, and all hosts report.
 constexpr core::duration takeover_time{
-    rollout_lease_validity.ms_ + rollout_report_interval.ms_};
+    rollout_grant_validity.ms_ + rollout_report_interval.ms_};
+
+/// The same for a switch, which needs the hosts' reports only.
+constexpr core::duration switch_takeover_time{600};
 
 /// Time before the deadline at which a roll-out that is not decided yet ends:
 /// for the commit, and for hosts that hear of it.
@@ -109,13 +112,27 @@
     return with_.board_.section<settings_section>().settings_.bounds_;
 }
 
-/// \return whether this member may grant and decide.
-bool rollout_controller::is_ready() const
+/// \return whether this member leads and knows what earlier leaders have
+/// committed.
+bool rollout_controller::is_confirmed() const
+{
+    return group_.leads() && has_read_state_;
+}
+
+bool rollout_controller::may_grant() const
 {
-    return group_.leads() && has_read_state_ &&
+    return is_confirmed() &&
            core::steady_now() - leading_since_ >= takeover_time;
 }
 
+bool rollout_controller::may_decide(const control::rollout& item) const
+{
+    const core::duration wait = item.phase_ == rollout_phase::switching
+                                    ? switch_takeover_time
+                                    : takeover_time;
+    return is_confirmed() && core::steady_now() - leading_since_ >= wait;
+}
+
 std::vector<control::rollout> rollout_controller::to_tell() const
 {
     std::vector<control::rollout> out;
@@ -152,7 +169,7 @@
 rollout_report_reply rollout_controller::answer(const rollout_report& report)
 {
     rollout_report_reply out;
-    out.is_confirmed_ = is_ready();
+    out.is_confirmed_ = is_confirmed();
     for (const rollout_service_report& part : report.services_)
     {
         out.services_.push_back(answer_service(report, part));
@@ -205,7 +222,7 @@
         counts.updated_at_ = known.at_;
     }
     state.ledger_.set_returned(report.host_, report.epoch_, part.returned_);
-    if (is_ready() && item->phase_ == rollout_phase::trial)
+    if (may_grant() && item->phase_ == rollout_phase::trial)
     {
         out.granted_ = state.ledger_.grant(part.wanted_);
     }
@@ -265,7 +282,7 @@
         }
         for (const control::rollout& item : all)
         {
-            if (is_ready())
+            if (may_decide(item))
             {
                 co_await step(item);
             }
@@ -433,7 +450,7 @@
     const bool is_current =
         found != running_.end() && found->second.id_ == item.id_;
     if (core::is_ok(reply) && !core::value(reply).conflicts_ && is_current &&
-        is_ready())
+        is_confirmed())
     {
         found->second.ledger_.reserved(*next);
     }
@@ -558,7 +575,7 @@
     const bool is_pinned_to_target =
         is_running && request.pins_version_ &&
         control::role_of(*item, request.kv_version_) == rollout_role::target;
-    bool to_target = is_running && !is_trial && is_ready() &&
+    bool to_target = is_running && !is_trial && is_confirmed() &&
                      (!request.pins_version_ || is_pinned_to_target);
     std::set<core::endpoint_id> in_turn;
     if (is_trial)
@@ -577,7 +594,7 @@
                  decoders.share_);
         running_rollout& state = track(*item);
         const std::int64_t cost = stream_cost(request);
-        to_target = may_try && is_drawn && is_ready() &&
+        to_target = may_try && is_drawn && may_grant() &&
                     state.ledger_.available() >= cost &&
                     state.ledger_.grant(cost) == cost;
     }
--- a/node/rollout_controller.hpp
+++ b/node/rollout_controller.hpp
@@ -94,7 +94,9 @@
         core::time_point switching_since_;
     };
 
-    bool is_ready() const;
+    bool is_confirmed() const;
+    bool may_grant() const;
+    bool may_decide(const control::rollout& item) const;
     fleet_bounds bounds() const;
     running_rollout& track(const control::rollout& item);
     rollout_report_reply answer(const rollout_report& report);
--- a/tests/fakes/platform_fakes.py
+++ b/tests/fakes/platform_fakes.py
@@ -68,9 +68,18 @@
         self.queue_slots = 0    # Requests that wait for a slot.
         self.queued = 0
         self.work_s = (0.002, 0.03)   # Range of the duration of a plain call.
+        self.version = "v1"
+        self.failing_paths = ()       # Requests below these fail.
+        self.fails_from = 0.0         # Time from which they do.
+        self.bad_answers = []         # Times of failures by this switch.
+        self.kv_sources = []          # Kv-Source of each decode call.
         self.server = None
         self.port = 0
 
+    def is_failing(self, target):
+        return (self.failing_paths and time.monotonic() >= self.fails_from
+                and target.startswith(self.failing_paths))
+
     async def start(self):
         self.server = await asyncio.start_server(
             self.serve_connection, "127.0.0.1", self.port)
@@ -145,6 +154,7 @@
             writer.write(format_message(
                 self.handle_order(json.loads(body)), {}))
             return True
+        headers["target"] = target
         attempt = headers.get("attempt-id", "")
         base = {"Attempt-Id": attempt}
         if headers.get("expect-instance", self.name) != self.name:
@@ -202,6 +212,14 @@
             return True
         self.started_runs.append((attempt, headers.get("tenant", "")))
         stamped = {**base, "Server-Stamp": f"{self.name}.{attempt}"}
+        if self.stage == "decode":
+            self.kv_sources.append(headers.get("kv-source", ""))
+        if self.is_failing(headers["target"]):
+            await asyncio.sleep(self.work_s[0])
+            self.bad_answers.append(time.monotonic())
+            writer.write(format_message("HTTP/1.1 500 Error", stamped,
+                                        b"failed"))
+            return True
         if self.stage is None:
             await asyncio.sleep(self.random.uniform(*self.work_s))
             if self.random.random() < self.error_probability:
@@ -308,7 +326,7 @@
         endpoint = link.endpoint
         out = {"id": endpoint.name, "service": endpoint.service,
                "address": f"127.0.0.1:{link.port}", "zone": "zone-a",
-               "version": "v1", "slots": endpoint.slots, "coldLeftMs": 0,
+               "version": endpoint.version, "slots": endpoint.slots, "coldLeftMs": 0,
                "state": "draining" if endpoint.name in self.leaving
                else "ready"}
         if endpoint.stage:
--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -79,7 +79,7 @@
                  f"cloudApi.address=127.0.0.1:{self.soak.list.port}",
                  f"bounds.graceS={GRACE_S}", "bounds.budgetSlack=50",
                  f"bounds.leaseMs={int(LEASE_S * 1000)}",
-                 "bounds.quotaSlack=1000"]
+                 "bounds.quotaSlack=1000"] + self.soak.extra_settings
         if self.member:
             lines += [f"listen.control={self.ip}:{CONTROL_PORT}",
                       f"dataDir={self.data}"]
@@ -128,6 +128,7 @@
     def __init__(self, seed, seconds, entries, heavy=False, callers=12,
                  network="127.0.1"):
         self.random = random.Random(seed)
+        self.extra_settings = []
         self.heavy = heavy
         self.network = network
         self.caller_count = callers
