--- a/policy/rollout_evaluator.hpp
+++ b/policy/rollout_evaluator.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "core/clock.hpp"
 #include "core/ids.hpp"
@@ -114,6 +115,20 @@
     /// evidence.
     core::duration switch_at() const;
 
+    /// \param requests_per_second of the service.
+    /// \return the share of its requests to send to the target on trial. Half
+    /// of the bound is kept for requests that reach a version that turns bad
+    /// during the switch.
+    double trial_share(double requests_per_second) const;
+
+    /// \param switched_at when the switch began, since the order.
+    /// \param elapsed since the order.
+    /// \return the share of requests to send to the target. It grows over at
+    /// most two seconds, so that a version that fails under load is found
+    /// before all requests reach it.
+    double switch_share(
+        core::duration switched_at, core::duration elapsed) const;
+
     /// \return how long after the order the switch can begin at the latest.
     core::duration last_switch_at() const;
 
@@ -124,16 +139,34 @@
         route_tallies routes_;
     };
 
-    void remember(const route_tallies& routes, core::time_point now);
-    const snapshot* find_snapshot(core::time_point at) const;
+    /// Snapshots from which the counts of the last span of time are derived.
+    struct window
+    {
+        core::duration length_;
+        std::deque<snapshot> snapshots_;
+
+        void remember(const route_tallies& routes, core::time_point now);
+        std::optional<route_tallies> recent(
+            const route_tallies& routes, core::time_point now) const;
+    };
+
     std::optional<std::string> find_fault(
         const route_tallies& routes,
-        core::time_point now,
+        const std::vector<route_tallies>& recent,
         bool is_switching) const;
-    double alpha(std::size_t routes) const;
+    std::string missing_evidence(
+        const route_tallies& routes,
+        const std::vector<route_tallies>& recent) const;
+    rollout_decision conclude(
+        const route_tallies& routes,
+        const std::vector<route_tallies>& recent,
+        core::duration elapsed) const;
+    std::string find_doubt(
+        const route_tallies& routes,
+        const std::vector<route_tallies>& recent) const;
 
     rollout_bounds bounds_;
-    std::deque<snapshot> snapshots_;
+    std::vector<window> windows_;
 };
 
 } // namespace poplarroute::policy
