--- a/node/rollout_client.cpp
+++ b/node/rollout_client.cpp
@@ -24,6 +24,10 @@
 constexpr std::size_t max_routes = 64;
 constexpr const char* other_routes = "other";
 
+/// Cells up to which the target's endpoints are counted apart, so that a host
+/// that sends to many of them over a day keeps the leader's memory bounded.
+constexpr std::size_t max_named_cells = 256;
+
 /// Time after its start in which an endpoint's answers are slower than usual.
 constexpr core::duration just_started_time{2'000};
 
@@ -59,14 +63,16 @@
     const std::int64_t started_at = to.listed_.started_at_ms_;
     const bool just_started =
         started_at > 0 && core::wall_ms() - started_at < just_started_time.ms_;
-    key_.endpoint_ = to.listed_.name_;
+    key_.is_target_ = control::role_of(*item, version_) == rollout_role::target;
+    // Only the target's endpoints are judged apart.
+    if (key_.is_target_ && state.cells_.size() < max_named_cells)
+    {
+        key_.endpoint_ = to.listed_.name_;
+    }
+    key_.zone_ = to.listed_.zone_;
     key_.route_ = is_separate ? route : other_routes;
     key_.is_warm_ = !just_started && core::steady_now() >= to.cold_until_;
-    rollout_client::cell& counts = state.cells_[key_];
-    counts.zone_ = to.listed_.zone_;
-    counts.is_target_ =
-        control::role_of(*item, version_) == rollout_role::target;
-    ++counts.starts_;
+    ++state.cells_[key_].starts_;
     state.changed_.insert(key_);
 }
 
@@ -488,9 +494,9 @@
         }
         out.cells_.push_back(
             {key.endpoint_,
-             counts.zone_,
+             key.zone_,
              key.route_,
-             counts.is_target_,
+             key.is_target_,
              key.is_warm_,
              counts.starts_,
              counts.good_,
--- a/node/rollout_client.hpp
+++ b/node/rollout_client.hpp
@@ -66,9 +66,11 @@
 
     struct cell_key
     {
-        core::endpoint_id endpoint_;
+        core::endpoint_id endpoint_; ///< Empty: any of the zone.
+        core::zone_id zone_;
         std::string route_;
         bool is_warm_ = false;
+        bool is_target_ = false;
 
         auto operator<=>(const cell_key&) const = default;
     };
@@ -137,8 +139,6 @@
 
     struct cell
     {
-        core::zone_id zone_;
-        bool is_target_ = false;
         std::int64_t starts_ = 0;
         std::int64_t good_ = 0;
         std::int64_t bad_ = 0;
--- a/node/rollout_controller.cpp
+++ b/node/rollout_controller.cpp
@@ -65,8 +65,8 @@
 
 std::string key_of(const rollout_cell_message& cell)
 {
-    return cell.endpoint_ + "\n" + cell.route_ +
-           (cell.is_warm_ ? "\nw" : "\nc");
+    return cell.endpoint_ + "\n" + cell.zone_ + "\n" + cell.route_ + "\n" +
+           (cell.is_warm_ ? "w" : "c") + (cell.is_target_ ? "t" : "b");
 }
 
 } // namespace
--- a/node/rollout_messages.hpp
+++ b/node/rollout_messages.hpp
@@ -18,12 +18,13 @@
 
 } // namespace method
 
-/// What a host observed at one endpoint on one route since it learned of a
+/// What a host observed at one endpoint of the target, or at the replaced
+/// versions' endpoints of one zone, on one route since it learned of a
 /// roll-out. The counts are cumulative.
 struct rollout_cell_message
 {
-    core::endpoint_id endpoint_;
-    core::zone_id zone_; ///< Of the endpoint.
+    core::endpoint_id endpoint_; ///< Empty: any of the zone.
+    core::zone_id zone_;
     std::string route_;
     bool is_target_ = false;
     bool is_warm_ = false;
