--- a/node/rollout_orders.cpp
+++ b/node/rollout_orders.cpp
@@ -182,7 +182,7 @@
     order.deadline_ms_ = deadline.ms_;
     order.ordered_at_ms_ = core::wall_ms();
     const order_key key{order.service_, order.target_, order.deadline_ms_};
-    const auto [known, is_first] = deciding_.try_emplace(key, false);
+    const auto [known, is_first] = deciding_->try_emplace(key, false);
     if (!is_first)
     {
         known->second = true;
@@ -195,12 +195,13 @@
         in_progress.problem_ = "this order is in progress";
         co_return in_progress;
     }
-    // The entry also has to go when the coroutine is destroyed.
+    // The entry also has to go when an exception ends the coroutine. At the end
+    // of the process, the coroutine may be destroyed after this object.
     const std::shared_ptr<void> at_end(
         nullptr,
-        [this, key](void*)
+        [deciding = deciding_, key](void*)
         {
-            deciding_.erase(key);
+            deciding->erase(key);
         });
     const core::duration ack_time = with_.board_.section<settings_section>()
                                         .settings_.bounds_.operator_ack_time_;
@@ -208,7 +209,8 @@
     operator_call_result out = co_await decide(order);
     // An operator that was told that the order is in progress does not send it
     // again, so this member does.
-    while (is_undecided(out) && deciding_.at(key) && core::steady_now() < until)
+    while (is_undecided(out) && deciding_->at(key) &&
+           core::steady_now() < until)
     {
         co_await drivers::sleep_for(leader_search_interval);
         out = co_await decide(order);
--- a/node/rollout_orders.hpp
+++ b/node/rollout_orders.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -146,7 +147,8 @@
     using order_key = std::tuple<core::service_id, std::string, std::int64_t>;
 
     /// Orders that are being decided, and whether a copy was told so.
-    std::map<order_key, bool> deciding_;
+    std::shared_ptr<std::map<order_key, bool>> deciding_ =
+        std::make_shared<std::map<order_key, bool>>();
 
     /// Id of each service's latest roll-out, and how many of its steps are in
     /// the log.
