--- a/tests/control/rollouts_test.cpp
+++ b/tests/control/rollouts_test.cpp
@@ -336,19 +336,24 @@
         machine.apply(encode(make_command(kind, a, b)));
         for (const auto& [service, item] : machine.rollouts())
         {
+            // RC_ASSERT evaluates both sides of its operators.
             const auto found = seen.find(service);
-            if (found == seen.end() || found->second.id_ != item.id_)
+            const bool is_new =
+                found == seen.end() || found->second.id_ != item.id_;
+            if (is_new)
             {
+                const bool replaces_running =
+                    found != seen.end() && found->second.is_running();
+                RC_ASSERT(!replaces_running);
                 RC_ASSERT(ids.insert(item.id_).second);
                 RC_ASSERT(*ids.rbegin() == item.id_);
-                RC_ASSERT(found == seen.end() || !found->second.is_running());
                 seen[service] = item;
                 continue;
             }
+            const bool leaves_its_end = !found->second.is_running() &&
+                                        item.phase_ != found->second.phase_;
+            RC_ASSERT(!leaves_its_end);
             RC_ASSERT(item.phase_ >= found->second.phase_);
-            RC_ASSERT(
-                found->second.is_running() ||
-                item.phase_ == found->second.phase_);
             RC_ASSERT(item.reserved_ >= found->second.reserved_);
             found->second = item;
         }
@@ -358,8 +363,8 @@
     }
 }
 
-/// Three members with disks. Messages are delivered in rounds; a member that is
-/// down keeps its disk unless it is wiped.
+/// Three members with disks. Messages are delivered in rounds, and some are
+/// lost.
 class small_group
 {
 public:
--- a/tests/platform/rollout_calls_test.cpp
+++ b/tests/platform/rollout_calls_test.cpp
@@ -2,7 +2,9 @@
 
 #include <filesystem>
 #include <optional>
+#include <set>
 
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -22,6 +24,12 @@
 constexpr const char* other_seed = "127.0.0.1:19553";
 constexpr const char* list_address = "127.0.0.1:19554";
 
+// Two further members of a group of three.
+constexpr const char* second_address = "127.0.0.1:19555";
+constexpr const char* second_control_address = "127.0.0.1:19556";
+constexpr const char* third_address = "127.0.0.1:19557";
+constexpr const char* third_control_address = "127.0.0.1:19558";
+
 std::string configuration(int version, const std::string& service)
 {
     return R"({"version":)" + std::to_string(version) +
@@ -41,11 +49,15 @@
 /// A member that takes operators' calls.
 struct control_member : lone_member
 {
-    control_member(asio::io_context& io, const std::string& folder)
-        : lone_member(io, member_address, member_address, folder),
+    control_member(
+        asio::io_context& io,
+        const std::string& folder,
+        const std::string& address = member_address,
+        const std::string& control = control_address)
+        : lone_member(io, address, address, folder),
           control_(
               io,
-              control_address,
+              control,
               drivers::http_limits(),
               make_operator_handler(*controller_))
     {
@@ -107,7 +119,7 @@
         std::optional<drivers::http_response>& out)
     {
         drivers::http_call request;
-        request.address_ = control_address;
+        request.address_ = at_;
         request.method_ = method;
         request.target_ = target;
         request.body_ = body;
@@ -184,6 +196,7 @@
     std::filesystem::path folder_;
     asio::io_context io_{1};
     drivers::http_client client_{io_};
+    std::string at_ = control_address; ///< Member that calls go to.
     std::optional<control_member> member_;
 };
 
@@ -351,6 +364,64 @@
     EXPECT_TRUE(item->is_running());
 }
 
+// Guards against an order that waits in a paused member, and starts a roll-out
+// long after its caller has given it to another member.
+TEST_F(rollout_calls, an_order_whose_caller_has_left_is_dropped)
+{
+    put_in_force(1, "chat");
+    const std::string body = order("v2");
+    for (const bool leaves : {true, false})
+    {
+        drivers::tcp::socket socket(io_);
+        socket.connect(drivers::parse_endpoint(control_address));
+        const std::string text = "POST /rollouts HTTP/1.1\r\nHost: x\r\n"
+                                 "Content-Length: " +
+                                 std::to_string(body.size()) + "\r\n\r\n" +
+                                 body;
+        asio::write(socket, asio::buffer(text));
+        if (leaves)
+        {
+            socket.close();
+        }
+        io_.restart();
+        io_.run_for(std::chrono::milliseconds(300));
+        EXPECT_EQ(member_->latest() == nullptr, leaves);
+    }
+}
+
+// Guards against members that answer from what they know themselves: only the
+// leader decides, and an order sent again to another member is the same order.
+TEST_F(rollout_calls, each_member_takes_orders_and_shows_them)
+{
+    control_member second(
+        io_, folder_.string() + "-2", second_address, second_control_address);
+    control_member third(
+        io_, folder_.string() + "-3", third_address, third_control_address);
+    const std::vector<std::string> seeds{
+        member_address, second_address, third_address};
+    for (control_member* member : {&*member_, &second, &third})
+    {
+        member->settings().seeds_ = seeds;
+    }
+    put_in_force(1, "chat");
+    std::set<std::uint64_t> ids;
+    for (const char* address :
+         {control_address, second_control_address, third_control_address})
+    {
+        at_ = address;
+        EXPECT_EQ(post(order("v2")), 200);
+        EXPECT_EQ(post(order("v3")), 409);
+        EXPECT_EQ(post(order("v2", "12", "unknown")), 400);
+        EXPECT_EQ(
+            call("GET", "/rollouts/chat").body_,
+            R"({"state":"running","target":"v2"})");
+        ids.insert(member_->latest()->id_);
+    }
+    EXPECT_EQ(ids.size(), 1U);
+    std::filesystem::remove_all(folder_.string() + "-2");
+    std::filesystem::remove_all(folder_.string() + "-3");
+}
+
 // Guards against an endpoint that restarts with another version at the same
 // address and keeps the role of its earlier version.
 TEST_F(rollout_calls, a_changed_version_changes_the_list)
