--- a/drivers/log.cpp
+++ b/drivers/log.cpp
@@ -163,8 +163,15 @@
 
 bool needs_quotes(std::string_view text)
 {
-    return text.empty() ||
-           text.find_first_of(" =\"\n\r\t") != std::string_view::npos;
+    // Control characters of a caller's text would make the log a binary file.
+    return text.empty() || std::any_of(
+                               text.begin(),
+                               text.end(),
+                               [](unsigned char character)
+                               {
+                                   return character <= ' ' ||
+                                          character == '=' || character == '"';
+                               });
 }
 
 void append_text(std::string& out, std::string_view text)
--- a/tests/drivers/log_test.cpp
+++ b/tests/drivers/log_test.cpp
@@ -125,6 +125,15 @@
     EXPECT_NE(read_all().find("outcome=refused"), std::string::npos);
 }
 
+// Guards against a log that search tools take for a binary file, after a caller
+// has sent a NUL in a name.
+TEST_F(log_to_pipe, control_characters_are_escaped)
+{
+    log_event(
+        log_level::warning, "odd", {{"name", std::string("v2\0\x1b", 4)}});
+    EXPECT_NE(read_all().find(R"(name="v2\u0000\u001b")"), std::string::npos);
+}
+
 TEST_F(log_to_pipe, a_line_names_host_event_and_fields)
 {
     log_event(
