Judge roll-outs against their baseline and bound their exposure

The evaluator compares the target with the baseline by route, host and zone over several spans of time; the ledger and the allotments keep the fleet's requests to the target within the bound.

--- a/policy/rollout_evaluator.cpp
+++ b/policy/rollout_evaluator.cpp
@@ -17,8 +17,8 @@
 
 /// Time kept for the switch, its commits and some delay of the group.
 constexpr core::duration switch_time{4'000};
-/// Time that the switch and its commits take without trouble.
-constexpr core::duration min_switch_time{2'500};
+/// The least that the switch and its commits take.
+constexpr core::duration min_switch_time{2'800};
 /// Shortest trial that can give evidence.
 constexpr core::duration min_trial{2'000};
 /// Longest time over which the target's share grows to all requests.
@@ -35,17 +35,21 @@
 constexpr std::int64_t snapshots_per_window = 4;
 
 /// Accepted probability that chance alone ends the roll-out of a good version.
-constexpr double false_verdict_budget = 1e-3;
+constexpr double false_verdict_budget = 1e-2;
 /// Tests of one route that are nearly independent, per second of the deadline.
 constexpr double tests_per_second = 8;
-/// Probability of chance below which the target isn't switched to.
-constexpr double doubt_alpha = 1e-3;
+/// Probabilities of chance below which failures or slow answers keep the target
+/// from being switched to.
+constexpr double failure_doubt = 1e-2;
+constexpr double slowness_doubt = 2e-3;
 /// Probability of chance below which the answers of all endpoints, hosts or
 /// zones but the worst one confirm a fault.
-constexpr double confirming_alpha = 0.02;
+constexpr double confirming_alpha = 0.03;
+/// The same for a doubt before the switch.
+constexpr double doubt_confirming_alpha = 0.1;
 
 /// Failure rates up to this one are no fault, whatever the baseline's.
-constexpr double accepted_failure_rate = 0.03;
+constexpr double accepted_failure_rate = 0.02;
 /// The same for the test before the switch, which is made once.
 constexpr double unsuspicious_failure_rate = 0.01;
 /// A target may fail this many times as often as the baseline.
@@ -85,9 +89,11 @@
 /// and the leader decides at intervals.
 constexpr core::duration decision_delay{300};
 
-/// Answers of other endpoints, hosts or zones without which a suspected target
+/// Answers of other endpoints without which a suspected target
 /// isn't switched to.
-constexpr std::int64_t enough_to_exonerate = 5;
+constexpr std::int64_t enough_other_endpoints = 6;
+/// The same of hosts and zones.
+constexpr std::int64_t enough_other_groups = 6;
 
 /// Route names are cut to this length in reasons.
 constexpr std::size_t max_route_length = 64;
@@ -294,11 +300,14 @@
 /// How strictly a target is judged.
 struct strictness
 {
-    double alpha_;
+    double failure_alpha_;
+    double slowness_alpha_;
+    double confirming_alpha_;
     double accepted_failures_;
     /// Answers of the other groups that can show a fault to be that of one.
-    std::int64_t exonerating_;
-    std::size_t slowdown_; ///< Accepted, against answers of the same time.
+    std::int64_t other_endpoints_;
+    std::int64_t other_groups_; ///< The same of hosts and zones.
+    std::size_t slowdown_;      ///< Accepted, against answers of the same time.
 };
 
 /// \return whether the answers of all groups but the worst one confirm the
@@ -309,7 +318,8 @@
     const Groups& since_order,
     const proportion& all,
     double rate,
-    std::int64_t exonerating)
+    std::int64_t enough,
+    double alpha)
 {
     proportion worst;
     for (const auto& [id, counts] : groups)
@@ -323,9 +333,8 @@
     const proportion rest = all - worst;
     if (rest.total_ > 0)
     {
-        return rest.total_ < exonerating ||
-               upper_tail(rest, std::max(rate, accepted_failure_rate)) <
-                   confirming_alpha;
+        return rest.total_ < enough ||
+               upper_tail(rest, std::max(rate, accepted_failure_rate)) < alpha;
     }
     return std::count_if(
                since_order.begin(),
@@ -342,23 +351,28 @@
     const role_tally& target,
     const role_tally& since_order,
     double rate,
+    double alpha,
     const strictness& limits)
 {
     const proportion all = failures(target.total_);
-    const std::int64_t rest = limits.exonerating_;
-    if (upper_tail(all, rate) >= limits.alpha_)
+    if (upper_tail(all, rate) >= alpha)
     {
         return false;
     }
-    return is_confirmed(
+    const auto confirms =
+        [&](const auto& groups, const auto& all_groups, std::int64_t enough)
+    {
+        return is_confirmed(
+            groups, all_groups, all, rate, enough, limits.confirming_alpha_);
+    };
+    return confirms(
                target.by_endpoint_,
                since_order.by_endpoint_,
-               all,
-               rate,
-               rest) &&
-           is_confirmed(
-               target.by_host_, since_order.by_host_, all, rate, rest) &&
-           is_confirmed(target.by_zone_, since_order.by_zone_, all, rate, rest);
+               limits.other_endpoints_) &&
+           confirms(
+               target.by_host_, since_order.by_host_, limits.other_groups_) &&
+           confirms(
+               target.by_zone_, since_order.by_zone_, limits.other_groups_);
 }
 
 std::string of(const proportion& counts)
@@ -384,7 +398,12 @@
         accepted_failure_ratio * baseline.explained(route.target_),
         limits.accepted_failures_,
         max_rate);
-    if (!is_fault(route.target_, target_since_order, rate, limits))
+    if (!is_fault(
+            route.target_,
+            target_since_order,
+            rate,
+            limits.failure_alpha_,
+            limits))
     {
         return std::nullopt;
     }
@@ -456,8 +475,12 @@
     const baseline_rate baseline(
         counts.baseline_, rate_of(counts.baseline_.total_));
     const double rate = std::max(baseline.explained(counts.target_), min_rate);
-    if (rate >= 1 ||
-        !is_fault(counts.target_, target_since_order, rate, limits))
+    if (rate >= 1 || !is_fault(
+                         counts.target_,
+                         target_since_order,
+                         rate,
+                         limits.slowness_alpha_,
+                         limits))
     {
         return std::nullopt;
     }
@@ -665,15 +688,20 @@
     const std::vector<route_tallies>& recent,
     bool is_switching) const
 {
+    const core::duration phase =
+        is_switching ? bounds_.deadline_ - switch_at() : switch_at();
     const double seconds =
-        std::max(static_cast<double>(bounds_.deadline_.ms_) / 1'000, 1.0);
+        std::max(static_cast<double>(phase.ms_) / 1'000, 1.0);
     const double alpha =
         false_verdict_budget / (seconds * tests_per_second * count_of(routes));
     // While switching, the baseline's answers are older than the target's.
     const strictness limits{
         alpha,
+        alpha,
+        confirming_alpha,
         accepted_failure_rate,
         1,
+        1,
         is_switching ? accepted_slowdown_over_time : accepted_slowdown};
     auto fault = find_excess(sum_of(routes));
     if (!fault)
@@ -734,9 +762,12 @@
     const route_tallies& routes, const std::vector<route_tallies>& recent) const
 {
     const strictness limits{
-        doubt_alpha / count_of(routes),
+        failure_doubt / count_of(routes),
+        slowness_doubt / count_of(routes),
+        doubt_confirming_alpha,
         unsuspicious_failure_rate,
-        enough_to_exonerate,
+        enough_other_endpoints,
+        enough_other_groups,
         accepted_slowdown};
     auto doubt = find_fault_in(routes, routes, limits);
     for (auto span = recent.begin(); !doubt && span != recent.end(); ++span)
@@ -779,7 +810,7 @@
 double rollout_evaluator::trial_share(double requests_per_second) const
 {
     constexpr double ms_per_second = 1'000;
-    constexpr double part_for_trial = 0.5;
+    constexpr double part_for_trial = 0.45;
     const double requests = requests_per_second *
                             static_cast<double>(switch_at().ms_) /
                             ms_per_second;
@@ -802,10 +833,10 @@
     {
         return 1;
     }
-    return std::max(
-        static_cast<double>((elapsed - switched_at).ms_) /
-            static_cast<double>(ramp.ms_),
-        bounds_.share_);
+    const double part = static_cast<double>((elapsed - switched_at).ms_) /
+                        static_cast<double>(ramp.ms_);
+    // Slow at first, when a version that fails under load is found.
+    return std::max(part * part, bounds_.share_);
 }
 
 rollout_decision rollout_evaluator::evaluate(
