--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -406,7 +406,7 @@
     const core::time_point now = core::steady_now();
     for (const auto& [host, item] : watching_hosts_)
     {
-        if (now - item.seen_at_ <= host_timeout)
+        if (now - item.seen_at_ <= rollout_contact_timeout)
         {
             out.push_back(host);
         }
--- a/node/rollout_client.cpp
+++ b/node/rollout_client.cpp
@@ -257,6 +257,20 @@
            now < found->second.lease_until_;
 }
 
+/// \return whether a new request may go to a replaced version.
+bool rollout_client::may_use_replaced(
+    const control::rollout& item, core::time_point now) const
+{
+    if (item.phase_ != rollout_phase::switching)
+    {
+        return true;
+    }
+    const core::time_point heard_at = std::max(
+        with_.board_.section<endpoint_section>().read_at_,
+        with_.board_.section<group_section>().leader_contact_at_);
+    return !has_lease(item, now) && now - heard_at <= rollout_contact_timeout;
+}
+
 policy::trial_endpoints rollout_client::choose_trial(
     const control::rollout& item) const
 {
@@ -349,13 +363,12 @@
         control::role_of(*item, version) == rollout_role::target;
     if (item->phase_ == rollout_phase::switching)
     {
-        const bool leased = has_lease(*item, now);
-        if (leased != is_target)
+        if (is_target && has_lease(*item, now))
         {
-            return std::nullopt;
+            return send_permission{running_[service].lease_until_};
         }
-        return is_target ? send_permission{running_[service].lease_until_}
-                         : send_permission();
+        const bool is_allowed = !is_target && may_use_replaced(*item, now);
+        return is_allowed ? std::optional(send_permission()) : std::nullopt;
     }
     if (!is_target)
     {
@@ -397,7 +410,8 @@
     if (!is_target)
     {
         // A stream goes on where its prompt has been prefilled.
-        const bool may_start = !has_lease(*item, now) || kv_version.has_value();
+        const bool may_start =
+            may_use_replaced(*item, now) || kv_version.has_value();
         return may_start ? std::optional(send_permission()) : std::nullopt;
     }
     if (placement.target_until_ && now < *placement.target_until_)
--- a/node/rollout_client.hpp
+++ b/node/rollout_client.hpp
@@ -168,6 +168,8 @@
     bool is_version_allowed(
         const core::service_id& service, const std::string& version) const;
     bool has_lease(const control::rollout& item, core::time_point now) const;
+    bool may_use_replaced(
+        const control::rollout& item, core::time_point now) const;
     policy::trial_endpoints choose_trial(const control::rollout& item) const;
     double exposure_share() const;
     std::int64_t count_baseline_running(const control::rollout& item) const;
--- a/node/rollout_controller.hpp
+++ b/node/rollout_controller.hpp
@@ -31,8 +31,8 @@
 class rollout_controller
 {
 public:
-    /// \param live_hosts returns the entry hosts that the leader considers
-    /// alive.
+    /// \param live_hosts returns the entry hosts that the leader has heard
+    /// within rollout_contact_timeout.
     rollout_controller(
         context& with,
         catalog_replica& group,
--- a/node/rollout_messages.hpp
+++ b/node/rollout_messages.hpp
@@ -112,6 +112,11 @@
 /// sent the report that the leader answered.
 inline constexpr core::duration rollout_lease_validity{1'500};
 
+/// A leader does not wait for a host that it has not heard for this long, and a
+/// host without a lease that has heard neither of the leader nor of the list
+/// for this long does not send to replaced versions: they may have ended.
+inline constexpr core::duration rollout_contact_timeout{2'000};
+
 /// Interval of reports and of the leader's evaluation.
 inline constexpr core::duration rollout_report_interval{200};
 
--- a/tests/platform/rollout_client_test.cpp
+++ b/tests/platform/rollout_client_test.cpp
@@ -179,6 +179,22 @@
     leader_.answers_ = false;
     run_for(1'700);
     EXPECT_FALSE(may_send("v2"));
+    list({"v1", "v2"});
+    EXPECT_TRUE(may_send("v1"));
+}
+
+// Guards against a host that was paused during a switch and sends to endpoints
+// that were stopped meanwhile, because its old list has them.
+TEST_F(rollout_permission, a_switch_without_news_permits_nothing)
+{
+    tell(rollout_phase::switching);
+    leader_.answers_ = false;
+    EXPECT_TRUE(may_send("v1"));
+    run_for(2'100);
+    EXPECT_FALSE(may_send("v2"));
+    EXPECT_FALSE(may_send("v1"));
+    host_.board_.section<node::group_section>().leader_contact_at_ =
+        core::steady_now();
     EXPECT_TRUE(may_send("v1"));
 }
 
