--- a/tests/rollouts.py
+++ b/tests/rollouts.py
@@ -20,6 +20,7 @@
 
 import argparse
 import asyncio
+import datetime
 import json
 import os
 import re
@@ -250,6 +251,9 @@
                 host.send(signal.SIGKILL)
             for host in hosts:
                 await host.process.wait()
+        for link in self.links:
+            link.reset()
+        await asyncio.sleep(0.2)
         for service in self.services:
             self.check(service)
         return not self.problems
@@ -305,8 +309,36 @@
         if not service.is_bad and not self.disturbs_callers and failed:
             self.add_problem(f"{service.name}: {failed} calls of a good "
                              "roll-out failed")
+        switched_at = self.find_switch(service)
+        if switched_at is not None:
+            # The bound holds at any time of a trial, also of a good version.
+            on_trial = {version: sum(service.ordered_at <= at < switched_at
+                                     for at in times)
+                        for version, times in arrivals.items()}
+            bound = SHARE * sum(on_trial.values()) + SLACK
+            print(f"    on trial {on_trial['new']}, allowed {bound:.0f}")
+            if on_trial["new"] > bound:
+                self.add_problem(f"{service.name}: {on_trial['new']} requests "
+                                 f"on trial, {bound:.0f} are allowed")
+        elif service.state == "completed" and not self.has_faults:
+            # A leader that is killed may not have written the line.
+            self.add_problem(f"{service.name}: no log line of its switch")
         self.check_kv_sources(service)
 
+    def find_switch(self, service):
+        """Returns the time before the commit of the switch, or None."""
+        for member in self.members:
+            found = re.search(
+                r"time=(\S+) [^\n]*event=rollout_step service=" +
+                service.name + r" [^\n]*phase=switching [^\n]*commit_ms=(\d+)",
+                self.read_log(member))
+            if found:
+                at = datetime.datetime.fromisoformat(
+                    found.group(1)).timestamp()
+                return (time.monotonic() - time.time() + at -
+                        int(found.group(2)) / 1000 - 0.02)
+        return None
+
     @property
     def has_faults(self):
         return self.disturb is inject_faults
