--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -15,6 +15,8 @@
 #include "node/leader_queues.hpp"
 #include "node/placement_controller.hpp"
 #include "node/replica.hpp"
+#include "node/rollout_controller.hpp"
+#include "node/rollout_orders.hpp"
 #include "node/stage_controller.hpp"
 #include "policy/account_meter.hpp"
 #include "policy/crash_counter.hpp"
@@ -24,14 +26,6 @@
 namespace poplarroute::node
 {
 
-/// Result of an operator's call.
-struct operator_call_result
-{
-    bool accepted_ = false;
-    bool invalid_ = false; ///< It cannot be accepted, even if retried.
-    std::string problem_;  ///< Error message for the operator.
-};
-
 /// Version and text of the newest catalog, read at the leader.
 struct catalog_contents
 {
@@ -61,6 +55,12 @@
     /// Reads the newest catalog (linearizable read).
     awaitable<core::result<catalog_contents>> read();
 
+    /// \return what starts, withdraws and shows roll-outs for operators.
+    rollout_orders& rollout_calls()
+    {
+        return rollout_orders_;
+    }
+
     bool leads()
     {
         track_leadership();
@@ -98,6 +98,7 @@
         document_part_request request);
     void apply_limits();
     awaitable<placement_reply> charge_and_place(placement_request request);
+    awaitable<placement_reply> place_in_role(placement_request request);
     settle_reply settle(const settle_request& request);
     void apply_catalog();
 
@@ -116,6 +117,7 @@
     void adopt_quarantines(const watch_request& request);
     void publish_quarantines(bool requests_changed);
     std::int64_t live_hosts() const;
+    std::vector<core::host_id> watching_host_names() const;
 
     context& with_;
     catalog_replica& group_;
@@ -123,6 +125,8 @@
     placement_controller placements_;
     stage_controller stages_;
     group_manager group_manager_;
+    rollout_orders rollout_orders_;
+    rollout_controller rollouts_;
     policy::meter_ledger ledger_;
     std::map<core::service_id, policy::retry_allowance> retry_allowances_;
     policy::crash_counter crashes_;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "control/rollouts.hpp"
 #include "core/codec.hpp"
 #include "core/ids.hpp"
 #include "node/wire_codec.hpp"
@@ -90,6 +91,7 @@
     std::int64_t cold_ms_ = 0;
     bool reads_prompts_ = false;
     std::int64_t started_at_ms_ = 0; ///< Unix time; 0: unknown.
+    std::string version_;            ///< Of its software; empty: not stated.
 };
 
 /// Changes of an endpoint list between two revisions. They apply to each
@@ -139,6 +141,8 @@
     /// Endpoints that have left the list since the host's revision, for a host
     /// that has to download the list.
     std::vector<core::endpoint_id> withdrawn_;
+    /// The latest roll-out of each service, without its history.
+    std::vector<control::rollout> rollouts_;
 };
 
 /// Identifies a document that hosts fetch in parts.
@@ -219,6 +223,10 @@
     /// been charged before. Older programs do not send them.
     core::account_id sharing_account_;
     std::int64_t sharing_price_ = 0;
+    /// Whether only engines of kv_version_ may serve it: one of them has
+    /// prefilled the prompt.
+    bool pins_version_ = false;
+    std::string kv_version_;
 };
 
 /// A placement, or the refusal of one.
@@ -233,6 +241,9 @@
     std::int64_t waited_ms_ = 0;
     std::int64_t waiting_ = 0;     ///< Number of queued streams.
     bool decided_locally_ = false; ///< Decided without a leader; not sent.
+    /// Whether its engines are of a running roll-out's target, which the leader
+    /// permits for rollout_grant_validity.
+    bool is_target_ = false;
 };
 
 /// Reports that a stream ended and how.
@@ -343,7 +354,8 @@
     leaving_,
     cold_ms_,
     reads_prompts_,
-    started_at_ms_)
+    started_at_ms_,
+    version_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     watch_reply,
     leads_,
@@ -366,7 +378,8 @@
     crashers_,
     suspects_parts_,
     list_changes_,
-    withdrawn_)
+    withdrawn_,
+    rollouts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     list_changes, from_, to_, changed_, removed_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_id, name_, revision_)
@@ -399,7 +412,9 @@
     price_,
     resends_,
     sharing_account_,
-    sharing_price_)
+    sharing_price_,
+    pins_version_,
+    kv_version_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     placement_reply,
     placed_,
@@ -409,7 +424,8 @@
     reason_,
     retry_ms_,
     waited_ms_,
-    waiting_)
+    waiting_,
+    is_target_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     stream_end_message,
     service_,
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -51,9 +51,11 @@
 
 } // namespace
 
-catalog_watcher::catalog_watcher(context& with, const wire_codec& codec)
+catalog_watcher::catalog_watcher(
+    context& with, const wire_codec& codec, rollout_client& rollouts)
     : with_(with),
       codec_(codec),
+      rollouts_(rollouts),
       list_(with),
       settler_(with),
       download_wake_(with.io_)
@@ -241,6 +243,9 @@
     {
         group.members_ = reply.members_;
     }
+    // Before the endpoint list, which may contain versions that a roll-out is
+    // about.
+    rollouts_.apply(reply.rollouts_);
     if (!may_be_outdated(reply))
     {
         apply_catalog(reply);
@@ -265,12 +270,23 @@
     group.leader_contact_at_ = core::steady_now();
     apply_quarantines(reply);
     list_.apply(request, reply);
+    confirm_versions();
     if (list_.needs_download())
     {
         download_wake_.cancel();
     }
 }
 
+/// Lets requests go to the versions in the list, if the roll-outs of the last
+/// reply are those of this list or of a later one.
+void catalog_watcher::confirm_versions()
+{
+    if (list_.is_announced())
+    {
+        rollouts_.confirm_versions();
+    }
+}
+
 /// Takes the number of entry hosts from the leader; from another member, which
 /// has it from hosts, only while none is known.
 void catalog_watcher::apply_host_count(const watch_reply& reply)
@@ -447,6 +463,7 @@
         {
             sources_.record_failure(download_source_, core::steady_now());
         }
+        confirm_versions();
     }
 }
 
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -9,6 +9,7 @@
 #include "node/document_sources.hpp"
 #include "node/endpoint_list_follower.hpp"
 #include "node/fleet_sections.hpp"
+#include "node/rollout_client.hpp"
 #include "node/running_streams.hpp"
 #include "node/usage_settler.hpp"
 
@@ -24,7 +25,8 @@
 class catalog_watcher
 {
 public:
-    catalog_watcher(context& with, const wire_codec& codec);
+    catalog_watcher(
+        context& with, const wire_codec& codec, rollout_client& rollouts);
 
     void start();
 
@@ -53,6 +55,7 @@
         const watch_reply& reply,
         const core::host_id& from);
     void apply_host_count(const watch_reply& reply);
+    void confirm_versions();
     void apply_quarantines(const watch_reply& reply);
     void apply_catalog(const watch_reply& reply);
     bool may_be_outdated(const watch_reply& reply) const;
@@ -71,6 +74,7 @@
 
     context& with_;
     const wire_codec& codec_;
+    rollout_client& rollouts_;
     core::time_point started_at_;
     std::size_t next_member_index_ = 0;
     std::uint64_t crash_revision_ = 0;
--- a/node/endpoint_list_follower.cpp
+++ b/node/endpoint_list_follower.cpp
@@ -58,6 +58,12 @@
     return list().revision_ + (is_altered_ ? 0 : 1);
 }
 
+bool endpoint_list_follower::is_announced() const
+{
+    return !known_epoch_.empty() && list().epoch_ == known_epoch_ &&
+           list().revision_ <= announced_revision_;
+}
+
 document_download& endpoint_list_follower::download()
 {
     const document_id newest =
@@ -125,6 +131,7 @@
         core::steady_now() - core::duration{reply.list_age_ms_};
     known_epoch_ = reply.list_epoch_;
     known_revision_ = reply.list_revision_;
+    announced_revision_ = reply.list_revision_;
     known_read_at_ = read_at;
     leave_out(reply.leaving_);
     leave_out(reply.withdrawn_);
--- a/node/endpoint_list_follower.hpp
+++ b/node/endpoint_list_follower.hpp
@@ -33,6 +33,10 @@
     /// its list.
     bool needs_download() const;
 
+    /// \return whether the list in force is not newer than the last reply, so
+    /// that what the reply said besides covers it.
+    bool is_announced() const;
+
     /// \return the download of the newest list, begun unless an earlier
     /// revision's goes on.
     document_download& download();
@@ -57,7 +61,8 @@
     /// The list that the leader has announced.
     std::string known_epoch_;
     std::uint64_t known_revision_ = 0;
-    core::time_point known_read_at_; ///< Last read, changed or not.
+    core::time_point known_read_at_;       ///< Last read, changed or not.
+    std::uint64_t announced_revision_ = 0; ///< In the last reply.
 
     /// Revision in force from which the leader had no changes.
     std::string uncovered_epoch_;
--- a/node/fleet_settings.hpp
+++ b/node/fleet_settings.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +27,15 @@
     /// ten.
     std::int64_t leader_calls_per_second_ = 6'000;
     std::int64_t max_watches_ = 2'048; ///< Held at a group member.
+
+    /// Share of a service's requests that a bad target of a roll-out may get.
+    /// Absent: no roll-outs are served.
+    std::optional<double> rollout_share_;
+    std::int64_t rollout_slack_ = 50; ///< Requests besides that share.
+    /// Time after its fiftieth bad answer in which a bad target is withdrawn.
+    core::duration rollback_time_{5'000};
+    /// Time for which an operator sends an order again that was not answered.
+    core::duration operator_ack_time_{5'000};
 };
 
 /// Settings of a process of a fleet that the platform deploys.
--- a/tests/platform/document_relay_test.cpp
+++ b/tests/platform/document_relay_test.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "node/catalog_watcher.hpp"
+#include "node/rollout_client.hpp"
 #include "tests/platform/lone_member.hpp"
 
 namespace poplarroute::platform
@@ -65,7 +66,9 @@
 {
     explicit entry_host(
         asio::io_context& io, const std::string& address = host_address)
-        : process(io, address, member_address), watcher_(with_, codec_)
+        : process(io, address, member_address),
+          rollouts_(with_),
+          watcher_(with_, codec_, rollouts_)
     {
         board_.section<node::settings_section>().settings_.seeds_ = {
             member_address, relay_address};
@@ -77,6 +80,8 @@
         return board_.section<node::endpoint_section>();
     }
 
+    node::rollout_client rollouts_;
+
     node::catalog_watcher watcher_;
 };
 
--- a/tests/platform/list_changes_test.cpp
+++ b/tests/platform/list_changes_test.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "node/catalog_watcher.hpp"
+#include "node/rollout_client.hpp"
 #include "tests/platform/lone_member.hpp"
 
 namespace poplarroute::platform
@@ -24,7 +25,9 @@
 struct entry_host : process
 {
     explicit entry_host(asio::io_context& io)
-        : process(io, host_address, member_address), watcher_(with_, codec_)
+        : process(io, host_address, member_address),
+          rollouts_(with_),
+          watcher_(with_, codec_, rollouts_)
     {
         watcher_.start();
     }
@@ -42,6 +45,8 @@
                std::string::npos;
     }
 
+    node::rollout_client rollouts_;
+
     node::catalog_watcher watcher_;
 };
 
