--- a/policy/plain_balancer.cpp
+++ b/policy/plain_balancer.cpp
@@ -197,14 +197,10 @@
                std::max<std::int64_t>(item.endpoint_.slots_, 1));
 }
 
-std::optional<core::endpoint_id> plain_balancer::begin(
-    const core::zone_id& zone,
-    const std::set<core::endpoint_id>& avoid,
-    core::time_point now,
-    call_time_left left)
+plain_balancer::candidate_list plain_balancer::find_candidates(
+    const std::set<core::endpoint_id>& avoid, core::time_point now)
 {
-    std::vector<endpoint_state*> candidates;
-    std::vector<endpoint_state*> unhealthy;
+    candidate_list out;
     for (auto& [name, item] : endpoints_)
     {
         while (!item.recent_starts_.empty() &&
@@ -220,8 +216,19 @@
         {
             continue;
         }
-        (is_healthy(item, now) ? candidates : unhealthy).push_back(&item);
+        (is_healthy(item, now) ? out.healthy_ : out.unhealthy_)
+            .push_back(&item);
     }
+    return out;
+}
+
+std::optional<core::endpoint_id> plain_balancer::begin(
+    const core::zone_id& zone,
+    const std::set<core::endpoint_id>& avoid,
+    core::time_point now,
+    call_time_left left)
+{
+    auto [candidates, unhealthy] = find_candidates(avoid, now);
     // At most half of the endpoints stay ejected: they may have recovered, and
     // the rest cannot carry the whole load.
     if (candidates.size() < unhealthy.size())
@@ -242,16 +249,53 @@
     {
         return std::nullopt;
     }
-    endpoint_state* best = uses_paces(now)
-                               ? draw_by_completion(candidates, zone, now, left)
-                               : draw_two(candidates, zone, now);
-    if (best->in_flight_ == 0)
+    return start_call(*draw(candidates, zone, now, left), now);
+}
+
+std::optional<core::endpoint_id> plain_balancer::begin_with_room(
+    const core::zone_id& zone,
+    const std::set<core::endpoint_id>& avoid,
+    core::time_point now,
+    call_time_left left)
+{
+    std::vector<endpoint_state*> candidates =
+        find_candidates(avoid, now).healthy_;
+    std::erase_if(
+        candidates,
+        [&](const endpoint_state* item)
+        {
+            const bool is_cold = item->endpoint_.starts_per_second_ > 0;
+            return is_cold || calls_at(*item, now) >=
+                                  static_cast<double>(item->endpoint_.slots_);
+        });
+    if (candidates.empty())
+    {
+        return std::nullopt;
+    }
+    return start_call(*draw(candidates, zone, now, left), now);
+}
+
+/// Counts a call to an endpoint as in flight.
+core::endpoint_id plain_balancer::start_call(
+    endpoint_state& item, core::time_point now)
+{
+    if (item.in_flight_ == 0)
     {
-        best->progress_at_ = now;
+        item.progress_at_ = now;
     }
-    ++best->in_flight_;
-    best->recent_starts_.push_back(now);
-    return best->endpoint_.name_;
+    ++item.in_flight_;
+    item.recent_starts_.push_back(now);
+    return item.endpoint_.name_;
+}
+
+plain_balancer::endpoint_state* plain_balancer::draw(
+    const std::vector<endpoint_state*>& candidates,
+    const core::zone_id& zone,
+    core::time_point now,
+    call_time_left left)
+{
+    return uses_paces(now) ? draw_by_completion(candidates, zone, now, left)
+                           : draw_two(candidates, zone, now);
 }
 
 plain_balancer::endpoint_state* plain_balancer::draw_two(
--- a/policy/plain_balancer.hpp
+++ b/policy/plain_balancer.hpp
@@ -91,6 +91,16 @@
         core::time_point now,
         call_time_left left = {});
 
+    /// Chooses an endpoint for a second run of a call, among the healthy ones
+    /// that have a free slot as far as this host knows, and counts the run as
+    /// in flight.
+    /// \return the endpoint; nothing if none has room.
+    std::optional<core::endpoint_id> begin_with_room(
+        const core::zone_id& zone,
+        const std::set<core::endpoint_id>& avoid,
+        core::time_point now,
+        call_time_left left = {});
+
     /// Records the outcome of a call that begin() counted as in flight.
     void end(
         const core::endpoint_id& name,
@@ -134,6 +144,13 @@
         endpoint_speed speed_; ///< Time of a call, without queueing.
     };
 
+    /// Endpoints that may be chosen for a call.
+    struct candidate_list
+    {
+        std::vector<endpoint_state*> healthy_;
+        std::vector<endpoint_state*> unhealthy_; ///< Ejected or unresponsive.
+    };
+
     bool uses_paces(core::time_point now) const;
     double calls_at(const endpoint_state& item, core::time_point now) const;
     double learned_time(const endpoint_state& item, core::time_point now) const;
@@ -146,6 +163,14 @@
         const endpoint_state& item, core::time_point now) const;
     void record_duration(
         endpoint_state& item, core::duration duration, core::time_point now);
+    candidate_list find_candidates(
+        const std::set<core::endpoint_id>& avoid, core::time_point now);
+    core::endpoint_id start_call(endpoint_state& item, core::time_point now);
+    endpoint_state* draw(
+        const std::vector<endpoint_state*>& candidates,
+        const core::zone_id& zone,
+        core::time_point now,
+        call_time_left left);
     endpoint_state* draw_two(
         const std::vector<endpoint_state*>& candidates,
         const core::zone_id& zone,
