--- a/tests/fuzz/fuzz.hpp
+++ b/tests/fuzz/fuzz.hpp
@@ -5,6 +5,8 @@
 #include <string_view>
 
 /// Entry point of libFuzzer.
+// libFuzzer calls the target by this name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(
     const std::uint8_t* data, std::size_t size);
 
