Share what two tests of the endpoint list wrote twice

list_changes_test and document_relay_test each built the same member, host and list; tests/platform/endpoint_list_fixture has them once. The assertions are as they were. A constructor of the HTTP server delegates to the other, and a comment of the fuzz targets that stood twice stands once.

--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -640,16 +640,16 @@
     http_limits limits,
     http_handler handler,
     byte_budget_ptr budget)
-    : state_(std::make_shared<state>(
+    : http_server(
           context,
-          parse_endpoint(address),
+          address,
           limits,
           std::move(handler),
           std::make_shared<connection_group>(
               "http",
               listener_limits{limits.max_connections_, default_budget_bytes},
               budget ? std::move(budget)
-                     : std::make_shared<byte_budget>(default_budget_bytes))))
+                     : std::make_shared<byte_budget>(default_budget_bytes)))
 {
 }
 
--- a/tests/fuzz/fuzz.hpp
+++ b/tests/fuzz/fuzz.hpp
@@ -4,8 +4,7 @@
 #include <cstdint>
 #include <string_view>
 
-/// Entry point of libFuzzer.
-// libFuzzer calls the target by this name.
+/// Entry point that libFuzzer calls by this name.
 // NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(
     const std::uint8_t* data, std::size_t size);
--- a/tests/platform/document_relay_test.cpp
+++ b/tests/platform/document_relay_test.cpp
@@ -3,15 +3,7 @@
 
 #include "node/document_relay.hpp"
 
-#include <filesystem>
-#include <functional>
-
-#include <gtest/gtest.h>
-#include <unistd.h>
-
-#include "node/catalog_watcher.hpp"
-#include "node/rollout_client.hpp"
-#include "tests/platform/lone_member.hpp"
+#include "tests/platform/endpoint_list_fixture.hpp"
 
 namespace poplarroute::platform
 {
@@ -23,7 +15,6 @@
 constexpr const char* member_address = "127.0.0.1:19630";
 constexpr const char* relay_address = "127.0.0.1:19631";
 constexpr const char* host_address = "127.0.0.1:19632";
-constexpr int endpoints = 2'000;
 
 /// A member that does not lead, as far as documents are concerned.
 struct relay_member : listening_process
@@ -62,74 +53,19 @@
     node::document_relay relay_;
 };
 
-struct entry_host : process
+struct entry_host : watching_host
 {
     explicit entry_host(
         asio::io_context& io, const std::string& address = host_address)
-        : process(io, address, member_address),
-          rollouts_(with_),
-          watcher_(with_, codec_, rollouts_)
+        : watching_host(io, address, {member_address, relay_address})
     {
-        board_.section<node::settings_section>().settings_.seeds_ = {
-            member_address, relay_address};
-        watcher_.start();
     }
-
-    const node::endpoint_section& list()
-    {
-        return board_.section<node::endpoint_section>();
-    }
-
-    node::rollout_client rollouts_;
-
-    node::catalog_watcher watcher_;
 };
 
-class document_relay : public ::testing::Test
+class document_relay : public endpoint_list_fixture
 {
 protected:
-    document_relay()
-        : folder_(
-              std::filesystem::temp_directory_path() /
-              ("poplarroute-relay-" + std::to_string(::getpid()))),
-          member_(make_member())
-    {
-        for (int index = 0; index < endpoints; ++index)
-        {
-            node::listed_endpoint item;
-            item.name_ = "i-" + std::to_string(index);
-            item.service_ = "depu9b";
-            item.address_ = "10.1.64." + std::to_string(index) + ":8066";
-            item.zone_ = "zone-a";
-            items_.push_back(item);
-        }
-        publish();
-    }
-
-    ~document_relay() override
-    {
-        std::filesystem::remove_all(folder_);
-    }
-
-    std::unique_ptr<lone_member> make_member()
-    {
-        std::filesystem::remove_all(folder_);
-        return std::make_unique<lone_member>(
-            io_, member_address, member_address, folder_.string());
-    }
-
-    void publish()
-    {
-        run_until(
-            [this]()
-            {
-                return member_->controller_->leads();
-            });
-        node::endpoint_section& section =
-            member_->board_.section<node::endpoint_section>();
-        section.epoch_ = "epoch";
-        node::replace_endpoints(section, items_, core::steady_now());
-    }
+    document_relay() : endpoint_list_fixture("relay", member_address) {}
 
     void change_most()
     {
@@ -140,37 +76,13 @@
         publish();
     }
 
-    void run_until(const std::function<bool()>& condition)
+    void run_until_current(watching_host& host)
     {
-        const core::time_point until =
-            core::steady_now() + core::duration{10'000};
-        while (!condition() && core::steady_now() < until)
-        {
-            io_.restart();
-            io_.run_for(std::chrono::milliseconds(5));
-        }
-        ASSERT_TRUE(condition());
-    }
-
-    void run_until_current(entry_host& host)
-    {
-        run_until(
-            [&]()
-            {
-                return host.list().revision_ ==
-                           member_->board_.section<node::endpoint_section>()
-                               .revision_ &&
-                       host.list().epoch_ == "epoch";
-            });
+        endpoint_list_fixture::run_until_current(host);
         EXPECT_EQ(
             host.list().endpoints_.at("i-7").listed_.started_at_ms_,
             items_[7].started_at_ms_);
     }
-
-    asio::io_context io_{1};
-    std::filesystem::path folder_;
-    std::unique_ptr<lone_member> member_;
-    std::vector<node::listed_endpoint> items_;
 };
 
 // Guards against a leader that sends the whole list to each host.
--- a/tests/platform/list_changes_test.cpp
+++ b/tests/platform/list_changes_test.cpp
@@ -1,135 +1,36 @@
 // How changes of the endpoint list reach entry hosts: in the reply to a watch,
 // or with the whole list when the leader has no changes for a host.
 
-#include <filesystem>
-#include <functional>
-
-#include <gtest/gtest.h>
-#include <unistd.h>
-
-#include "node/catalog_watcher.hpp"
-#include "node/rollout_client.hpp"
-#include "tests/platform/lone_member.hpp"
+#include "tests/platform/endpoint_list_fixture.hpp"
 
 namespace poplarroute::platform
 {
 namespace
 {
 
-namespace asio = drivers::asio;
-
 constexpr const char* member_address = "127.0.0.1:19620";
 constexpr const char* host_address = "127.0.0.1:19621";
-constexpr int endpoints = 2'000;
 
-struct entry_host : process
+struct entry_host : watching_host
 {
-    explicit entry_host(asio::io_context& io)
-        : process(io, host_address, member_address),
-          rollouts_(with_),
-          watcher_(with_, codec_, rollouts_)
-    {
-        watcher_.start();
-    }
-
-    const node::endpoint_section& list()
+    explicit entry_host(drivers::asio::io_context& io)
+        : watching_host(io, host_address, {member_address})
     {
-        return board_.section<node::endpoint_section>();
     }
 
-    /// \return how often the list was updated in a way: "whole" or "changes".
+    /// \return whether the list was updated in a way: "whole" or "changes".
     bool has_update_of(const std::string& kind)
     {
         return metrics_.text().find(
                    "poplarroute_list_updates_total{kind=\"" + kind + "\"}") !=
                std::string::npos;
     }
-
-    node::rollout_client rollouts_;
-
-    node::catalog_watcher watcher_;
 };
 
-class list_changes : public ::testing::Test
+class list_changes : public endpoint_list_fixture
 {
 protected:
-    list_changes()
-        : folder_(
-              std::filesystem::temp_directory_path() /
-              ("poplarroute-changes-" + std::to_string(::getpid()))),
-          member_(make_member())
-    {
-        for (int index = 0; index < endpoints; ++index)
-        {
-            add_endpoint(index);
-        }
-        publish();
-    }
-
-    ~list_changes() override
-    {
-        std::filesystem::remove_all(folder_);
-    }
-
-    std::unique_ptr<lone_member> make_member()
-    {
-        std::filesystem::remove_all(folder_);
-        return std::make_unique<lone_member>(
-            io_, member_address, member_address, folder_.string());
-    }
-
-    void add_endpoint(int index)
-    {
-        node::listed_endpoint item;
-        item.name_ = "i-" + std::to_string(index);
-        item.service_ = "depu9b";
-        item.address_ = "10.1.64." + std::to_string(index) + ":8066";
-        item.zone_ = "zone-a";
-        items_.push_back(item);
-    }
-
-    /// Lets the member have read the list.
-    void publish()
-    {
-        run_until(
-            [this]()
-            {
-                return member_->controller_->leads();
-            });
-        node::endpoint_section& section =
-            member_->board_.section<node::endpoint_section>();
-        section.epoch_ = "epoch";
-        node::replace_endpoints(section, items_, core::steady_now());
-    }
-
-    void run_until(const std::function<bool()>& condition)
-    {
-        const core::time_point until =
-            core::steady_now() + core::duration{10'000};
-        while (!condition() && core::steady_now() < until)
-        {
-            io_.restart();
-            io_.run_for(std::chrono::milliseconds(5));
-        }
-        ASSERT_TRUE(condition());
-    }
-
-    void run_until_current(entry_host& host)
-    {
-        run_until(
-            [&]()
-            {
-                return host.list().revision_ ==
-                           member_->board_.section<node::endpoint_section>()
-                               .revision_ &&
-                       host.list().epoch_ == "epoch";
-            });
-    }
-
-    asio::io_context io_{1};
-    std::filesystem::path folder_;
-    std::unique_ptr<lone_member> member_;
-    std::vector<node::listed_endpoint> items_;
+    list_changes() : endpoint_list_fixture("changes", member_address) {}
 };
 
 // Guards against a leader that sends the whole list to every host whenever one
@@ -142,7 +43,7 @@
     const std::uint64_t bytes_before = drivers::traffic().bytes_in_;
     items_.erase(items_.begin());
     items_[0].leaving_ = true;
-    add_endpoint(endpoints);
+    add_endpoint(endpoints_);
     publish();
     run_until_current(host);
     EXPECT_TRUE(host.has_update_of("changes"));
@@ -151,7 +52,7 @@
     EXPECT_EQ(host.list().endpoints_.count("i-0"), 0U);
     EXPECT_TRUE(host.list().endpoints_.at("i-1").listed_.leaving_);
     EXPECT_EQ(
-        host.list().endpoints_.count("i-" + std::to_string(endpoints)), 1U);
+        host.list().endpoints_.count("i-" + std::to_string(endpoints_)), 1U);
 }
 
 // Guards against a host that waits for changes which the leader cannot send.
@@ -213,8 +114,7 @@
     run_until_current(host);
     const core::time_point read_at = core::steady_now() - core::duration{2'000};
     items_[3].cold_time_left_ = {9'000};
-    node::endpoint_section& section =
-        member_->board_.section<node::endpoint_section>();
+    node::endpoint_section& section = member_list();
     node::replace_endpoints(
         section, items_, std::max(read_at, section.read_at_));
     const core::time_point cold_until =
