Show that the copy of a refusal moves a request that runs

The present one refuses what is for the former (421); the same request is then sent to it on the same connection, and the copy of the 421 is believed. At the client: the second request with an id gets the copied 503.

--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -149,6 +149,88 @@
         });
 }
 
+/// Endpoint that refuses its first request and repeats that refusal, as an
+/// answer too many, before the next answer on the same connection.
+class copying_endpoint
+{
+public:
+    explicit copying_endpoint(asio::io_context& io)
+        : io_(io), acceptor_(io, parse_endpoint(address))
+    {
+        spawn(io, accept());
+    }
+
+    int accepted_ = 0;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;)
+        {
+            tcp::socket socket =
+                co_await acceptor_.async_accept(asio::use_awaitable);
+            ++accepted_;
+            spawn(io_, serve(std::move(socket)));
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string copy;
+        error_code failed;
+        while (!failed)
+        {
+            std::array<char, 4096> buffer{};
+            const auto size = co_await socket.async_read_some(
+                asio::buffer(buffer),
+                asio::redirect_error(asio::use_awaitable, failed));
+            if (failed || size == 0)
+            {
+                co_return;
+            }
+            std::string response = copy + make_response("a", "ran");
+            if (!has_refused_)
+            {
+                has_refused_ = true;
+                copy = "HTTP/1.1 503 Unavailable\r\nX-Id: a\r\nNot-Run: 1\r\n"
+                       "Content-Length: 0\r\n\r\n";
+                response = copy;
+            }
+            co_await asio::async_write(
+                socket, asio::buffer(response), asio::use_awaitable);
+        }
+    }
+
+    asio::io_context& io_;
+    tcp::acceptor acceptor_;
+    bool has_refused_ = false;
+};
+
+// Guards against the copy of a refusal that is taken for the answer to the same
+// request, sent once more.
+TEST(http_client, sends_a_request_on_no_connection_that_carried_its_id)
+{
+    asio::io_context io;
+    copying_endpoint endpoint(io);
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call first = make_call("a");
+            const auto refused = co_await client.request(std::move(first));
+            EXPECT_TRUE(core::is_ok(refused));
+            EXPECT_EQ(core::value(refused).status_, 503);
+            http_call again = make_call("a");
+            const auto reply = co_await client.request(std::move(again));
+            EXPECT_TRUE(core::is_ok(reply));
+            EXPECT_EQ(core::value(reply).status_, 200);
+            EXPECT_EQ(endpoint.accepted_, 2);
+            http_call other = make_call("b");
+            co_await client.request(std::move(other));
+            EXPECT_EQ(endpoint.accepted_, 2);
+        });
+}
+
 TEST(http_client, skips_the_named_copy_of_an_answer_before_an_unnamed_one)
 {
     asio::io_context io;
--- /dev/null
+++ b/tests/platform/copied_refusal_test.cpp
@@ -0,0 +1,154 @@
+// Endpoints that send the copy of a refusal once the refused request is under
+// way again on the same connection.
+
+#include <array>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+
+#include "tests/platform/ingress_fixture.hpp"
+
+namespace poplarroute::platform
+{
+namespace
+{
+
+namespace asio = drivers::asio;
+using drivers::error_code;
+using drivers::tcp;
+
+constexpr const char* shared_address = "127.0.0.1:19580";
+constexpr int other_port = 19581;
+constexpr const char* current_name = "i-now";
+
+/// \return a header's value in the text of a request; empty: it has none.
+std::string header_of(const std::string& request, const std::string& name)
+{
+    const std::size_t at = request.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+    {
+        return {};
+    }
+    const std::size_t begin = at + name.size() + 4;
+    return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+/// Process that has taken over the address of another. It refuses what is for
+/// the other, and sends a copy of that refusal before its next answer on the
+/// connection.
+class successor
+{
+public:
+    successor(asio::io_context& io, std::map<std::string, int>& runs)
+        : io_(io),
+          acceptor_(io, drivers::parse_endpoint(shared_address)),
+          runs_(runs)
+    {
+        drivers::spawn(io, accept());
+    }
+
+    int refused_ = 0;
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;)
+        {
+            tcp::socket socket =
+                co_await acceptor_.async_accept(asio::use_awaitable);
+            drivers::spawn(io_, serve(std::move(socket)));
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string copy;
+        error_code failed;
+        while (!failed)
+        {
+            std::array<char, 4096> buffer{};
+            const std::size_t size = co_await socket.async_read_some(
+                asio::buffer(buffer),
+                asio::redirect_error(asio::use_awaitable, failed));
+            const std::string request(buffer.data(), size);
+            const std::string id = header_of(request, "Attempt-Id");
+            std::string answer;
+            if (header_of(request, "Expect-Instance") != current_name)
+            {
+                ++refused_;
+                copy = "HTTP/1.1 421 Misdirected\r\nAttempt-Id: " + id +
+                       "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+                answer = copy;
+            }
+            else
+            {
+                ++runs_[id];
+                answer = copy + "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
+                         "\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\ndone";
+                copy.clear();
+            }
+            co_await asio::async_write(
+                socket,
+                asio::buffer(answer),
+                asio::redirect_error(asio::use_awaitable, failed));
+        }
+    }
+
+    asio::io_context& io_;
+    tcp::acceptor acceptor_;
+    std::map<std::string, int>& runs_;
+};
+
+class copied_refusal : public ingress_fixture
+{
+protected:
+    void list_endpoint(std::string name, std::string address)
+    {
+        node::listed_endpoint entry;
+        entry.name_ = std::move(name);
+        entry.address_ = std::move(address);
+        entry.service_ = "desk";
+        entry.slots_ = 8;
+        list_.push_back(std::move(entry));
+    }
+
+    std::map<std::string, int> runs_; ///< Of each request.
+};
+
+// Guards against a request that must run once and runs twice, or has run and is
+// refused, where the endpoint list still has the former process of an address.
+TEST_F(copied_refusal, moves_no_request_that_the_successor_runs)
+{
+    const successor now(io_, runs_);
+    const stub_endpoint& other = add_endpoint(
+        "i-other",
+        other_port,
+        "desk",
+        false,
+        [this](const drivers::http_request& request)
+        {
+            ++runs_[std::string(
+                drivers::find_header(request.headers_, "Attempt-Id"))];
+            return plain_answer(request);
+        });
+    constexpr int rounds = 80;
+    for (int round = 0; round < rounds; ++round)
+    {
+        // A new name each time, as an endpoint that refused is left alone.
+        list_.resize(1);
+        list_endpoint(current_name, shared_address);
+        list_endpoint("i-former-" + std::to_string(round), shared_address);
+        put_list();
+        EXPECT_EQ(call("/desk/x").status_, 200);
+    }
+    EXPECT_GT(now.refused_, 0);
+    EXPECT_GT(other.requests(), 0U);
+    EXPECT_EQ(runs_.size(), static_cast<std::size_t>(rounds));
+    for (const auto& [id, count] : runs_)
+    {
+        EXPECT_EQ(count, 1) << id;
+    }
+}
+
+} // namespace
+} // namespace poplarroute::platform
