--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -73,6 +73,7 @@
     beast::flat_buffer buffer_{max_read_ahead_bytes};
     core::time_point idle_since_;
     core::time_point usable_until_;
+    std::uint64_t number_ = 0;
     bool reused_ = false;
     bool writing_ = false;
     bool write_failed_ = false;
@@ -207,7 +208,7 @@
         co_await throw_if_cancelled();
         co_return error{errc::unreachable, failed.message()};
     }
-    ++pool.counts_.opened_;
+    connected->number_ = ++pool.counts_.opened_;
     tcp::socket& socket = connected->stream_.socket();
     socket.set_option(tcp::no_delay(true), failed);
     using user_timeout =
@@ -267,6 +268,7 @@
         : pool_(std::move(pool)),
           address_(std::move(address)),
           connection_(std::move(used)),
+          connection_number_(connection_->number_),
           line_held_(pool_->budget_)
     {
         reset_parser();
@@ -340,6 +342,11 @@
         return out;
     }
 
+    std::uint64_t connection() const override
+    {
+        return connection_number_;
+    }
+
     asio::awaitable<core::result<std::optional<std::string>>> next_line(
         core::duration timeout) override
     {
@@ -536,6 +543,7 @@
     std::shared_ptr<http_client::pool> pool_;
     std::string address_;
     connection_ptr connection_;
+    std::uint64_t connection_number_;
     std::optional<parser_type> parser_;
     bool skipped_mismatched_ = false;
     bool is_named_ = true;
@@ -579,6 +587,7 @@
     http_response reply;
     reply.status_ = stream->status();
     reply.headers_ = stream->headers();
+    reply.connection_ = stream->connection();
     const core::duration remaining = deadline - core::steady_now();
     const auto held = std::make_shared<byte_hold>(pool_->budget_);
     core::result<std::string> body = co_await stream->read_rest(
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -20,6 +20,7 @@
     int status_ = 0;
     header_list headers_;
     std::string body_;
+    std::uint64_t connection_ = 0; ///< See http_stream::connection().
 
     /// Keeps the body counted towards the client's budget while it exists.
     std::shared_ptr<const byte_hold> held_;
@@ -69,6 +70,9 @@
 
     virtual header_list headers() const = 0;
 
+    /// \return the number of the connection, counted from 1 by its client.
+    virtual std::uint64_t connection() const = 0;
+
     /// Reads the next line.
     /// \param timeout how long to wait for the whole line.
     /// \return the line without its line break; nothing when the body is
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -42,6 +42,9 @@
     int status_ = 0; ///< 0: the connection was closed without a response.
     std::string outcome_ = "caller_left";
     std::string detail_;
+    /// The answers that state that the request was not run, in the order of
+    /// their arrival: "endpoint:status@connection".
+    std::string refusals_;
     core::endpoint_id endpoint_;
     core::endpoint_id reader_; ///< Prefill engine; empty: none.
     int sends_ = 0;            ///< Number of times it was sent to an endpoint.
@@ -50,6 +53,14 @@
     std::int64_t first_event_ms_ = -1; ///< Since the arrival; -1: none.
     std::int64_t events_ = 0;
     bool opened_ = false; ///< Whether a stream's response has begun.
+
+    /// Records an answer that states that the request was not run.
+    void note_refusal(
+        const core::endpoint_id& from, int status, std::uint64_t connection)
+    {
+        refusals_ += (refusals_.empty() ? "" : " ") + from + ":" +
+                     std::to_string(status) + "@" + std::to_string(connection);
+    }
 };
 
 /// State that the controller and the forwarders of an entry host share.
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -550,6 +550,7 @@
          {"status", result.status_},
          {"outcome", result.outcome_},
          {"detail", result.detail_},
+         {"refusals", result.refusals_},
          {"endpoint", result.endpoint_},
          {"reader", result.reader_},
          {"sends", result.sends_},
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -355,6 +355,11 @@
             call_.request_, response.status_, response.headers_);
         result_.detail_ =
             "prefill answered " + std::to_string(response.status_);
+        if (metadata.not_run_ || metadata.misdirected_)
+        {
+            result_.note_refusal(
+                reader, response.status_, response.connection_);
+        }
         avoid_.insert(placement_.reader_);
         const bool is_failure = !metadata.misdirected_ && !metadata.not_run_ &&
                                 response.status_ >= min_failure_status;
@@ -487,6 +492,8 @@
     {
         result_.detail_ =
             "decode answered " + std::to_string(stream_->status());
+        result_.note_refusal(
+            placement_.decoder_, stream_->status(), stream_->connection());
         stream_.reset();
         counted_send_.reset();
         avoid_.insert(placement_.decoder_);
