Send a request on no connection that has carried its id

Cause: an id names a request, not its send. Two sends of one request on one connection have answers that nothing tells apart, so a late copy of the first, a refusal, was taken for the second. The request then went to another endpoint, or its caller was told that it did not run, while it ran. It happens where the list has two names for one address.

Change: a connection keeps digests of the ids that it has carried; a request with one of them gets another connection. A connection closes after 256 ids, which bounds them.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "core/digest.hpp"
 #include "drivers/appended_body.hpp"
 
 namespace poplarroute::drivers
@@ -65,15 +66,24 @@
 /// other requests than this arrive before the response to the current one.
 constexpr int max_mismatched_responses = 4;
 
+/// A connection is closed after this many requests that have an id.
+constexpr std::size_t max_ids_per_connection = 256;
+
 struct connection
 {
     explicit connection(asio::io_context& context) : stream_(context) {}
 
+    bool has_carried(std::uint64_t id) const
+    {
+        return std::find(ids_.begin(), ids_.end(), id) != ids_.end();
+    }
+
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_{max_read_ahead_bytes};
     core::time_point idle_since_;
     core::time_point usable_until_;
     std::uint64_t number_ = 0;
+    std::vector<std::uint64_t> ids_; ///< Digests of the requests' ids.
     bool reused_ = false;
     bool writing_ = false;
     bool write_failed_ = false;
@@ -146,17 +156,27 @@
         }
     }
 
-    /// \return an idle connection that the other side has not closed; null if
-    /// there is none.
+    /// \param id digest of the request's id; nothing: it has none.
+    /// \return an idle connection that the other side has not closed and that
+    /// has not carried the id; null if there is none. A late copy of an earlier
+    /// answer to the same request could not be told from its answer.
     connection_ptr acquire(
-        const std::string& address, core::duration max_idle_time)
+        const std::string& address,
+        core::duration max_idle_time,
+        std::optional<std::uint64_t> id)
     {
         auto& idle = idle_connections_[address];
         const core::time_point now = core::steady_now();
-        while (!idle.empty())
+        for (std::size_t left = idle.size(); left > 0; --left)
         {
-            connection_ptr found = std::move(idle.back());
-            idle.pop_back();
+            const auto position =
+                idle.begin() + static_cast<std::ptrdiff_t>(left - 1);
+            if (id && (*position)->has_carried(*id))
+            {
+                continue;
+            }
+            connection_ptr found = std::move(*position);
+            idle.erase(position);
             if (now < found->usable_until_ &&
                 now - found->idle_since_ <= max_idle_time && is_open(*found))
             {
@@ -191,10 +211,20 @@
 asio::awaitable<core::result<connection_ptr>> connect(
     http_client::pool& pool, const http_call& call)
 {
-    connection_ptr connected = pool.acquire(call.address_, call.max_idle_time_);
+    std::optional<std::uint64_t> id;
+    if (!call.echo_value_.empty())
+    {
+        id = core::stable_hash(call.echo_value_);
+    }
+    connection_ptr connected =
+        pool.acquire(call.address_, call.max_idle_time_, id);
     if (connected)
     {
         ++pool.counts_.reused_;
+        if (id)
+        {
+            connected->ids_.push_back(*id);
+        }
         co_return std::move(connected);
     }
     connected = std::make_shared<connection>(pool.context_);
@@ -209,6 +239,10 @@
         co_return error{errc::unreachable, failed.message()};
     }
     connected->number_ = ++pool.counts_.opened_;
+    if (id)
+    {
+        connected->ids_.push_back(*id);
+    }
     tcp::socket& socket = connected->stream_.socket();
     socket.set_option(tcp::no_delay(true), failed);
     using user_timeout =
@@ -529,7 +563,8 @@
         const bool is_reusable =
             parser_->keep_alive() && !parser_->need_eof() && is_named_ &&
             !skipped_mismatched_ && !used->writing_ && !used->write_failed_ &&
-            used->buffer_.size() == 0;
+            used->buffer_.size() == 0 &&
+            used->ids_.size() < max_ids_per_connection;
         if (is_reusable)
         {
             pool_->release(address_, used, parser_->get());
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -52,7 +52,9 @@
 
     /// A header that responses repeat, and its value; empty: the request has
     /// none. A response with another value belongs to an earlier request and is
-    /// skipped. A connection on which a response has no such header is not
+    /// skipped. Requests with one value are sent on different connections: a
+    /// late copy of the answer to the first names the second as well. A
+    /// connection on which a response has no such header is not
     /// kept, and such a response is refused on a connection that has been used
     /// before: it may be a second copy of an earlier answer.
     std::string echo_header_;
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -203,8 +203,7 @@
     {
         result_.detail_ =
             metadata.misdirected_ ? "misdirected" : "rejected by the endpoint";
-        result_.note_refusal(
-            endpoint_, response.status_, response.connection_);
+        result_.note_refusal(endpoint_, response.status_, response.connection_);
         finish_attempt(
             metadata.misdirected_ ? call_outcome::unreachable
                                   : call_outcome::shed);
