Give orders a connection of their own and cancellations an id

A late copy of another answer on the same connection counted as the answer to an order, so an order that the engine took could pass for refused and another engine be ordered as well, or the reverse; and to a cancellation of the product's own interface, so memory that is still held counted as free.

Orders, on the platform and in the product's own interface, now get a connection that carries nothing else; cancellations name themselves. Releases of KV handles stay as they were: nothing follows from their answers. Reports stay, too: a stale one makes an order that the engine refuses, as it expects another count.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -85,6 +85,7 @@
     std::uint64_t number_ = 0;
     std::vector<std::uint64_t> ids_; ///< Digests of the requests' ids.
     bool reused_ = false;
+    bool is_kept_ = true; ///< Whether another call may use it.
     bool writing_ = false;
     bool write_failed_ = false;
 };
@@ -217,7 +218,9 @@
         id = core::stable_hash(call.echo_value_);
     }
     connection_ptr connected =
-        pool.acquire(call.address_, call.max_idle_time_, id);
+        call.own_connection_
+            ? nullptr
+            : pool.acquire(call.address_, call.max_idle_time_, id);
     if (connected)
     {
         ++pool.counts_.reused_;
@@ -228,6 +231,7 @@
         co_return std::move(connected);
     }
     connected = std::make_shared<connection>(pool.context_);
+    connected->is_kept_ = !call.own_connection_;
     connected->stream_.expires_after(call.connect_timeout_.chrono());
     error_code failed;
     co_await connected->stream_.async_connect(
@@ -563,7 +567,7 @@
         const bool is_reusable =
             parser_->keep_alive() && !parser_->need_eof() && is_named_ &&
             !skipped_mismatched_ && !used->writing_ && !used->write_failed_ &&
-            used->buffer_.size() == 0 &&
+            used->buffer_.size() == 0 && used->is_kept_ &&
             used->ids_.size() < max_ids_per_connection;
         if (is_reusable)
         {
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -49,6 +49,9 @@
     std::size_t max_response_bytes_ = max_response_bytes;
     /// Connections that have been idle for longer are not reused.
     core::duration max_idle_time_{60'000};
+    /// Whether the call gets a connection of its own. Without an id, only this
+    /// shows that the response is no late copy of an earlier one.
+    bool own_connection_ = false;
 
     /// A header that responses repeat, and its value; empty: the request has
     /// none. A response with another value belongs to an earlier request and is
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -250,6 +250,7 @@
     drivers::http_call call =
         post(std::move(address), "/cancel", {{"attempt", to_string(attempt)}});
     call.timeout_ = cancel_timeout;
+    name_attempt(call, "cancel " + to_string(attempt));
     const auto reply = co_await http_.request(std::move(call));
     co_return core::is_ok(reply) && core::value(reply).status_ == status_ok;
 }
@@ -332,6 +333,7 @@
     const json body{{"fence", fence}, {"order", name}, {"value", value}};
     drivers::http_call call = post(std::move(address), "/order", body);
     call.timeout_ = order_timeout;
+    call.own_connection_ = true;
     call.send_before_ = send_before;
     const auto reply = co_await http_.request(std::move(call));
     if (!core::is_ok(reply))
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -366,6 +366,33 @@
         });
 }
 
+// Guards against the copy of an earlier order's refusal that is taken for the
+// answer to the next order, which has no id.
+TEST(http_client, gives_a_call_a_connection_of_its_own)
+{
+    asio::io_context io;
+    copying_endpoint endpoint(io);
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            std::vector<int> statuses;
+            for (const bool own : {false, true, true, false})
+            {
+                http_call call = make_call("");
+                call.echo_header_.clear();
+                call.own_connection_ = own;
+                const auto reply = co_await client.request(std::move(call));
+                EXPECT_TRUE(core::is_ok(reply));
+                statuses.push_back(core::value(reply).status_);
+            }
+            // The last call gets the copy on the first connection, which only
+            // it has used since.
+            EXPECT_EQ(statuses, (std::vector<int>{503, 200, 200, 503}));
+            EXPECT_EQ(endpoint.accepted_, 3);
+        });
+}
+
 TEST(http_client, reports_a_truncated_response)
 {
     asio::io_context io;
