Pass on no status that promises what the endpoint does not state

What a caller could see: an endpoint answers 503, 429 or 408 to a request that it has run, without stating otherwise; the host passed it on, and to callers these statuses promise that the request has not run and never will (REFUSED).

Change: such an answer counts as one that may have run. The caller gets 502, or a route that allows it another endpoint. 421 stays a promise, as the protocol says.

refusal_without_proof.is_not_passed_on_as_a_promise failed before for each status on both paths and passes, with 34 tests of the clients and forwarders.

--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -141,11 +141,21 @@
 inline constexpr int status_bad_request = 400;
 inline constexpr int status_unauthorized = 401;
 inline constexpr int status_not_found = 404;
+inline constexpr int status_request_timeout = 408;
+inline constexpr int status_misdirected = 421;
 inline constexpr int status_too_many = 429;
 inline constexpr int status_bad_gateway = 502;
 inline constexpr int status_unavailable = 503;
 inline constexpr int status_timeout = 504;
 
+/// \return whether a status promises callers that the request has not run. An
+/// endpoint's answer with one is not passed on unless it states so itself.
+inline bool promises_not_run(int status)
+{
+    return status == status_request_timeout || status == status_misdirected ||
+           status == status_too_many || status == status_unavailable;
+}
+
 /// \return the time left until a call's deadline, at least 0.
 inline core::duration time_left(const ingress_call& call)
 {
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -215,6 +215,14 @@
         finish_attempt(call_outcome::broken);
         return send_result::may_have_run;
     }
+    if (promises_not_run(response.status_))
+    {
+        result_.detail_ = "the endpoint answered " +
+                          std::to_string(response.status_) +
+                          " to a request that it may have run";
+        finish_attempt(call_outcome::errored);
+        return send_result::may_have_run;
+    }
     ingress_.report_answered(call_);
     const bool is_error = response.status_ >= min_error_status;
     finish_attempt(is_error ? call_outcome::errored : call_outcome::answered);
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -529,9 +529,12 @@
     }
     placements_.record_engine_event(std::move(event));
     kv_handle_.reset();
-    if (!metadata.signed_ || !metadata.echoes_attempt_)
+    const bool is_unproven_refusal = promises_not_run(stream_->status());
+    if (!metadata.signed_ || !metadata.echoes_attempt_ || is_unproven_refusal)
     {
-        result_.detail_ = "the response does not match the request";
+        result_.detail_ = is_unproven_refusal
+                              ? "the engine refused what it may have run"
+                              : "the response does not match the request";
         record_stream_failure();
         stream_.reset();
         may_have_run_ = true;
--- a/tests/platform/copied_refusal_test.cpp
+++ b/tests/platform/copied_refusal_test.cpp
@@ -1,5 +1,5 @@
-// Endpoints that send the copy of a refusal once the refused request is under
-// way again on the same connection.
+// Endpoints' answers that look like a refusal and are no evidence that the
+// request was not run.
 
 #include <array>
 
@@ -150,5 +150,40 @@
     }
 }
 
+using refusal_without_proof = ingress_fixture;
+
+// Guards against a request that has run and whose caller is told by the status
+// that it has not.
+TEST_F(refusal_without_proof, is_not_passed_on_as_a_promise)
+{
+    int status = 0;
+    const auto answer = [&status](const drivers::http_request&)
+    {
+        return stub_answer{
+            status, {{"Server-Stamp", "s"}, {"Retry-After", "0"}}, "failed"};
+    };
+    stub_endpoint& desk =
+        add_endpoint("i-desk", other_port, "desk", false, answer);
+    stub_endpoint& decoder =
+        add_endpoint("i-decode", other_port + 1, "llm", false, answer);
+    add_endpoint("i-read", other_port + 2, "llm", true, prefill_answer);
+    std::size_t calls = 0;
+    for (const int promise : {408, 429, 503})
+    {
+        status = promise;
+        ++calls;
+        for (const char* target : {"/desk/x", "/llm/x"})
+        {
+            const drivers::http_response response = call(target);
+            EXPECT_EQ(response.status_, 502) << promise << " of " << target;
+            EXPECT_EQ(retry_after(response), -1);
+        }
+        EXPECT_EQ(desk.requests(), calls);
+    }
+    EXPECT_GE(decoder.requests(), calls);
+    status = 500;
+    EXPECT_EQ(call("/desk/x").status_, 500);
+}
+
 } // namespace
 } // namespace poplarroute::platform
