Keep the limits that endpoints name, by all hosts together

Cause: no code read Server-Limit.

Change: an answer's limit is a statement with the time of which it holds; the newest counts, and only the answer to a request sent since ends a limit. A host sends to a limited endpoint what the leader grants it, one request at a time, from a ledger that begins empty with each leader. A refusal closes the endpoint at this host until the ledger has accrued the next request. Closed endpoints are no candidates: plain calls and streams go elsewhere, or are refused at once with the time until one opens. Without an answer of the leader a host uses half of its equal share, drawn at random. Watches tell all hosts, and a new leader, which endpoints are limited. The permission is taken where every call to an endpoint passes, so it holds for plain calls, both stages of streams and resumed streams.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -66,6 +66,14 @@
       placements_(with, placement_controller::scope::fleet),
       stages_(with, group, codec, placements_),
       group_manager_(with, group),
+      rollout_orders_(with, group),
+      rollouts_(
+          with,
+          group,
+          [this]()
+          {
+              return watching_host_names();
+          }),
       documents_(with, group),
       relay_(
           with,
@@ -74,13 +82,11 @@
               return group.leader();
           }),
       queues_(with),
-      rollout_orders_(with, group),
-      rollouts_(
+      limits_(
           with,
-          group,
           [this]()
           {
-              return watching_host_names();
+              queues_.wake_watches();
           })
 {
 }
@@ -179,6 +185,7 @@
             documents_.begin_leading(leading_since_);
             placements_.reset();
             ledger_ = policy::meter_ledger();
+            limits_.begin_leading();
             retry_allowances_.clear();
             apply_limits();
             group_manager_.begin_leading();
@@ -584,7 +591,8 @@
         std::max(request.revision_, request.known_revision_);
     return group_.state().revision() > known_revision ||
            documents_.has_list_news(request) ||
-           crash_revision_ != request.crash_revision_ || !group_.leads();
+           crash_revision_ != request.crash_revision_ ||
+           limits_.has_news(request) || !group_.leads();
 }
 
 watch_reply catalog_controller::make_watch_reply(const watch_request& request)
@@ -621,6 +629,7 @@
         quarantined_parts_.end());
     out.suspects_parts_ = has_suspects_;
     out.rollouts_ = rollouts_.to_tell();
+    limits_.add_to(out);
     return out;
 }
 
@@ -656,6 +665,7 @@
         placements_.reconcile(request.host_, request.places_);
     }
     adopt_quarantines(request);
+    limits_.record(request.limits_);
     for (const core::endpoint_id& name : request.leaving_)
     {
         record_leaving(name, request.host_);
@@ -850,6 +860,7 @@
             -> awaitable<core::result<empty_reply>>
         {
             placements_.record_engine_event(event);
+            limits_.record(event.limits_);
             if (!event.leaving_.empty())
             {
                 record_leaving(event.leaving_, event.host_);
@@ -881,6 +892,24 @@
             }
             co_return settle(request);
         });
+    with_.calls_.add_typed<limit_request, limit_reply>(
+        method::limits_take,
+        allowed_callers::host,
+        [this](drivers::peer_identity, limit_request request)
+            -> awaitable<core::result<limit_reply>>
+        {
+            track_leadership();
+            if (!group_.leads())
+            {
+                co_return error{errc::not_leader, group_.leader()};
+            }
+            const auto dropped = queues_.check(policy::call_kind::settlement);
+            if (dropped)
+            {
+                co_return *dropped;
+            }
+            co_return limits_.take(request);
+        });
     with_.calls_.add_typed<crash_message, empty_reply>(
         method::crash_report,
         allowed_callers::host,
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -13,6 +13,7 @@
 #include "node/fleet_sections.hpp"
 #include "node/group_manager.hpp"
 #include "node/leader_queues.hpp"
+#include "node/limit_controller.hpp"
 #include "node/placement_controller.hpp"
 #include "node/replica.hpp"
 #include "node/rollout_controller.hpp"
@@ -141,6 +142,7 @@
     document_publisher documents_;
     document_relay relay_;
     leader_queues queues_;
+    limit_controller limits_;
     bool was_leading_ = false;
     core::host_id last_leader_;
 };
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -27,6 +27,7 @@
 inline constexpr const char* streams_note = "streams.note";
 inline constexpr const char* meters_settle = "meters.settle";
 inline constexpr const char* crash_report = "crashes.report";
+inline constexpr const char* limits_take = "limits.take";
 
 } // namespace method
 
@@ -41,6 +42,16 @@
     std::int64_t age_ms_ = 0;
 };
 
+/// What an endpoint's newest answer says of the requests that it takes.
+struct endpoint_limit_message
+{
+    core::endpoint_id endpoint_;
+    bool limited_ = false;
+    std::int64_t milli_per_second_ =
+        0; ///< From all hosts together, if limited.
+    std::int64_t age_ms_ = 0;
+};
+
 /// Asks a group member for anything newer than the host's own state. The member
 /// delays its reply until there is something, or the wait time is over.
 struct watch_request
@@ -77,6 +88,11 @@
     /// Whether the host takes changes of the endpoint list in the reply, from
     /// list_revision_ on.
     bool takes_changes_ = false;
+
+    /// The limits of endpoints that the host knows, for a new leader, and the
+    /// leader's revision of them that it has heard.
+    std::vector<endpoint_limit_message> limits_;
+    std::uint64_t limit_revision_ = 0;
 };
 
 /// An endpoint of the platform's list.
@@ -143,6 +159,8 @@
     std::vector<core::endpoint_id> withdrawn_;
     /// The latest roll-out of each service, without its history.
     std::vector<control::rollout> rollouts_;
+    std::vector<endpoint_limit_message> limits_; ///< That the member knows.
+    std::uint64_t limit_revision_ = 0;
 };
 
 /// Identifies a document that hosts fetch in parts.
@@ -282,7 +300,23 @@
     bool answered_ = false;     ///< A stream has been answered for a while.
     std::vector<std::string> answered_parts_; ///< Shared parts of its prompt.
     std::string answered_digest_; ///< Of a request that is wholly answered.
-    std::vector<engine_pace_message> paces_; ///< As engines reported them.
+    std::vector<engine_pace_message> paces_;     ///< As engines reported them.
+    std::vector<endpoint_limit_message> limits_; ///< That the host knows.
+};
+
+/// Asks the leader for a request to a limited endpoint.
+struct limit_request
+{
+    core::endpoint_id endpoint_;
+    std::vector<endpoint_limit_message> limits_; ///< That the host knows.
+};
+
+/// The leader's answer to it.
+struct limit_reply
+{
+    bool granted_ = false;
+    std::int64_t wait_ms_ = 0;                   ///< Else, when to ask again.
+    std::vector<endpoint_limit_message> limits_; ///< That the leader knows.
 };
 
 /// An account's usage and level, in tokens. A request contains the usage and
@@ -327,6 +361,8 @@
     prompt_tokens_,
     expected_output_,
     age_ms_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    endpoint_limit_message, endpoint_, limited_, milli_per_second_, age_ms_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     watch_request,
     host_,
@@ -343,7 +379,9 @@
     crashers_,
     leaving_,
     hosts_,
-    takes_changes_)
+    takes_changes_,
+    limits_,
+    limit_revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     endpoint_message,
     name_,
@@ -379,7 +417,9 @@
     suspects_parts_,
     list_changes_,
     withdrawn_,
-    rollouts_)
+    rollouts_,
+    limits_,
+    limit_revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     list_changes, from_, to_, changed_, removed_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_id, name_, revision_)
@@ -452,7 +492,12 @@
     answered_,
     answered_parts_,
     answered_digest_,
-    paces_)
+    paces_,
+    limits_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    limit_request, endpoint_, limits_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    limit_reply, granted_, wait_ms_, limits_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     account_usage_message, account_, used_, level_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(settle_request, host_, uses_)
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -7,6 +7,7 @@
 
 #include "core/digest.hpp"
 #include "drivers/log.hpp"
+#include "node/limit_messages.hpp"
 
 namespace poplarroute::node
 {
@@ -68,6 +69,8 @@
     policy::account_meter& meter = with_.board_.section<meter_section>().meter_;
     const std::uint64_t seed = core::stable_hash(with_.identity().host_);
     meter = policy::account_meter(seed);
+    with_.board_.section<endpoint_section>().limits_ =
+        policy::endpoint_allowance(seed);
     sources_ = document_sources(seed);
     if (!with_.board_.section<settings_section>().settings_.first_start_)
     {
@@ -124,6 +127,9 @@
     out.hosts_ =
         with_.board_.section<group_section>().hosts_.value_or(out.hosts_);
     out.leaving_ = list.notices_.unlisted_leaving(core::steady_now());
+    out.limits_ =
+        to_limit_messages(list.limits_.statements(), core::steady_now());
+    out.limit_revision_ = limit_revision_;
     out.wait_ms_ = wait ? max_watch_wait.ms_ : 0;
     out.places_ = running_placements(
         with_.board_.section<stream_section>(), core::steady_now());
@@ -209,6 +215,7 @@
         const core::duration timeout =
             group.leader_.empty() ? leader_search_timeout : watch_timeout;
         const std::uint64_t bytes_before = drivers::traffic().bytes_in_;
+        const core::time_point sent_at = core::steady_now();
         const core::result<watch_reply> reply = co_await ask<watch_reply>(
             with_.peers_, member, method::catalog_watch, request, timeout);
         if (!core::is_ok(reply))
@@ -223,7 +230,7 @@
             co_await drivers::sleep_for(leader_search_interval);
             continue;
         }
-        apply(request, core::value(reply), member);
+        apply(request, core::value(reply), member, sent_at);
         record_leader_report(member, !core::value(reply).leader_.empty());
         wait = core::value(reply).leads_;
         if (!wait)
@@ -236,7 +243,8 @@
 void catalog_watcher::apply(
     const watch_request& request,
     const watch_reply& reply,
-    const core::host_id& from)
+    const core::host_id& from,
+    core::time_point sent_at)
 {
     group_section& group = with_.board_.section<group_section>();
     if (!reply.members_.empty())
@@ -269,6 +277,7 @@
     }
     group.leader_contact_at_ = core::steady_now();
     apply_quarantines(reply);
+    apply_endpoint_limits(reply, sent_at);
     list_.apply(request, reply);
     confirm_versions();
     if (list_.needs_download())
@@ -320,6 +329,17 @@
            core::steady_now() - started_at_ < outdated_catalog_wait;
 }
 
+void catalog_watcher::apply_endpoint_limits(
+    const watch_reply& reply, core::time_point sent_at)
+{
+    limit_revision_ = reply.limit_revision_;
+    record_limits(
+        with_.board_.section<endpoint_section>().limits_,
+        reply.limits_,
+        sent_at,
+        core::steady_now());
+}
+
 void catalog_watcher::apply_quarantines(const watch_reply& reply)
 {
     group_section& group = with_.board_.section<group_section>();
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -53,7 +53,10 @@
     void apply(
         const watch_request& request,
         const watch_reply& reply,
-        const core::host_id& from);
+        const core::host_id& from,
+        core::time_point sent_at);
+    void apply_endpoint_limits(
+        const watch_reply& reply, core::time_point sent_at);
     void apply_host_count(const watch_reply& reply);
     void confirm_versions();
     void apply_quarantines(const watch_reply& reply);
@@ -78,6 +81,7 @@
     core::time_point started_at_;
     std::size_t next_member_index_ = 0;
     std::uint64_t crash_revision_ = 0;
+    std::uint64_t limit_revision_ = 0;
 
     /// The newest catalog that a member has announced; 0: none.
     std::uint64_t known_revision_ = 0;
--- a/node/endpoint_client.cpp
+++ b/node/endpoint_client.cpp
@@ -1,5 +1,6 @@
 #include "node/endpoint_client.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "drivers/log.hpp"
@@ -16,6 +17,8 @@
 
 constexpr core::duration tell_timeout{1'000};
 
+constexpr int min_error_status = 300;
+
 /// Tells the leader that an endpoint is leaving. A lost message is made up for
 /// by the next watch, which names the endpoint as well.
 awaitable<void> tell_leader(
@@ -28,7 +31,7 @@
 } // namespace
 
 endpoint_client::endpoint_client(context& with, const wire_codec& codec)
-    : with_(with), codec_(codec)
+    : with_(with), codec_(codec), limits_(with)
 {
 }
 
@@ -106,20 +109,71 @@
     }
 }
 
+/// Takes the permissions to send a call.
+/// \param call is not sent after they end.
+/// \return why it may not be sent; nothing when it may.
+awaitable<std::optional<core::error>> endpoint_client::prepare(
+    core::endpoint_id to,
+    policy::call_purpose purpose,
+    drivers::http_call& call)
+{
+    if (purpose == policy::call_purpose::request)
+    {
+        const send_permit permit = co_await limits_.take(to);
+        if (!permit.granted_)
+        {
+            with_.metrics_.count("poplarroute_calls_withheld_total");
+            co_return core::error{
+                core::errc::withheld, "the endpoint's limit leaves no room"};
+        }
+        if (permit.until_)
+        {
+            call.send_before_ = std::min(
+                call.send_before_.value_or(*permit.until_), *permit.until_);
+        }
+    }
+    co_return find_objection(to, purpose);
+}
+
+/// Records what an answer says of further calls.
+void endpoint_client::record_answer(
+    const core::endpoint_id& from,
+    policy::call_purpose purpose,
+    core::time_point sent_at,
+    int status,
+    const drivers::header_list& headers)
+{
+    const policy::endpoint_notice notice = codec_.notice_of(status, headers);
+    record_notice(from, notice);
+    // Only answers to requests are sure to name a limit that is in force.
+    const bool ends_limit = !notice.limit_ && notice.is_limit_readable_ &&
+                            purpose == policy::call_purpose::request &&
+                            status < min_error_status;
+    if (notice.limit_)
+    {
+        limits_.record(from, {notice.limit_, core::steady_now()});
+    }
+    else if (ends_limit)
+    {
+        limits_.record(from, {std::nullopt, sent_at});
+    }
+}
+
 awaitable<core::result<drivers::http_response>> endpoint_client::request(
     core::endpoint_id to, policy::call_purpose purpose, drivers::http_call call)
 {
-    if (auto objection = find_objection(to, purpose))
+    if (auto objection = co_await prepare(to, purpose, call))
     {
         co_return std::move(*objection);
     }
+    const core::time_point sent_at = core::steady_now();
     core::result<drivers::http_response> reply =
         co_await with_.http_.request(std::move(call));
     if (core::is_ok(reply))
     {
         const drivers::http_response& response = core::value(reply);
-        record_notice(
-            to, codec_.notice_of(response.status_, response.headers_));
+        record_answer(
+            to, purpose, sent_at, response.status_, response.headers_);
     }
     co_return std::move(reply);
 }
@@ -128,16 +182,17 @@
 endpoint_client::open(
     core::endpoint_id to, policy::call_purpose purpose, drivers::http_call call)
 {
-    if (auto objection = find_objection(to, purpose))
+    if (auto objection = co_await prepare(to, purpose, call))
     {
         co_return std::move(*objection);
     }
+    const core::time_point sent_at = core::steady_now();
     core::result<std::unique_ptr<drivers::http_stream>> opened =
         co_await with_.http_.open(std::move(call));
     if (core::is_ok(opened))
     {
         const drivers::http_stream& stream = *core::value(opened);
-        record_notice(to, codec_.notice_of(stream.status(), stream.headers()));
+        record_answer(to, purpose, sent_at, stream.status(), stream.headers());
     }
     co_return std::move(opened);
 }
--- a/node/endpoint_client.hpp
+++ b/node/endpoint_client.hpp
@@ -4,6 +4,7 @@
 
 #include "node/context.hpp"
 #include "node/fleet_sections.hpp"
+#include "node/limit_client.hpp"
 #include "node/wire_codec.hpp"
 
 namespace poplarroute::node
@@ -34,11 +35,22 @@
 private:
     std::optional<core::error> find_objection(
         const core::endpoint_id& to, policy::call_purpose purpose);
+    awaitable<std::optional<core::error>> prepare(
+        core::endpoint_id to,
+        policy::call_purpose purpose,
+        drivers::http_call& call);
+    void record_answer(
+        const core::endpoint_id& from,
+        policy::call_purpose purpose,
+        core::time_point sent_at,
+        int status,
+        const drivers::header_list& headers);
     void record_notice(
         const core::endpoint_id& from, const policy::endpoint_notice& notice);
 
     context& with_;
     const wire_codec& codec_;
+    limit_client limits_;
 };
 
 } // namespace poplarroute::node
--- a/node/fleet_sections.cpp
+++ b/node/fleet_sections.cpp
@@ -110,7 +110,8 @@
                  item.listed_.slots_,
                  is_usable(catalog, endpoints, item.listed_, now) &&
                      endpoints.notices_.may_send(
-                         name, policy::call_purpose::request, now),
+                         name, policy::call_purpose::request, now) &&
+                     endpoints.limits_.may_have_room(name, now),
                  cold_starts_per_second(*known, item, hosts, now)});
         }
     }
@@ -231,6 +232,16 @@
     return true;
 }
 
+void forget_unlisted_limits(endpoint_section& section)
+{
+    std::set<core::endpoint_id> listed;
+    for (const auto& [name, item] : section.endpoints_)
+    {
+        listed.insert(name);
+    }
+    section.limits_.keep_only(listed);
+}
+
 std::optional<core::duration> time_until_return(
     const catalog_section& catalog,
     const endpoint_section& endpoints,
@@ -245,12 +256,15 @@
         {
             continue;
         }
-        const auto until = endpoints.notices_.turned_away_until(name, now);
-        if (!until)
+        const auto turned_away =
+            endpoints.notices_.turned_away_until(name, now);
+        const auto closed = endpoints.limits_.closed_until(name, now);
+        if (!turned_away && !closed)
         {
             return std::nullopt;
         }
-        const core::duration left = *until - now;
+        const core::duration left =
+            std::max(turned_away.value_or(now), closed.value_or(now)) - now;
         earliest = earliest ? std::min(*earliest, left) : left;
     }
     return earliest;
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -15,6 +15,7 @@
 #include "core/clock.hpp"
 #include "node/fleet_settings.hpp"
 #include "node/wire_codec.hpp"
+#include "policy/endpoint_limits.hpp"
 #include "policy/endpoint_notices.hpp"
 #include "policy/plain_balancer.hpp"
 #include "policy/retry_allowance.hpp"
@@ -63,6 +64,11 @@
     /// What endpoints said of themselves. Written by endpoint_client, and by
     /// catalog_controller for what hosts report.
     policy::endpoint_notices notices_;
+
+    /// The limits that endpoints named, and what this host may send to them.
+    /// Written by limit_client, and by limit_controller and catalog_watcher for
+    /// what others know.
+    policy::endpoint_allowance limits_;
 };
 
 /// What an entry host knows of the group. Written by catalog_watcher.
@@ -150,8 +156,12 @@
     const core::endpoint_id& name,
     core::time_point now);
 
-/// \return when the first of a service's endpoints that turned this host away
-/// takes calls again; nothing if one takes calls now, or none ever will.
+/// Drops the limits of endpoints that are not listed any more.
+void forget_unlisted_limits(endpoint_section& section);
+
+/// \return when the first of a service's endpoints that turned this host away,
+/// or whose limit leaves no room now, takes calls again; nothing if one takes
+/// calls now, or none ever will.
 std::optional<core::duration> time_until_return(
     const catalog_section& catalog,
     const endpoint_section& endpoints,
--- /dev/null
+++ b/node/limit_messages.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <span>
+#include <vector>
+
+#include "node/catalog_messages.hpp"
+#include "policy/endpoint_limits.hpp"
+
+namespace poplarroute::node
+{
+
+/// \return the limits that this process knows, with the age of each.
+std::vector<endpoint_limit_message> to_limit_messages(
+    const policy::limit_statements& statements, core::time_point now);
+
+/// Takes limits that another process knows.
+/// \param sent_at earliest time at which it can have stated their age.
+/// \return whether an endpoint has begun or ended to be limited.
+bool record_limits(
+    policy::endpoint_allowance& limits,
+    std::span<const endpoint_limit_message> told,
+    core::time_point sent_at,
+    core::time_point now);
+
+} // namespace poplarroute::node
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -171,7 +171,9 @@
                 error.code_ == core::errc::withheld
                     ? call_outcome::shed
                     : call_outcome::unreachable);
-            return send_result::nothing_sent;
+            return error.code_ == core::errc::withheld
+                       ? send_result::withheld
+                       : send_result::nothing_sent;
         }
         if (error.code_ == core::errc::broken)
         {
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -188,7 +188,9 @@
     {
         const bool is_withheld =
             item.listed_.service_ == call_.service_ &&
-            !list.notices_.may_send(name, policy::call_purpose::request, now);
+            (!list.notices_.may_send(
+                 name, policy::call_purpose::request, now) ||
+             !list.limits_.may_have_room(name, now));
         if (is_withheld)
         {
             out.insert(name);
--- a/policy/call_retry_state.cpp
+++ b/policy/call_retry_state.cpp
@@ -27,7 +27,9 @@
 void call_retry_state::note(send_result result)
 {
     last_result_ = result;
-    delivered_sends_ += result == send_result::nothing_sent ? 0 : 1;
+    const bool is_sent =
+        result != send_result::nothing_sent && result != send_result::withheld;
+    delivered_sends_ += is_sent ? 1 : 0;
     possible_runs_ += result == send_result::may_have_run ? 1 : 0;
     unsent_sends_ += result == send_result::nothing_sent ? 1 : 0;
     rejected_sends_ += result == send_result::not_run ? 1 : 0;
--- a/policy/endpoint_notices.hpp
+++ b/policy/endpoint_notices.hpp
@@ -19,6 +19,10 @@
     bool leaving_ = false; ///< It takes no new requests until it restarts.
     /// It takes no calls from this host for this time.
     std::optional<core::duration> stay_away_;
+    /// Requests per second that it takes from all hosts together; nothing: it
+    /// names no limit.
+    std::optional<double> limit_;
+    bool is_limit_readable_ = true;
 };
 
 /// What a call to an endpoint is for.
