--- a/tests/platform/copied_refusal_test.cpp
+++ b/tests/platform/copied_refusal_test.cpp
@@ -150,6 +150,17 @@
     }
 }
 
+// Guards against the copy of a refusal among requests that have no id, which
+// nothing but their connections tells apart.
+TEST(copied_refusal_codec, a_call_without_an_id_gets_a_connection_of_its_own)
+{
+    const platform_codec codec;
+    node::ingress_request request;
+    EXPECT_TRUE(codec.encode_call(request, {}).own_connection_);
+    request.attempt_ = "a1";
+    EXPECT_FALSE(codec.encode_call(request, {}).own_connection_);
+}
+
 using refusal_without_proof = ingress_fixture;
 
 // Guards against a request that has run and whose caller is told by the status
