Drop a caller's X-Attempt-Id

Found by the same review: it was forwarded before the product's own, and an endpoint that repeats the first would have had its answers skipped, until the call timed out. Only read; no test of its own.

--- a/node/plain_request.cpp
+++ b/node/plain_request.cpp
@@ -38,7 +38,8 @@
         "te",
         "trailer",
         "transfer-encoding",
-        "upgrade"};
+        "upgrade",
+        "x-attempt-id"};
     std::string lower(header);
     std::transform(lower.begin(), lower.end(), lower.begin(), ::tolower);
     return not_forwarded.count(lower) == 0;
