Promise "not run" of once-only calls only after their claim was looked up

What callers could see: a booking that ran through one host, sent again with its key to a host that is out of service, stops, is cut off or does not take the key, got not_run true. Each of these refusals comes before the claim is looked up; only the refusal by rate said false. Now all of them do for routes that are not idempotent.

--- a/node/entry_controller.cpp
+++ b/node/entry_controller.cpp
@@ -46,6 +46,13 @@
     return {status, std::move(code), std::move(message), true, std::nullopt};
 }
 
+/// \return whether a request that was not looked at further can be said not to
+/// have run. One that must run once may have run earlier, with the same key.
+bool may_promise_not_run(const request_info& info)
+{
+    return info.route_.idempotent_;
+}
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -274,6 +281,11 @@
     refusal = refusal ? refusal : check_isolation(info);
     if (refusal)
     {
+        if (info.service_.name_.empty())
+        {
+            find_route(exchange.request(), info);
+        }
+        refusal->not_run_ = may_promise_not_run(info);
         outcome.code_ = refusal->code_;
         outcome.result_ = refusal->status_ == status_unavailable
                               ? service_result::refused
@@ -395,8 +407,7 @@
     }
     refusal_response refusal = not_run_refusal(
         429, "rate_limited", "The account's tokens are used up for now.");
-    // An earlier attempt of a non-idempotent call may have run.
-    refusal.not_run_ = info.route_.idempotent_;
+    refusal.not_run_ = may_promise_not_run(info);
     refusal.retry_after_ = charged.retry_after_;
     outcome.code_ = refusal.code_;
     outcome.result_ = service_result::excluded;
@@ -477,8 +488,9 @@
     const request_info& info,
     request_outcome& outcome)
 {
-    if (const optional_refusal refusal = check_stop(max_plain_request_time))
+    if (optional_refusal refusal = check_stop(max_plain_request_time))
     {
+        refusal->not_run_ = may_promise_not_run(info);
         outcome.code_ = refusal->code_;
         outcome.result_ = service_result::refused;
         co_await refuse(exchange, *refusal);
--- a/tests/harness/failures.py
+++ b/tests/harness/failures.py
@@ -144,6 +144,10 @@
     before = fleet.endpoint_stats()
     status, body = send_prompt(fleet, "north-1", "out")
     assert status == 503 and body["error"]["not_run"] is True, body
+    # The visit may have been booked before, through another host.
+    wait_until_ok(lambda: book(fleet, "south-1", "out-visit"), "a booking")
+    status, body = book(fleet, "north-1", "out-visit")
+    assert status == 503 and body["error"]["not_run"] is False, body
     assert http_json(fleet.hosts["north-1"]["admin"], "GET",
                      "/ready")[0] == 503
     for number in range(10):
