Probe for a crash on a connection of its own

The probe now opens a connection, and an answer that cannot be read is no crash. Cancellations get their own connection instead of an id, which engines need not repeat on that path.

engine_client, copied_refusal and http_client tests pass (54 with the codec's); the probe itself has no test of its own.

--- a/node/crash_detector.cpp
+++ b/node/crash_detector.cpp
@@ -44,7 +44,7 @@
     core::errc why = core::errc::broken;
     for (int tries = 0; tries < max_probes; ++tries)
     {
-        const auto report = co_await engines_.report(address, "");
+        const auto report = co_await engines_.report(address, "", true);
         if (core::is_ok(report))
         {
             co_return core::value(report).boot_ != boot;
@@ -58,9 +58,9 @@
         // reset it.
         co_await drivers::sleep_for(probe_retry_delay);
     }
-    // A timeout can mean a network partition or a frozen process; a refused
-    // connection can mean neither.
-    co_return why != core::errc::timeout;
+    // A timeout can mean a network partition or a frozen process, and an answer
+    // that cannot be read a sound one; a refused connection can mean neither.
+    co_return why == core::errc::unreachable || why == core::errc::broken;
 }
 
 awaitable<void> crash_detector::send_report(
--- a/node/engine.cpp
+++ b/node/engine.cpp
@@ -250,18 +250,19 @@
     drivers::http_call call =
         post(std::move(address), "/cancel", {{"attempt", to_string(attempt)}});
     call.timeout_ = cancel_timeout;
-    name_attempt(call, "cancel " + to_string(attempt));
+    call.own_connection_ = true;
     const auto reply = co_await http_.request(std::move(call));
     co_return core::is_ok(reply) && core::value(reply).status_ == status_ok;
 }
 
 awaitable<core::result<policy::endpoint_report>> engine_client::report(
-    std::string address, core::endpoint_id name)
+    std::string address, core::endpoint_id name, bool probes)
 {
     drivers::http_call call;
     call.address_ = std::move(address);
     call.target_ = "/report";
     call.timeout_ = report_timeout;
+    call.own_connection_ = probes;
     call.max_response_bytes_ = max_report_bytes;
     const auto reply = co_await http_.request(std::move(call));
     if (!core::is_ok(reply))
--- a/node/engine.hpp
+++ b/node/engine.hpp
@@ -124,8 +124,10 @@
     awaitable<bool> cancel(std::string address, core::attempt_id attempt);
 
     /// Reads an endpoint's report of its memory and running requests.
+    /// \param probes whether to open a connection for it, which shows that the
+    /// process lives and that the report is no late copy of an earlier one.
     awaitable<core::result<policy::endpoint_report>> report(
-        std::string address, core::endpoint_id name);
+        std::string address, core::endpoint_id name, bool probes = false);
 
     /// Sends an endpoint an order, such as to load a model or change its role.
     /// \param fence fencing token; an endpoint that checks it refuses an
