--- a/tests/platform/copied_refusal_test.cpp
+++ b/tests/platform/copied_refusal_test.cpp
@@ -48,6 +48,7 @@
     }
 
     int refused_ = 0;
+    int ran_ = 0;
 
 private:
     asio::awaitable<void> accept()
@@ -83,8 +84,11 @@
             else
             {
                 ++runs_[id];
+                ++ran_;
+                const std::string events = "id: 1\ndata: done\n\n";
                 answer = copy + "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
-                         "\r\nServer-Stamp: s\r\nContent-Length: 4\r\n\r\ndone";
+                         "\r\nServer-Stamp: s\r\nContent-Length: " +
+                         std::to_string(events.size()) + "\r\n\r\n" + events;
                 copy.clear();
             }
             co_await asio::async_write(
@@ -150,6 +154,39 @@
     }
 }
 
+// The same where the former process was a prefill engine and the present one
+// decodes: both stages send the request's id.
+TEST_F(copied_refusal, moves_no_stream_that_the_successor_runs)
+{
+    const successor now(io_, runs_);
+    add_endpoint("i-read", other_port + 3, "llm", true, prefill_answer);
+    host_.board_.section<node::settings_section>()
+        .settings_.bounds_.retry_slack_ = 10'000;
+    for (const auto& changed :
+         host_.board_.section<node::catalog_section>().on_change_)
+    {
+        changed();
+    }
+    constexpr int rounds = 40;
+    for (int round = 0; round < rounds; ++round)
+    {
+        list_.resize(1);
+        list_endpoint(current_name, shared_address);
+        list_endpoint("i-former-" + std::to_string(round), shared_address);
+        list_[1].service_ = "llm";
+        list_[2].service_ = "llm";
+        list_[2].reads_prompts_ = true;
+        put_list();
+        EXPECT_EQ(call("/llm/x").status_, 200);
+    }
+    EXPECT_GT(now.refused_, 0);
+    EXPECT_GT(now.ran_, 0);
+    for (const auto& [id, count] : runs_)
+    {
+        EXPECT_EQ(count, 1) << id;
+    }
+}
+
 // Guards against the copy of a refusal among requests that have no id, which
 // nothing but their connections tells apart.
 TEST(copied_refusal_codec, a_call_without_an_id_gets_a_connection_of_its_own)
