--- a/tests/platform/copied_refusal_test.cpp
+++ b/tests/platform/copied_refusal_test.cpp
@@ -86,9 +86,11 @@
                 ++runs_[id];
                 ++ran_;
                 const std::string events = "id: 1\ndata: done\n\n";
-                answer = copy + "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
-                         "\r\nServer-Stamp: s\r\nContent-Length: " +
-                         std::to_string(events.size()) + "\r\n\r\n" + events;
+                answer = copy;
+                answer += "HTTP/1.1 200 OK\r\nAttempt-Id: " + id;
+                answer += "\r\nServer-Stamp: s\r\nContent-Length: ";
+                answer += std::to_string(events.size()) + "\r\n\r\n";
+                answer += events;
                 copy.clear();
             }
             co_await asio::async_write(
