--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -20,6 +20,7 @@
     int status_ = 0;
     header_list headers_;
     std::string body_;
+    std::uint64_t connection_ = 0; ///< See http_stream::connection().
 
     /// Keeps the body counted towards the client's budget while it exists.
     std::shared_ptr<const byte_hold> held_;
@@ -48,10 +49,15 @@
     std::size_t max_response_bytes_ = max_response_bytes;
     /// Connections that have been idle for longer are not reused.
     core::duration max_idle_time_{60'000};
+    /// Whether the call gets a connection of its own. Without an id, only this
+    /// shows that the response is no late copy of an earlier one.
+    bool own_connection_ = false;
 
     /// A header that responses repeat, and its value; empty: the request has
     /// none. A response with another value belongs to an earlier request and is
-    /// skipped. A connection on which a response has no such header is not
+    /// skipped. Requests with one value are sent on different connections: a
+    /// late copy of the answer to the first names the second as well. A
+    /// connection on which a response has no such header is not
     /// kept, and such a response is refused on a connection that has been used
     /// before: it may be a second copy of an earlier answer.
     std::string echo_header_;
@@ -69,6 +75,9 @@
 
     virtual header_list headers() const = 0;
 
+    /// \return the number of the connection, counted from 1 by its client.
+    virtual std::uint64_t connection() const = 0;
+
     /// Reads the next line.
     /// \param timeout how long to wait for the whole line.
     /// \return the line without its line break; nothing when the body is
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -42,6 +42,9 @@
     int status_ = 0; ///< 0: the connection was closed without a response.
     std::string outcome_ = "caller_left";
     std::string detail_;
+    /// The answers that state that the request was not run, in the order of
+    /// their arrival: "endpoint:status@connection".
+    std::string refusals_;
     core::endpoint_id endpoint_;
     core::endpoint_id reader_; ///< Prefill engine; empty: none.
     int sends_ = 0;            ///< Number of times it was sent to an endpoint.
@@ -50,6 +53,14 @@
     std::int64_t first_event_ms_ = -1; ///< Since the arrival; -1: none.
     std::int64_t events_ = 0;
     bool opened_ = false; ///< Whether a stream's response has begun.
+
+    /// Records an answer that states that the request was not run.
+    void note_refusal(
+        const core::endpoint_id& from, int status, std::uint64_t connection)
+    {
+        refusals_ += (refusals_.empty() ? "" : " ") + from + ":" +
+                     std::to_string(status) + "@" + std::to_string(connection);
+    }
 };
 
 /// State that the controller and the forwarders of an entry host share.
@@ -130,11 +141,21 @@
 inline constexpr int status_bad_request = 400;
 inline constexpr int status_unauthorized = 401;
 inline constexpr int status_not_found = 404;
+inline constexpr int status_request_timeout = 408;
+inline constexpr int status_misdirected = 421;
 inline constexpr int status_too_many = 429;
 inline constexpr int status_bad_gateway = 502;
 inline constexpr int status_unavailable = 503;
 inline constexpr int status_timeout = 504;
 
+/// \return whether a status promises callers that the request has not run. An
+/// endpoint's answer with one is not passed on unless it states so itself.
+inline bool promises_not_run(int status)
+{
+    return status == status_request_timeout || status == status_misdirected ||
+           status == status_too_many || status == status_unavailable;
+}
+
 /// \return the time left until a call's deadline, at least 0.
 inline core::duration time_left(const ingress_call& call)
 {
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -171,7 +171,9 @@
                 error.code_ == core::errc::withheld
                     ? call_outcome::shed
                     : call_outcome::unreachable);
-            return send_result::nothing_sent;
+            return error.code_ == core::errc::withheld
+                       ? send_result::withheld
+                       : send_result::nothing_sent;
         }
         if (error.code_ == core::errc::broken)
         {
@@ -203,6 +205,7 @@
     {
         result_.detail_ =
             metadata.misdirected_ ? "misdirected" : "rejected by the endpoint";
+        result_.note_refusal(endpoint_, response.status_, response.connection_);
         finish_attempt(
             metadata.misdirected_ ? call_outcome::unreachable
                                   : call_outcome::shed);
@@ -214,6 +217,14 @@
         finish_attempt(call_outcome::broken);
         return send_result::may_have_run;
     }
+    if (promises_not_run(response.status_))
+    {
+        result_.detail_ = "the endpoint answered " +
+                          std::to_string(response.status_) +
+                          " to a request that it may have run";
+        finish_attempt(call_outcome::errored);
+        return send_result::may_have_run;
+    }
     ingress_.report_answered(call_);
     const bool is_error = response.status_ >= min_error_status;
     finish_attempt(is_error ? call_outcome::errored : call_outcome::answered);
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -188,7 +188,9 @@
     {
         const bool is_withheld =
             item.listed_.service_ == call_.service_ &&
-            !list.notices_.may_send(name, policy::call_purpose::request, now);
+            (!list.notices_.may_send(
+                 name, policy::call_purpose::request, now) ||
+             !list.limits_.may_have_room(name, now));
         if (is_withheld)
         {
             out.insert(name);
@@ -355,6 +357,11 @@
             call_.request_, response.status_, response.headers_);
         result_.detail_ =
             "prefill answered " + std::to_string(response.status_);
+        if (metadata.not_run_ || metadata.misdirected_)
+        {
+            result_.note_refusal(
+                reader, response.status_, response.connection_);
+        }
         avoid_.insert(placement_.reader_);
         const bool is_failure = !metadata.misdirected_ && !metadata.not_run_ &&
                                 response.status_ >= min_failure_status;
@@ -487,6 +494,8 @@
     {
         result_.detail_ =
             "decode answered " + std::to_string(stream_->status());
+        result_.note_refusal(
+            placement_.decoder_, stream_->status(), stream_->connection());
         stream_.reset();
         counted_send_.reset();
         avoid_.insert(placement_.decoder_);
@@ -522,9 +531,12 @@
     }
     placements_.record_engine_event(std::move(event));
     kv_handle_.reset();
-    if (!metadata.signed_ || !metadata.echoes_attempt_)
+    const bool is_unproven_refusal = promises_not_run(stream_->status());
+    if (!metadata.signed_ || !metadata.echoes_attempt_ || is_unproven_refusal)
     {
-        result_.detail_ = "the response does not match the request";
+        result_.detail_ = is_unproven_refusal
+                              ? "the engine refused what it may have run"
+                              : "the response does not match the request";
         record_stream_failure();
         stream_.reset();
         may_have_run_ = true;
