Take an answer reset during its request for broken

Callers would see a 2xx framed as whole with a part of the body, or none: the answer has no length, and the endpoint resets its connection (or closes it with unread bytes, as a process that ends does) while the request is still being written.

Cause: Linux reports a reset once, to the operation that comes first; asio resumes the writer before the reader, and reading then sees the end of the stream, which ends a body without a length.

The client now keeps the error of the write and reports such a body as broken, so that an unsafe call gets a 502 and a stream is broken off. A broken pipe is left out: the kernel reports it when the orderly end came before the reset, as from an endpoint that answers a long body early.

The path through the forwarders was not run with a long request.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -87,7 +87,7 @@
     bool reused_ = false;
     bool is_kept_ = true; ///< Whether another call may use it.
     bool writing_ = false;
-    bool write_failed_ = false;
+    error_code write_error_; ///< How the request failed to be written.
 };
 
 using connection_ptr = std::shared_ptr<connection>;
@@ -293,7 +293,7 @@
         *message,
         asio::redirect_error(asio::use_awaitable, failed));
     target->writing_ = false;
-    target->write_failed_ = static_cast<bool>(failed);
+    target->write_error_ = failed;
 }
 
 class beast_stream final : public http_stream
@@ -421,6 +421,10 @@
         {
             if (parser_->is_done())
             {
+                if (was_reset())
+                {
+                    co_return error_from(connection_->write_error_);
+                }
                 release_connection();
                 co_return std::optional<std::string>();
             }
@@ -501,6 +505,17 @@
         co_return failed;
     }
 
+    /// \return whether the connection broke that ended a body without a
+    /// length. The kernel reports that once, to the writing side if the request
+    /// is still being written; reading then sees an orderly end. A broken pipe
+    /// means that the orderly end came first.
+    bool was_reset() const
+    {
+        return connection_ && parser_->need_eof() &&
+               connection_->write_error_ &&
+               connection_->write_error_ != asio::error::broken_pipe;
+    }
+
     bool is_informational() const
     {
         return parser_->get().result_int() < min_final_status;
@@ -566,7 +581,7 @@
         const connection_ptr used = std::exchange(connection_, nullptr);
         const bool is_reusable =
             parser_->keep_alive() && !parser_->need_eof() && is_named_ &&
-            !skipped_mismatched_ && !used->writing_ && !used->write_failed_ &&
+            !skipped_mismatched_ && !used->writing_ && !used->write_error_ &&
             used->buffer_.size() == 0 && used->is_kept_ &&
             used->ids_.size() < max_ids_per_connection;
         if (is_reusable)
--- a/tests/platform/cut_answer_test.cpp
+++ b/tests/platform/cut_answer_test.cpp
@@ -92,7 +92,9 @@
     std::vector<std::string> answers_;    ///< To the requests of a connection.
     std::size_t cut_ = std::string::npos; ///< Length sent of the last one.
     bool reset_ = false; ///< Whether the connection is reset then, or closed.
-    int requests_ = 0;   ///< Received from callers.
+    core::duration pause_{0}; ///< Around the last answer.
+    bool shuts_down_ = false; ///< Whether it ends its side in order first.
+    int requests_ = 0;        ///< Received from callers.
     std::string last_request_;
 };
 
@@ -147,12 +149,23 @@
             if (at + 1 == answers.size())
             {
                 answer = answer.substr(0, script_.cut_);
+                co_await drivers::sleep_for(script_.pause_);
             }
             co_await asio::async_write(
                 socket,
                 asio::buffer(answer),
                 asio::redirect_error(asio::use_awaitable, failed));
         }
+        if (script_.shuts_down_)
+        {
+            drivers::error_code ignored;
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+        }
+        else
+        {
+            // Until the answer has been read.
+            co_await drivers::sleep_for(script_.pause_);
+        }
         if (script_.reset_)
         {
             socket.set_option(asio::socket_base::linger(true, 0));
@@ -404,5 +417,54 @@
     }
 }
 
+/// Sends a request that is longer than the sockets' buffers.
+core::result<drivers::http_response> send_long_request(endpoint_script script)
+{
+    core::result<drivers::http_response> out =
+        core::error{core::errc::timeout, "no answer"};
+    run_client(
+        script,
+        [&](drivers::http_client& client) -> asio::awaitable<void>
+        {
+            drivers::http_call call = make_call("aaaaaa1");
+            call.body_.assign(16 * 1024 * 1024, 'x');
+            out = co_await client.request(std::move(call));
+        });
+    return out;
+}
+
+endpoint_script make_early_answer()
+{
+    endpoint_script out{{make_answer(framing::connection_end, plain_body)}};
+    out.pause_ = core::duration{30};
+    return out;
+}
+
+// Guards against a reset that only the writing side of a long request notices,
+// so that an answer without a length seems to end in order.
+TEST(cut_answer_client, is_broken_by_a_reset_while_the_request_is_written)
+{
+    // Closing with unread bytes resets the connection as well.
+    for (const bool reset : {true, false})
+    {
+        endpoint_script script = make_early_answer();
+        script.reset_ = reset;
+        const auto reply = send_long_request(script);
+        ASSERT_FALSE(core::is_ok(reply));
+        EXPECT_EQ(core::failure(reply).code_, core::errc::broken);
+    }
+}
+
+// Guards against a whole early answer that is refused as cut, since the
+// connection is reset by the rest of the request after its orderly end.
+TEST(cut_answer_client, is_not_seen_in_an_early_answer_that_ends_in_order)
+{
+    endpoint_script script = make_early_answer();
+    script.shuts_down_ = true;
+    const auto reply = send_long_request(script);
+    ASSERT_TRUE(core::is_ok(reply));
+    EXPECT_EQ(core::value(reply).body_, plain_body);
+}
+
 } // namespace
 } // namespace poplarroute::platform
