--- a/drivers/disk_log.cpp
+++ b/drivers/disk_log.cpp
@@ -51,6 +51,40 @@
     return {errc::storage, what + " " + path.string() + ": " + strerror(errno)};
 }
 
+disk_fault& injected_fault()
+{
+    static disk_fault fault;
+    return fault;
+}
+
+/// \return whether a test refuses the access; errno is set then.
+bool is_refused(
+    disk_access access, const fs::path& path, std::string_view bytes = {})
+{
+    const disk_fault& fault = injected_fault();
+    if (!fault || !fault(access, path.string(), bytes))
+    {
+        return false;
+    }
+    errno = ENOSPC;
+    return true;
+}
+
+int open_for_writing(const fs::path& path, int flags)
+{
+    return is_refused(disk_access::open, path)
+               ? -1
+               : ::open(
+                     path.c_str(),
+                     O_WRONLY | O_CREAT | O_CLOEXEC | flags,
+                     file_mode);
+}
+
+bool sync(int file, const fs::path& path)
+{
+    return !is_refused(disk_access::sync, path) && ::fsync(file) == 0;
+}
+
 std::uint32_t crc32_of(std::string_view bytes)
 {
     boost::crc_32_type crc;
@@ -117,6 +151,10 @@
 
 result<done> write_all(int file, std::string_view bytes, const fs::path& path)
 {
+    if (is_refused(disk_access::write, path, bytes))
+    {
+        return storage_error("cannot write", path);
+    }
     while (!bytes.empty())
     {
         const ssize_t size = ::write(file, bytes.data(), bytes.size());
@@ -137,7 +175,7 @@
 {
     const file_descriptor descriptor(
         ::open(folder.c_str(), O_RDONLY | O_DIRECTORY));
-    if (descriptor.number() < 0 || ::fsync(descriptor.number()) != 0)
+    if (descriptor.number() < 0 || !sync(descriptor.number(), folder))
     {
         return storage_error("cannot sync", folder);
     }
@@ -150,10 +188,8 @@
 {
     const fs::path temporary_path = path.string() + ".new";
     {
-        const file_descriptor descriptor(::open(
-            temporary_path.c_str(),
-            O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
-            file_mode));
+        const file_descriptor descriptor(
+            open_for_writing(temporary_path, O_TRUNC));
         if (descriptor.number() < 0)
         {
             return storage_error("cannot open", temporary_path);
@@ -164,12 +200,13 @@
         {
             return written;
         }
-        if (::fsync(descriptor.number()) != 0)
+        if (!sync(descriptor.number(), temporary_path))
         {
             return storage_error("cannot sync", temporary_path);
         }
     }
-    if (::rename(temporary_path.c_str(), path.c_str()) != 0)
+    if (is_refused(disk_access::rename, temporary_path) ||
+        ::rename(temporary_path.c_str(), path.c_str()) != 0)
     {
         return storage_error("cannot rename", temporary_path);
     }
@@ -495,7 +532,8 @@
             if (core::value(valid_bytes) < size)
             {
                 contents.torn_bytes_ = size - core::value(valid_bytes);
-                if (::truncate(
+                if (is_refused(disk_access::set_length, path) ||
+                    ::truncate(
                         path.c_str(),
                         static_cast<off_t>(core::value(valid_bytes))) != 0)
                 {
@@ -517,10 +555,7 @@
     result<done> open_segment(std::uint64_t number)
     {
         current_path_ = folder_ / segment_name(number);
-        current_ = file_descriptor(::open(
-            current_path_.c_str(),
-            O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
-            file_mode));
+        current_ = file_descriptor(open_for_writing(current_path_, O_APPEND));
         if (current_.number() < 0)
         {
             return storage_error("cannot open", current_path_);
@@ -561,7 +596,8 @@
         {
             return written;
         }
-        if (::fdatasync(current_.number()) != 0)
+        if (is_refused(disk_access::sync, current_path_) ||
+            ::fdatasync(current_.number()) != 0)
         {
             return storage_error("cannot sync", current_path_);
         }
@@ -642,6 +678,11 @@
 
 } // namespace
 
+void set_disk_fault(disk_fault fault)
+{
+    injected_fault() = std::move(fault);
+}
+
 core::result<std::unique_ptr<disk_log>> disk_log::open(
     const std::string& folder, disk_contents& contents)
 {
--- a/drivers/disk_log.hpp
+++ b/drivers/disk_log.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "control/raft.hpp"
@@ -11,6 +13,25 @@
 namespace poplarroute::drivers
 {
 
+/// Access to a disk that may be refused.
+enum class disk_access
+{
+    open, ///< Opens a file for writing, which may create it.
+    write,
+    sync, ///< Of a file or a folder.
+    rename,
+    set_length,
+};
+
+/// Decides whether an access to a path fails as on a full disk. It is called
+/// before the access, with the bytes to write if there are any.
+using disk_fault = std::function<bool(
+    disk_access access, const std::string& path, std::string_view bytes)>;
+
+/// Sets the fault that all logs of this process meet; empty for none. For
+/// tests, which must set it while no log is in use.
+void set_disk_fault(disk_fault fault);
+
 /// State that a data folder had when it was opened.
 struct disk_contents
 {
--- a/tests/drivers/disk_log_test.cpp
+++ b/tests/drivers/disk_log_test.cpp
@@ -2,6 +2,9 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <functional>
+#include <iterator>
+#include <utility>
 
 #include <boost/crc.hpp>
 #include <gtest/gtest.h>
@@ -247,4 +250,178 @@
     EXPECT_GE(reopened_contents.entries_.size(), 5U);
 }
 
+/// Refuses accesses to the disk while it lives.
+class refusing_disk
+{
+public:
+    /// \param decide whether to refuse an access. Half of the bytes of a
+    /// refused write reach the file.
+    explicit refusing_disk(
+        std::function<bool(disk_access access, std::string_view bytes)> decide)
+    {
+        set_disk_fault(
+            [decide = std::move(decide)](
+                disk_access access,
+                const std::string& path,
+                std::string_view bytes)
+            {
+                const bool refused = decide(access, bytes);
+                if (refused && access == disk_access::write)
+                {
+                    std::ofstream(path, std::ios::binary | std::ios::app)
+                        << bytes.substr(0, bytes.size() / 2);
+                }
+                return refused;
+            });
+    }
+
+    ~refusing_disk()
+    {
+        set_disk_fault({});
+    }
+};
+
+// Guards against a log that a single refused access leaves unreadable or
+// without an acknowledged entry: each access of an append, a roll of the
+// segment, a snapshot and an installed snapshot is refused in turn.
+TEST_F(disk_log_test, any_refused_access_loses_nothing_acknowledged)
+{
+    constexpr std::size_t bytes_of_a_segment = 9 * 1024 * 1024;
+    using operation = std::function<core::result<core::done>(disk_log&)>;
+    const auto write = [](control::raft_actions actions) -> operation
+    {
+        return [actions = std::move(actions)](disk_log& log)
+        {
+            return log.write(actions);
+        };
+    };
+    control::raft_actions large = entries(6, 6);
+    large.append_[0].payload_.assign(bytes_of_a_segment, 'x');
+    control::raft_actions installed;
+    installed.install_snapshot_ =
+        control::snapshot{20, 3, {{{"a", "s", true}}}, "leader's"};
+    const std::vector<operation> operations{
+        write(entries(1, 5)),
+        write(large),
+        write(entries(7, 9)),
+        [](disk_log& log)
+        {
+            return log.write_snapshot({8, 3, {{{"a", "s", true}}}, "state"});
+        },
+        write(entries(10, 12)),
+        write(installed),
+        write(entries(21, 22))};
+    constexpr std::array<control::log_index, 8> last{0, 5, 6, 9, 9, 12, 20, 22};
+    int refused = 0;
+    for (bool was_refused = true; was_refused; ++refused)
+    {
+        SCOPED_TRACE("access " + std::to_string(refused));
+        fs::remove_all(folder_);
+        int count = 0;
+        bool is_full = false;
+        bool has_finished = false;
+        was_refused = false;
+        const refusing_disk disk(
+            [&](disk_access, std::string_view)
+            {
+                is_full = !has_finished && (is_full || count++ == refused);
+                was_refused = was_refused || is_full;
+                return is_full;
+            });
+        std::size_t next = 0;
+        while (next < operations.size())
+        {
+            disk_contents contents;
+            auto opened = disk_log::open(folder_.string(), contents);
+            if (core::is_ok(opened))
+            {
+                const control::log_index read =
+                    contents.snapshot_.index_ + contents.entries_.size();
+                ASSERT_GE(read, last[next]);
+                while (next < operations.size() &&
+                       core::is_ok(operations[next](*core::value(opened))))
+                {
+                    ++next;
+                }
+            }
+            if (next < operations.size())
+            {
+                ASSERT_TRUE(is_full);
+                disk_contents unused;
+                disk_log::open(folder_.string(), unused);
+                disk_log::open(folder_.string(), unused);
+                is_full = false;
+                count = refused + 1;
+            }
+        }
+        has_finished = true;
+        disk_contents contents;
+        open(contents);
+        EXPECT_EQ(contents.snapshot_.index_, 20U);
+        EXPECT_EQ(contents.entries_.size(), 2U);
+        EXPECT_EQ(contents.hard_state_.term_, 3U);
+    }
+    EXPECT_GT(refused, 20);
+}
+
+// Guards against an entry that a member reads from the page cache after a
+// failed sync and acknowledges, and that a loss of power then takes away.
+TEST_F(disk_log_test, entries_read_after_a_failed_sync_are_written_again)
+{
+    disk_contents contents;
+    auto log = open(contents);
+    ASSERT_TRUE(core::is_ok(log->write(entries(1, 5))));
+    {
+        const refusing_disk disk(
+            [](disk_access access, std::string_view)
+            {
+                return access == disk_access::sync;
+            });
+        ASSERT_FALSE(core::is_ok(log->write(entries(6, 6))));
+    }
+    log.reset();
+    std::string unsynced;
+    std::string synced;
+    const refusing_disk disk(
+        [&](disk_access access, std::string_view bytes)
+        {
+            unsynced += bytes;
+            if (access == disk_access::sync)
+            {
+                synced += std::exchange(unsynced, "");
+            }
+            return false;
+        });
+    disk_contents reopened_contents;
+    open(reopened_contents);
+    const bool is_read = reopened_contents.entries_.size() == 6;
+    const bool is_written = synced.find("payload 6") != std::string::npos;
+    EXPECT_EQ(is_read, is_written);
+}
+
+// Guards against one more file for each attempt to open a full disk.
+TEST_F(disk_log_test, attempts_to_open_a_full_disk_leave_no_files)
+{
+    disk_contents contents;
+    auto log = open(contents);
+    ASSERT_TRUE(core::is_ok(log->write(entries(1, 5))));
+    log.reset();
+    const auto files = [this]()
+    {
+        return std::distance(fs::directory_iterator(folder_), {});
+    };
+    const auto before = files();
+    const refusing_disk disk(
+        [](disk_access access, std::string_view)
+        {
+            return access == disk_access::write;
+        });
+    for (int attempt = 0; attempt < 10; ++attempt)
+    {
+        disk_contents unused;
+        disk_log::open(folder_.string(), unused);
+    }
+    EXPECT_LE(files(), before + 1);
+}
+
 } // namespace poplarroute::drivers
