Write again what a failed sync may not have stored

After a failed sync a member read its log back from the page cache, took the entries for stored and acknowledged them; so did a process that was killed between a write and its sync. A loss of power then took what the group counted. A torn tail was cut without a sync, so that a loss of power could bring it back in front of a later segment, where it counts as damage. Each attempt to open a full disk left one more file.

Opening a folder now reads first and changes nothing. Then it replaces the last segment by a copy without the torn tail, syncs it and the folder, and reuses an empty segment. A log whose write failed takes nothing more. A folder that can be read on a disk that refuses writes is reported with not_ready instead of storage.

Measured: entries_read_after_a_failed_sync_are_written_again and attempts_to_open_a_full_disk_leave_no_files (12 files, 3 allowed) fail before; any_refused_access_loses_nothing_acknowledged passes before and after. A loss of power itself is not simulated.

--- a/drivers/disk_log.cpp
+++ b/drivers/disk_log.cpp
@@ -37,6 +37,7 @@
 constexpr const char* store_id_name = "store-id";
 constexpr const char* snapshot_name = "snapshot";
 constexpr std::string_view segment_prefix = "segment-";
+constexpr const char* temporary_suffix = ".new";
 constexpr int segment_number_digits = 20;
 
 enum class record_kind : char
@@ -186,7 +187,7 @@
 /// contents.
 result<done> replace_file(const fs::path& path, std::string_view bytes)
 {
-    const fs::path temporary_path = path.string() + ".new";
+    const fs::path temporary_path = path.string() + temporary_suffix;
     {
         const file_descriptor descriptor(
             open_for_writing(temporary_path, O_TRUNC));
@@ -225,7 +226,8 @@
     std::vector<fs::path> out;
     for (const auto& item : fs::directory_iterator(folder))
     {
-        if (item.path().filename().string().starts_with(segment_prefix))
+        if (item.path().filename().string().starts_with(segment_prefix) &&
+            item.path().extension() != temporary_suffix)
         {
             out.push_back(item.path());
         }
@@ -388,6 +390,7 @@
 public:
     explicit file_log(fs::path folder) : folder_(std::move(folder)) {}
 
+    /// Reads the folder and changes nothing.
     result<done> load(disk_contents& contents)
     {
         const result<done> id_loaded = load_store_id(contents);
@@ -409,10 +412,73 @@
                           contents.entries_.empty() &&
                           contents.hard_state_.term_ == 0;
         hard_state_ = contents.hard_state_;
+        return done();
+    }
+
+    /// Makes durable what load() has read, and opens a segment for writing.
+    result<done> prepare(disk_contents& contents)
+    {
+        remove_temporary_files();
+        if (contents.store_.empty())
+        {
+            const std::string id = core::random_hex(store_id_bytes);
+            const result<done> written =
+                replace_file(folder_ / store_id_name, id);
+            if (!core::is_ok(written))
+            {
+                return written;
+            }
+            contents.store_ = id;
+        }
+        // A sync that succeeds after one that failed does not show that the
+        // bytes before it are on the disk, so they are written again.
+        if (!last_segment_bytes_.empty())
+        {
+            const result<done> written = replace_file(
+                folder_ / segment_name(next_segment_ - 1), last_segment_bytes_);
+            if (!core::is_ok(written))
+            {
+                return written;
+            }
+            last_segment_bytes_ = std::string();
+        }
         return open_segment(next_segment_);
     }
 
     result<done> write(const control::raft_actions& actions) override
+    {
+        return fail_for_good(
+            [&]()
+            {
+                return write_actions(actions);
+            });
+    }
+
+    result<done> write_snapshot(const control::snapshot& snapshot) override
+    {
+        return fail_for_good(
+            [&]()
+            {
+                return replace_snapshot(snapshot);
+            });
+    }
+
+private:
+    /// Writes, and refuses to once a write has failed: a record after a partly
+    /// written one would make the segment unreadable.
+    template <class Write>
+    result<done> fail_for_good(const Write& write)
+    {
+        if (has_failed_)
+        {
+            return error{errc::storage, "an earlier write has failed"};
+        }
+        const result<done> written = write();
+        has_failed_ = !core::is_ok(written);
+        return written;
+    }
+
+    result<done> write_actions(const control::raft_actions& actions)
     {
         std::string records;
         if (actions.hard_state_)
@@ -444,7 +510,7 @@
         return append(records);
     }
 
-    result<done> write_snapshot(const control::snapshot& snapshot) override
+    result<done> replace_snapshot(const control::snapshot& snapshot)
     {
         std::string bytes;
         append_frame(bytes, encode(snapshot));
@@ -457,7 +523,18 @@
         return compact();
     }
 
-private:
+    void remove_temporary_files()
+    {
+        for (const auto& item : fs::directory_iterator(folder_))
+        {
+            if (item.path().extension() == temporary_suffix)
+            {
+                std::error_code ignored;
+                fs::remove(item.path(), ignored);
+            }
+        }
+    }
+
     static void append_record(
         std::string& out, record_kind kind, const std::string& text)
     {
@@ -483,8 +560,7 @@
                 path.string() + " is missing beside a log: move the folder "
                                 "away and replace this member"};
         }
-        contents.store_ = core::random_hex(store_id_bytes);
-        return replace_file(path, contents.store_);
+        return done();
     }
 
     result<done> load_snapshot(disk_contents& contents)
@@ -528,19 +604,14 @@
             {
                 return core::failure(valid_bytes);
             }
-            const std::uint64_t size = fs::file_size(path);
-            if (core::value(valid_bytes) < size)
+            const std::uint64_t size = core::value(valid_bytes);
+            contents.torn_bytes_ = fs::file_size(path) - size;
+            next_segment_ = segment_number(path) + (size > 0 ? 1 : 0);
+            if (last && size > 0)
             {
-                contents.torn_bytes_ = size - core::value(valid_bytes);
-                if (is_refused(disk_access::set_length, path) ||
-                    ::truncate(
-                        path.c_str(),
-                        static_cast<off_t>(core::value(valid_bytes))) != 0)
-                {
-                    return storage_error("cannot truncate", path);
-                }
+                last_segment_bytes_ =
+                    read_file(path.string()).value_or("").substr(0, size);
             }
-            next_segment_ = segment_number(path) + 1;
         }
         if (!replay.finish())
         {
@@ -555,7 +626,8 @@
     result<done> open_segment(std::uint64_t number)
     {
         current_path_ = folder_ / segment_name(number);
-        current_ = file_descriptor(open_for_writing(current_path_, O_APPEND));
+        current_ = file_descriptor(
+            open_for_writing(current_path_, O_APPEND | O_TRUNC));
         if (current_.number() < 0)
         {
             return storage_error("cannot open", current_path_);
@@ -575,7 +647,7 @@
     result<done> install_snapshot(
         const control::snapshot& snapshot, std::string& records)
     {
-        const result<done> written = write_snapshot(snapshot);
+        const result<done> written = replace_snapshot(snapshot);
         if (!core::is_ok(written))
         {
             return written;
@@ -673,7 +745,9 @@
     std::uint64_t current_number_ = 0;
     std::uint64_t next_segment_ = 1;
     std::size_t current_bytes_ = 0;
+    std::string last_segment_bytes_; ///< Without a partly written record.
     control::hard_state hard_state_;
+    bool has_failed_ = false;
 };
 
 } // namespace
@@ -690,8 +764,10 @@
     fs::create_directories(folder, failed);
     if (failed)
     {
+        const bool is_full = failed == std::errc::no_space_on_device;
         return error{
-            errc::storage, "cannot create " + folder + ": " + failed.message()};
+            is_full ? errc::not_ready : errc::storage,
+            "cannot create " + folder + ": " + failed.message()};
     }
     auto log = std::make_unique<file_log>(folder);
     const result<done> loaded = log->load(contents);
@@ -699,6 +775,11 @@
     {
         return core::failure(loaded);
     }
+    const result<done> prepared = log->prepare(contents);
+    if (!core::is_ok(prepared))
+    {
+        return error{errc::not_ready, core::failure(prepared).message_};
+    }
     return std::unique_ptr<disk_log>(std::move(log));
 }
 
--- a/drivers/disk_log.hpp
+++ b/drivers/disk_log.hpp
@@ -20,7 +20,6 @@
     write,
     sync, ///< Of a file or a folder.
     rename,
-    set_length,
 };
 
 /// Decides whether an access to a path fails as on a full disk. It is called
@@ -55,15 +54,19 @@
 /// written is synced before write() returns. A partly written record at the end
 /// of the last segment, as a crash leaves it, is cut off; any other record that
 /// does not match its CRC is an error, since an acknowledged entry may be lost.
-/// After a failed write or sync the log must not be used any more: the caller
-/// opens it again, which reads the state on the disk.
+/// After a failed write or sync the log takes nothing more: the caller opens it
+/// again, which reads the state on the disk and writes once more what may not
+/// have been synced.
 class disk_log
 {
 public:
     /// Opens a data folder and creates it if it does not exist.
     /// \param folder the data folder.
     /// \param contents receives the state that the folder has.
-    /// \return the log, or an error of kind storage that says what is wrong.
+    /// \return the log; an error of kind storage if the folder cannot be read;
+    /// an error of kind not_ready if it was read but the disk refuses writes.
+    /// Entries that were read then may be lost with the power, so they must not
+    /// be acknowledged.
     static core::result<std::unique_ptr<disk_log>> open(
         const std::string& folder, disk_contents& contents);
 
