Start a member on a full disk

A process that started while its disk was full ended with status 1 (event not_started), so a second full disk could take the majority for good. A member whose bootstrap failed went on writing to the failed log. While a leader's disk was full, its callers were sent to itself until their time was up; reads and commands that waited for a step were not answered for 4 s.

A member whose disk refuses writes now starts suspended and opens the disk at intervals, on the disk thread. It answers waiting commands and reads with not_leader at once and names the leader that it hears from, takes no part in forming or joining a group, keeps no messages, and tells no store id that is not stored.

--- a/node/group_manager.cpp
+++ b/node/group_manager.cpp
@@ -167,6 +167,11 @@
     const core::host_id self = with_.identity().host_;
     for (;;)
     {
+        if (group_.is_suspended())
+        {
+            co_await drivers::sleep_for(form_interval);
+            continue;
+        }
         const bool has_no_group =
             group_.member()->log().group().members_.empty();
         const auto& seeds = settings.seeds_;
--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -71,23 +71,30 @@
 template <class Machine>
 core::result<core::done> raft_replica<Machine>::open()
 {
-    return load_from_disk();
-}
-
-template <class Machine>
-core::result<core::done> raft_replica<Machine>::load_from_disk()
-{
-    disk_.reset();
-    disk_contents_ = {};
-    machine_ = Machine();
-    applied_ = 0;
+    drivers::disk_contents contents;
     auto opened = drivers::disk_log::open(
-        with_.identity().settings_.data_folder_, disk_contents_);
-    if (!core::is_ok(opened))
+        with_.identity().settings_.data_folder_, contents);
+    if (core::is_ok(opened))
+    {
+        disk_ = std::move(core::value(opened));
+    }
+    else if (core::failure(opened).code_ == errc::not_ready)
+    {
+        suspend(core::failure(opened).message_);
+    }
+    else
     {
         return core::failure(opened);
     }
-    disk_ = std::move(core::value(opened));
+    return load(std::move(contents));
+}
+
+/// Continues from the contents of the disk.
+template <class Machine>
+core::result<core::done> raft_replica<Machine>::load(
+    drivers::disk_contents contents)
+{
+    disk_contents_ = std::move(contents);
     if (disk_contents_.torn_bytes_ > 0)
     {
         log_event(
@@ -95,6 +102,8 @@
             "torn_tail_cut",
             {{"bytes", disk_contents_.torn_bytes_}});
     }
+    machine_ = Machine();
+    applied_ = 0;
     if (disk_contents_.snapshot_.index_ > 0)
     {
         auto state = Machine::decode(disk_contents_.snapshot_.state_);
@@ -147,7 +156,7 @@
 template <class Machine>
 core::host_id raft_replica<Machine>::leader() const
 {
-    return raft_->leader();
+    return suspended_ ? leader_while_suspended_ : raft_->leader();
 }
 
 template <class Machine>
@@ -175,7 +184,7 @@
 {
     if (!leads())
     {
-        co_return error{errc::not_leader, raft_->leader()};
+        co_return error{errc::not_leader, leader()};
     }
     if (queued_proposals_.size() >= max_queued_proposals)
     {
@@ -198,7 +207,7 @@
 {
     if (!leads())
     {
-        co_return error{errc::not_leader, raft_->leader()};
+        co_return error{errc::not_leader, leader()};
     }
     auto reply =
         std::make_shared<pending_value<core::result<core::done>>>(with_.io_);
@@ -217,6 +226,10 @@
 {
     for (;;)
     {
+        if (suspended_)
+        {
+            co_await resume();
+        }
         const bool idle = inbox_.empty() && queued_proposals_.empty() &&
                           queued_reads_.empty() &&
                           queued_group_changes_.empty();
@@ -361,26 +374,55 @@
     {
         co_return true;
     }
-    std::string why = core::failure(written).message_;
-    co_await reopen_disk(std::move(why));
+    suspend(core::failure(written).message_);
+    co_await resume();
     co_return false;
 }
 
-/// Reloads the state from the disk, once it accepts writes again. Nothing of
-/// the failed step was sent, so this is equivalent to a restart.
 template <class Machine>
-awaitable<void> raft_replica<Machine>::reopen_disk(std::string why)
+void raft_replica<Machine>::suspend(const std::string& why)
 {
-    suspended_ = true;
     log_event(log_level::error, "disk_lost", {{"why", why}});
+    suspended_ = true;
+    const bool led = raft_ && raft_->leader() == with_.identity().host_;
+    leader_while_suspended_ = raft_ && !led ? raft_->leader() : core::host_id();
     fail_pending();
-    for (;;)
+    fail_queued();
+}
+
+/// Reloads the state from the disk, once it accepts writes again. Nothing of
+/// the failed step was sent, so this is equivalent to a restart.
+template <class Machine>
+awaitable<void> raft_replica<Machine>::resume()
+{
+    disk_.reset();
+    std::string last_problem;
+    const std::string folder = with_.identity().settings_.data_folder_;
+    while (!disk_)
     {
         co_await drivers::sleep_for(reopen_interval);
-        const core::result<core::done> loaded = load_from_disk();
+        drivers::disk_contents contents;
+        const auto work =
+            [&]() -> awaitable<core::result<std::unique_ptr<drivers::disk_log>>>
+        {
+            co_return drivers::disk_log::open(folder, contents);
+        };
+        auto opened =
+            co_await asio::co_spawn(disk_thread_, work, asio::use_awaitable);
+        const core::result<core::done> loaded = core::is_ok(opened)
+                                                    ? load(std::move(contents))
+                                                    : core::failure(opened);
         if (core::is_ok(loaded))
         {
-            break;
+            disk_ = std::move(core::value(opened));
+        }
+        else if (core::failure(loaded).message_ != last_problem)
+        {
+            last_problem = core::failure(loaded).message_;
+            log_event(
+                log_level::warning,
+                "disk_not_regained",
+                {{"why", last_problem}});
         }
     }
     suspended_ = false;
@@ -483,7 +525,7 @@
 template <class Machine>
 void raft_replica<Machine>::fail_pending()
 {
-    const error lost{errc::not_leader, raft_->leader()};
+    const error lost{errc::not_leader, leader()};
     for (auto& [index, item] : pending_proposals_)
     {
         item.reply_->set(lost);
@@ -496,6 +538,44 @@
     pending_group_changes_.clear();
 }
 
+/// Fails what waits for the next step, and reads that the group would answer.
+template <class Machine>
+void raft_replica<Machine>::fail_queued()
+{
+    const error lost{errc::not_leader, leader()};
+    for (const proposal& item : queued_proposals_)
+    {
+        item.reply_->set(lost);
+    }
+    queued_proposals_.clear();
+    for (const group_change& item : queued_group_changes_)
+    {
+        item.reply_->set(lost);
+    }
+    queued_group_changes_.clear();
+    for (const read_reply& reply : queued_reads_)
+    {
+        reply->set(lost);
+    }
+    queued_reads_.clear();
+    for (const auto& [id, reply] : pending_reads_)
+    {
+        reply->set(lost);
+    }
+    pending_reads_.clear();
+}
+
+/// Records the leader, so that callers of a suspended member are sent there.
+template <class Machine>
+void raft_replica<Machine>::follow_while_suspended(
+    const control::raft_message& message)
+{
+    if (std::holds_alternative<control::append_request>(message.body_))
+    {
+        leader_while_suspended_ = message.from_;
+    }
+}
+
 template <class Machine>
 awaitable<void> raft_replica<Machine>::snapshot_if_due()
 {
@@ -518,8 +598,8 @@
         co_await asio::co_spawn(disk_thread_, work, asio::use_awaitable);
     if (!core::is_ok(written))
     {
-        std::string why = core::failure(written).message_;
-        co_await reopen_disk(std::move(why));
+        suspend(core::failure(written).message_);
+        co_await resume();
         co_return;
     }
     log_event(log_level::info, "snapshot_taken", {{"index", taken.index_}});
@@ -529,6 +609,10 @@
 core::result<core::done> raft_replica<Machine>::bootstrap(
     const control::member_group& group)
 {
+    if (suspended_)
+    {
+        return error{errc::not_ready, "the disk refuses writes"};
+    }
     const control::member* self = group.find(with_.identity().host_);
     if (self == nullptr || self->store_ != disk_contents_.store_)
     {
@@ -546,6 +630,7 @@
     const core::result<core::done> written = disk_->write_snapshot(first);
     if (!core::is_ok(written))
     {
+        suspend(core::failure(written).message_);
         return core::failure(written);
     }
     disk_contents_.snapshot_ = first;
@@ -563,7 +648,7 @@
 {
     if (!leads())
     {
-        co_return error{errc::not_leader, raft_->leader()};
+        co_return error{errc::not_leader, leader()};
     }
     control::member_group next = raft_->log().group();
     auto& members = next.members_;
@@ -622,7 +707,11 @@
             {
                 co_return error{errc::invalid, "no message of the group"};
             }
-            if (inbox_.size() < max_queued_messages)
+            if (suspended_)
+            {
+                follow_while_suspended(*message);
+            }
+            else if (inbox_.size() < max_queued_messages)
             {
                 inbox_.push_back(std::move(*message));
                 wake();
@@ -635,6 +724,10 @@
         [this](drivers::peer_identity, identify_request)
             -> awaitable<core::result<identify_reply>>
         {
+            if (disk_contents_.store_.empty())
+            {
+                co_return error{errc::not_ready, "the disk refuses writes"};
+            }
             identify_reply reply;
             reply.store_ = disk_contents_.store_;
             for (const control::member& item : raft_->log().group().members_)
--- a/node/replica.hpp
+++ b/node/replica.hpp
@@ -30,10 +30,10 @@
 ///
 /// Steps run one after another. What a step has to persist is written and
 /// synced on a separate thread before anything is sent or applied, and all
-/// commands that arrive meanwhile go into the next step together. After a
-/// failed write, the member reloads its state from the files until the disk
-/// accepts writes again. Until then it sends nothing, as if its process had
-/// stopped.
+/// commands that arrive meanwhile go into the next step together. While the
+/// disk refuses writes, at the start or later, the member is suspended: it
+/// sends nothing, as if its process had stopped. It opens the disk again at
+/// intervals and resumes from what is stored there.
 /// \tparam Machine state machine that the log drives, with apply(),
 /// revision(), encode(), decode() and the type reply.
 template <class Machine>
@@ -46,7 +46,8 @@
     explicit raft_replica(context& with, control::raft_timing times = {});
 
     /// Opens the data folder.
-    /// \return an error of kind storage when it cannot be used.
+    /// \return an error of kind storage when it cannot be read. A disk that
+    /// only refuses writes is opened by the started member.
     core::result<core::done> open();
 
     /// Registers calls and starts to take part in the group.
@@ -67,6 +68,14 @@
 
     bool leads() const;
     core::host_id leader() const;
+
+    /// \return whether the disk refuses writes, so that this member takes no
+    /// part in its group.
+    bool is_suspended() const
+    {
+        return suspended_;
+    }
+
     const Machine& state() const
     {
         return machine_;
@@ -117,14 +126,17 @@
     awaitable<void> propose_queued_group_changes();
     awaitable<void> perform(control::raft_actions actions);
     awaitable<bool> write(const control::raft_actions& actions);
-    awaitable<void> reopen_disk(std::string why);
-    core::result<core::done> load_from_disk();
+    void suspend(const std::string& why);
+    awaitable<void> resume();
+    core::result<core::done> load(drivers::disk_contents contents);
+    void follow_while_suspended(const control::raft_message& message);
     void notify();
     awaitable<void> snapshot_if_due();
     void send(const std::vector<control::raft_message>& messages);
     void apply(const std::vector<control::log_entry>& entries);
     void answer_reads(const control::raft_actions& actions);
     void fail_pending();
+    void fail_queued();
     void wake();
 
     context& with_;
@@ -134,6 +146,7 @@
     std::unique_ptr<control::raft> raft_;
     Machine machine_;
     bool suspended_ = false; ///< The disk refuses writes.
+    core::host_id leader_while_suspended_;
     control::log_index applied_ = 0;
     drivers::asio::thread_pool disk_thread_{1};
     drivers::asio::steady_timer wake_;
