Keep the applied state of a member whose disk was full

What it had applied is committed and stored, so it keeps it and starts the protocol with this index as committed. If the folder was replaced by one that lacks it, the member starts anew as before.

Measured: a_member_never_shows_an_older_state fails before and passes after; 44 tests of the log, the group and the soak pass.

--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -62,8 +62,10 @@
       log_(std::move(start.snapshot_), std::move(start.entries_)),
       times_(start.times_),
       random_(start.seed_),
-      commit_(log_.latest_snapshot().index_)
+      commit_(std::max(log_.latest_snapshot().index_, start.commit_))
 {
+    core::check_invariant(
+        commit_ <= log_.last_index(), "a committed entry must be in the log");
     reset_election_timer(now);
 }
 
--- a/control/raft.hpp
+++ b/control/raft.hpp
@@ -62,6 +62,10 @@
     hard_state hard_state_;
     snapshot snapshot_;
     std::vector<log_entry> entries_;
+
+    /// Index up to which entries are known to be committed; at least the
+    /// snapshot's.
+    log_index commit_ = 0;
     raft_timing times_;
     std::uint64_t seed_ = 1; ///< Of the random election timeouts.
 };
--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -102,9 +102,16 @@
             "torn_tail_cut",
             {{"bytes", disk_contents_.torn_bytes_}});
     }
-    machine_ = Machine();
-    applied_ = 0;
-    if (disk_contents_.snapshot_.index_ > 0)
+    const control::log_index last = disk_contents_.entries_.empty()
+                                        ? disk_contents_.snapshot_.index_
+                                        : disk_contents_.entries_.back().index_;
+    if (last < applied_)
+    {
+        // The folder was replaced, so this is another member.
+        machine_ = Machine();
+        applied_ = 0;
+    }
+    if (disk_contents_.snapshot_.index_ > applied_)
     {
         auto state = Machine::decode(disk_contents_.snapshot_.state_);
         if (!state)
@@ -127,6 +134,7 @@
     start.hard_state_ = disk_contents_.hard_state_;
     start.snapshot_ = disk_contents_.snapshot_;
     start.entries_ = disk_contents_.entries_;
+    start.commit_ = applied_;
     start.times_ = times_;
     start.seed_ = core::stable_hash(
         start.host_ + std::to_string(with_.identity().incarnation_));
--- a/node/replica.hpp
+++ b/node/replica.hpp
@@ -33,7 +33,8 @@
 /// commands that arrive meanwhile go into the next step together. While the
 /// disk refuses writes, at the start or later, the member is suspended: it
 /// sends nothing, as if its process had stopped. It opens the disk again at
-/// intervals and resumes from what is stored there.
+/// intervals and resumes from what is stored there. The state that it has
+/// applied stays: it is committed, so the disk has it too.
 /// \tparam Machine state machine that the log drives, with apply(),
 /// revision(), encode(), decode() and the type reply.
 template <class Machine>
