--- a/drivers/disk_log.hpp
+++ b/drivers/disk_log.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "control/raft.hpp"
@@ -11,6 +13,24 @@
 namespace poplarroute::drivers
 {
 
+/// Access to a disk that may be refused.
+enum class disk_access
+{
+    open, ///< Opens a file for writing, which may create it.
+    write,
+    sync, ///< Of a file or a folder.
+    rename,
+};
+
+/// Decides whether an access to a path fails as on a full disk. It is called
+/// before the access, with the bytes to write if there are any.
+using disk_fault = std::function<bool(
+    disk_access access, const std::string& path, std::string_view bytes)>;
+
+/// Sets the fault that all logs of this process meet; empty for none. For
+/// tests, which must set it while no log is in use.
+void set_disk_fault(disk_fault fault);
+
 /// State that a data folder had when it was opened.
 struct disk_contents
 {
@@ -34,15 +54,19 @@
 /// written is synced before write() returns. A partly written record at the end
 /// of the last segment, as a crash leaves it, is cut off; any other record that
 /// does not match its CRC is an error, since an acknowledged entry may be lost.
-/// After a failed write or sync the log must not be used any more: the caller
-/// opens it again, which reads the state on the disk.
+/// After a failed write or sync the log takes nothing more: the caller opens it
+/// again, which reads the state on the disk and writes once more what may not
+/// have been synced.
 class disk_log
 {
 public:
     /// Opens a data folder and creates it if it does not exist.
     /// \param folder the data folder.
     /// \param contents receives the state that the folder has.
-    /// \return the log, or an error of kind storage that says what is wrong.
+    /// \return the log; an error of kind storage if the folder cannot be read;
+    /// an error of kind not_ready if it was read but the disk refuses writes.
+    /// Entries that were read then may be lost with the power, so they must not
+    /// be acknowledged.
     static core::result<std::unique_ptr<disk_log>> open(
         const std::string& folder, disk_contents& contents);
 
