Soak endpoints that name limits and copy refusals by name

Endpoints of the platform soak name a Server-Limit for some seconds, and check_limits counts what they get from hosts that had passed it on, with the bounds of the rule LIMIT.

--- a/tests/fakes/platform_fakes.py
+++ b/tests/fakes/platform_fakes.py
@@ -43,6 +43,35 @@
     return "\r\n".join(lines).encode() + CRLF + CRLF + body
 
 
+class NamedLimit:
+    """The requests per second that an endpoint names, and what it receives
+    while it does so."""
+
+    def __init__(self, endpoint_name, rate):
+        self.endpoint_name = endpoint_name
+        self.rate = rate
+        self.arrivals = []      # (time, attempt) of each caller's request.
+
+
+class AnswerWriter:
+    """Writes the answers on one connection. A faulty endpoint writes the copy
+    of a refusal right before the next answer."""
+
+    def __init__(self, writer):
+        self.writer = writer
+        self.copy = b""
+
+    def write(self, data):
+        self.writer.write(self.copy + data)
+        self.copy = b""
+
+    async def drain(self):
+        await self.writer.drain()
+
+    def close(self):
+        self.writer.close()
+
+
 class Endpoint:
     """An endpoint of a plain service or an engine of either stage."""
 
@@ -64,7 +93,9 @@
         self.turning_away_until = 0.0
         self.notices = []       # (time, attempt, stay_away_s or None).
         self.arrivals = []      # (time, attempt) of each caller's request.
-        self.repeats_refusals = False
+        self.repeats_refusals = None   # "unnamed", "named": which copy.
+        self.limit = None       # The limit that it names now.
+        self.limits = []        # All limits that it has named.
         self.queue_slots = 0    # Requests that wait for a slot.
         self.queued = 0
         self.work_s = (0.002, 0.03)   # Range of the duration of a plain call.
@@ -80,6 +111,16 @@
         return (self.failing_paths and time.monotonic() >= self.fails_from
                 and target.startswith(self.failing_paths))
 
+    def begin_limit(self, rate):
+        self.limit = NamedLimit(self.name, rate)
+        self.limits.append(self.limit)
+        return self.limit
+
+    def become(self, name):
+        """Turns into another incarnation, which names no limit."""
+        self.name = name
+        self.limit = None
+
     async def start(self):
         self.server = await asyncio.start_server(
             self.serve_connection, "127.0.0.1", self.port)
@@ -91,7 +132,7 @@
         self.reset_connections()
         self.handles.clear()
         await asyncio.sleep(down_s)
-        self.name = name
+        self.become(name)
         self.sequence = 0
         await self.start()
 
@@ -107,10 +148,11 @@
 
     async def serve_connection(self, reader, writer):
         self.open_writers.add(writer)
+        answers = AnswerWriter(writer)
         try:
             while True:
                 start, headers, body = await read_message(reader)
-                keep = await self.handle_request(start, headers, body, writer)
+                keep = await self.handle_request(start, headers, body, answers)
                 await writer.drain()
                 if not keep:
                     break
@@ -158,11 +200,12 @@
         attempt = headers.get("attempt-id", "")
         base = {"Attempt-Id": attempt}
         if headers.get("expect-instance", self.name) != self.name:
-            writer.write(format_message(
-                "HTTP/1.1 421 Misdirected Request", base))
-            return True
+            return await self.refuse("421 Misdirected Request", base, writer)
         now = time.monotonic()
         self.arrivals.append((now, attempt))
+        if self.limit:
+            base["Server-Limit"] = f"{self.limit.rate:g}"
+            self.limit.arrivals.append((now, attempt))
         if self.leaving:
             base["Server-Leaving"] = "1"
             self.notices.append((now, attempt, None))
@@ -175,33 +218,36 @@
             if left_s > 0:
                 refusal["Retry-After"] = f"{left_s:.3f}"
                 self.notices.append((now, attempt, left_s))
-            answer = format_message("HTTP/1.1 503 Service Unavailable",
-                                    refusal)
-            writer.write(answer)
-            if self.repeats_refusals:
-                # A faulty endpoint writes the refusal once more, without the
-                # id, where the next answer is expected.
-                unnamed = {name: value for name, value in refusal.items()
-                           if name != "Attempt-Id"}
-                await writer.drain()
-                await asyncio.sleep(0.01)
-                writer.write(format_message(
-                    "HTTP/1.1 503 Service Unavailable", unnamed))
-            return True
+            return await self.refuse("503 Service Unavailable", refusal,
+                                     writer)
         self.running += 1
         try:
             return await self.run(headers, base, attempt, writer)
         finally:
             self.running -= 1
 
+    async def refuse(self, status, headers, writer):
+        """Refuses a request. A faulty endpoint writes the refusal once more:
+        soon after it and without the id, or with the id where the next answer
+        is expected."""
+        answer = format_message("HTTP/1.1 " + status, headers)
+        writer.write(answer)
+        if self.repeats_refusals == "named":
+            writer.copy = answer
+        elif self.repeats_refusals == "unnamed":
+            unnamed = {name: value for name, value in headers.items()
+                       if name != "Attempt-Id"}
+            await writer.drain()
+            await asyncio.sleep(0.01)
+            writer.write(format_message("HTTP/1.1 " + status, unnamed))
+        return True
+
     async def run(self, headers, base, attempt, writer):
         wrong_stage = (self.stage is not None and
                        (self.stage == "prefill") !=
                        (headers.get("stage") == "prefill"))
         if wrong_stage:
-            writer.write(format_message(
-                "HTTP/1.1 421 Misdirected Request", base))
-            return True
+            return await self.refuse("421 Misdirected Request", base, writer)
         if self.stage == "prefill":
             await asyncio.sleep(0.005)
             handle = f"{self.random.getrandbits(48):012x}"
@@ -314,6 +360,7 @@
     def __init__(self, links):
         self.links = links
         self.leaving = set()
+        self.former = {}   # Names that addresses had before, with their links.
         self.port = 0
         self.calls = 0
 
@@ -322,12 +369,12 @@
             self.serve_connection, "127.0.0.1", 0)
         self.port = server.sockets[0].getsockname()[1]
 
-    def entry(self, link):
+    def entry(self, name, link):
         endpoint = link.endpoint
-        out = {"id": endpoint.name, "service": endpoint.service,
+        out = {"id": name, "service": endpoint.service,
                "address": f"127.0.0.1:{link.port}", "zone": "zone-a",
                "version": endpoint.version, "slots": endpoint.slots, "coldLeftMs": 0,
-               "state": "draining" if endpoint.name in self.leaving
+               "state": "draining" if name in self.leaving
                else "ready"}
         if endpoint.stage:
             out["stage"] = endpoint.stage
@@ -341,10 +388,13 @@
                 target = start.split(" ")[1]
                 page = int(target.split("pageToken=")[1]) \
                     if "pageToken=" in target else 0
-                part = self.links[page:page + 3]
-                more = page + 3 < len(self.links)
+                listed = [*self.former.items(),
+                          *((link.endpoint.name, link) for link in self.links)]
+                part = listed[page:page + 3]
+                more = page + 3 < len(listed)
                 body = json.dumps({
-                    "instances": [self.entry(link) for link in part] +
+                    "instances": [self.entry(name, link)
+                                  for name, link in part] +
                                  [{"id": 5, "state": "unknown"}],
                     "next": str(page + 3) if more else None}).encode()
                 writer.write(format_message("HTTP/1.1 200 OK", {}, body))
--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -4,8 +4,10 @@
 Starts group members and entry hosts as separate processes with the fakes of
 tests/fakes. While callers and an operator send requests, it stops, pauses,
 kills and restarts processes, deletes a member's disk, and delays, resets,
-silences or refuses connections to endpoints. Faults come one after another and
-overlap. It checks what callers and endpoints recorded:
+silences or refuses connections to endpoints. Endpoints crash, start again under
+another name while the former one is still listed, name limits, and repeat
+refusals. Faults come one after another and overlap. It checks what callers and
+endpoints recorded:
 
 - an attempt of a call that must not be repeated runs at most once;
 - an attempt that was answered with 429 or 503 never runs;
@@ -14,6 +16,8 @@
 - every response has a log line with the same status;
 - an endpoint that told a host that it is leaving, or turned it away for a
   time, gets no further requests from that host;
+- an endpoint that names a limit gets no more than the LIMIT rule allows from
+  the hosts that have passed this on;
 - an endpoint gets the account of the key, but never the key;
 - a configuration read is never older than one acknowledged before;
 - graceful stops cut no request: hosts exit in time with status 0;
@@ -21,8 +25,8 @@
   numbers;
 - acknowledged configurations exist at the end, and the hosts serve again.
 
-With --heavy, faults come several times per second, endpoints crash, queue
-requests and work slowly, and callers have short deadlines or leave early.
+With --heavy, faults come several times per second, endpoints queue requests and
+work slowly, and callers have short deadlines or leave early.
 
     platform_soak.py --seed 1 --seeds 3 --seconds 15 [--entries 3] [--heavy]
 """
@@ -45,6 +49,7 @@
 PROGRAM = os.path.join(BUILD, "main", "poplarroute")
 PEER_PORT, CONTROL_PORT, CLIENT_PORT, READY_PORT = 17500, 17600, 17700, 17701
 GRACE_S = 8
+COPIES = [None, "unnamed", "named"]   # Of refusals, written once more.
 RECOVERY_S = 12  # The users' limit on the recovery after the last fault.
 CONFIG_APPLY_S = 2.0
 LEASE_S = 1.0
@@ -52,6 +57,9 @@
 DRAIN_S = 1.0  # Time from the word of an endpoint that leaves.
 TURN_AWAY_GRACE_S = 0.5
 MAX_REQUESTS_WHILE_TURNED_AWAY = 2
+# The users' rule LIMIT.
+LIMIT_SETTLE_S, LIMIT_KNOWN_S, LIMIT_WINDOW_S = 3.0, 0.5, 4.0
+LIMIT_RATIO, LIMIT_SLACK = 1.5, 5
 
 
 class Host:
@@ -159,12 +167,14 @@
         self.acknowledged_at = 0.0
         self.answers = {}   # attempt: (kind, status)
         self.answered_by = {}   # attempt: (host, time)
+        self.stamps = {}    # attempt: the stamp of its answer
         self.sent_by = {}   # attempt: (host, time)
-        self.disturbed = []   # (from, until, name) of hosts and links
+        # (from, until, what): a host's name, "links" or a link.
+        self.disturbed = []
         self.kills = []    # (time, host)
         self.attempt = 0
         self.counts = {"answered": 0, "refused": 0, "failed": 0, "faults": 0,
-                       "changes": 0, "reads": 0, "orders": 0}
+                       "changes": 0, "reads": 0, "orders": 0, "limits": 0}
         self.running = True
         self.disk_lost = False
         self.resumed = []    # (time, name)
@@ -251,6 +261,7 @@
             patience_s)
         self.answers[attempt] = (kind, status)
         self.answered_by[attempt] = (host.name, time.monotonic())
+        self.stamps[attempt] = got.get("server-stamp", "")
         if status == 200 and complete:
             self.counts["answered"] += 1
             self.check_success(kind, attempt, got, body)
@@ -332,14 +343,24 @@
             await asyncio.sleep(duration_s)
             link.mode = "pass"
             link.reset()
-        self.disturbed.append((began, time.monotonic() + 0.1, "links"))
+        until = time.monotonic() + 0.1
+        self.disturbed += [(began, until, "links"), (began, until, link)]
 
-    async def turn_away(self, endpoint, duration_s):
+    async def turn_away(self, endpoint, duration_s, copy):
         """Lets an endpoint turn hosts away for a time."""
-        endpoint.repeats_refusals = self.random.random() < 0.5
+        endpoint.repeats_refusals = copy
         endpoint.turning_away_until = time.monotonic() + duration_s
         await asyncio.sleep(duration_s)
-        endpoint.repeats_refusals = False
+        endpoint.repeats_refusals = None
+
+    async def limit(self, endpoints, rate, duration_s):
+        """Lets endpoints name a limit for a time."""
+        limits = [(endpoint, endpoint.begin_limit(rate))
+                  for endpoint in endpoints if endpoint.limit is None]
+        await asyncio.sleep(duration_s)
+        for endpoint, limit in limits:
+            if endpoint.limit is limit:
+                endpoint.limit = None
 
     async def replace(self, endpoint):
         """Lets an endpoint leave, first by its answers, then in the list, and
@@ -352,16 +373,18 @@
         self.list.leaving.add(name)
         await asyncio.sleep(2.0)
         self.check_notices(endpoint)
-        endpoint.name = f"{name.split('+')[0]}+{self.counts['faults']}"
+        endpoint.become(f"{name.split('+')[0]}+{self.counts['faults']}")
         endpoint.notices.clear()
         endpoint.arrivals.clear()
         endpoint.leaving = False
 
-    async def crash_endpoint(self, endpoint, down_s):
+    async def crash_endpoint(self, endpoint, down_s, listed_s, copy):
+        """Ends an endpoint and starts it again. If it has another name then,
+        the list shows the former one as well for a time."""
         if endpoint.leaving or endpoint.server is None:
             return
         endpoint.leaving = True   # No other fault meets it meanwhile.
-        name = endpoint.name
+        former = name = endpoint.name
         if self.random.random() < 0.5:
             name = f"{name.split('+')[0]}+{self.counts['faults']}"
         self.list.leaving.discard(endpoint.name)
@@ -371,6 +394,13 @@
         endpoint.notices.clear()
         endpoint.arrivals.clear()
         endpoint.leaving = False
+        if name == former:
+            return
+        endpoint.repeats_refusals = copy
+        self.list.former[former] = self.links[self.endpoints.index(endpoint)]
+        await asyncio.sleep(listed_s)
+        del self.list.former[former]
+        endpoint.repeats_refusals = None
 
     def next_heavy_fault(self):
         rng = self.random
@@ -378,7 +408,8 @@
         return rng.choice([
             self.next_fault(),
             lambda: self.crash_endpoint(rng.choice(self.endpoints),
-                                        rng.uniform(0.02, 1.5)),
+                                        rng.uniform(0.02, 1.5), duration_s,
+                                        rng.choice(COPIES)),
             lambda: self.reload(rng.choice(self.members + self.entries)),
             lambda: self.pause(rng.choice(self.entries), duration_s),
             lambda: self.disturb_link(
@@ -390,6 +421,11 @@
         member = rng.choice(self.members)
         entry = rng.choice(self.entries)
         duration_s = rng.uniform(0.3, 2.0)
+        copy = rng.choice(COPIES)
+        limited = rng.sample(self.endpoints[:3], rng.choice([1, 2]))
+        if rng.random() < 0.25:
+            limited.append(rng.choice(self.endpoints[3:]))
+        rate, limited_s = round(rng.uniform(3, 12), 1), rng.uniform(3, 14)
         return rng.choice([
             lambda: self.restart(entry, signal.SIGTERM, 0.2),
             lambda: self.restart(entry, signal.SIGKILL, duration_s),
@@ -399,7 +435,11 @@
             lambda: self.pause(entry, duration_s),
             lambda: self.lose_disk(member),
             lambda: self.reload(entry),
-            lambda: self.turn_away(rng.choice(self.endpoints), duration_s),
+            lambda: self.turn_away(rng.choice(self.endpoints), duration_s,
+                                   copy),
+            lambda: self.crash_endpoint(rng.choice(self.endpoints),
+                                        0.1, 2 * duration_s, copy),
+            lambda: self.limit(limited, rate, limited_s),
             lambda: self.replace(rng.choice(self.endpoints[:6])),
             lambda: self.disturb_link(
                 rng.choice(["delay", "silent", "one_way", "refuse",
@@ -468,11 +508,48 @@
                     f"{arrived - told_at:.2f} s after it told it that it is "
                     "leaving")
 
+    def check_limits(self, endpoint):
+        """Checks what an endpoint that named a limit has received since from
+        hosts that had passed on an answer with it. An attempt's host is the
+        one that its caller asked."""
+        link = self.links[self.endpoints.index(endpoint)]
+        for limit in endpoint.limits:
+            known_at = {}
+            for _, attempt in limit.arrivals:
+                stamp = f"{limit.endpoint_name}.{attempt}"
+                if self.stamps.get(attempt) == stamp:
+                    host, at = self.answered_by[attempt]
+                    known_at[host] = min(at, known_at.get(host, at))
+            if not known_at:
+                continue
+            settled_at = min(known_at.values()) + LIMIT_SETTLE_S
+            counted = []
+            for at, attempt in sorted(limit.arrivals):
+                host, _ = self.sent_by.get(attempt, ("", 0.0))
+                if (at >= settled_at and host in known_at
+                        and at >= known_at[host] + LIMIT_KNOWN_S
+                        and not self.overlaps_disturbance(
+                            (host, link), at - LIMIT_SETTLE_S, at)):
+                    counted.append(at)
+            self.counts["limits"] += bool(counted)
+            most = max((sum(at <= other < at + LIMIT_WINDOW_S
+                            for other in counted) for at in counted),
+                       default=0)
+            allowed = LIMIT_RATIO * limit.rate * LIMIT_WINDOW_S + LIMIT_SLACK
+            if most > allowed:
+                self.add_problem(
+                    f"{limit.endpoint_name} got {most} requests within "
+                    f"{LIMIT_WINDOW_S:g} s from hosts that knew its limit of "
+                    f"{limit.rate:g} per second; {allowed:g} are allowed")
+
     def was_disturbed(self, host, since, until):
         """Whether a host was stopped or paused, or the answers of endpoints
         were held back, so that it may not know what an endpoint said."""
-        return any(name in (host, "links") and start < until and end > since
-                   for start, end, name in self.disturbed)
+        return self.overlaps_disturbance((host, "links"), since, until)
+
+    def overlaps_disturbance(self, parts, since, until):
+        return any(part in parts and start < until and end > since
+                   for start, end, part in self.disturbed)
 
     def check_orders(self, endpoint):
         orders = [order for order in endpoint.orders if not any(
@@ -524,6 +601,7 @@
         for endpoint in self.endpoints:
             self.check_orders(endpoint)
             self.check_notices(endpoint)
+            self.check_limits(endpoint)
         runs = {}
         for endpoint in self.endpoints:
             for attempt, account in endpoint.started_runs:
