--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -49,7 +49,8 @@
 PROGRAM = os.path.join(BUILD, "main", "poplarroute")
 PEER_PORT, CONTROL_PORT, CLIENT_PORT, READY_PORT = 17500, 17600, 17700, 17701
 GRACE_S = 8
-COPIES = [None, "unnamed", "named"]   # Of refusals, written once more.
+# Of refusals, written once more.
+COPIES = [None, "unnamed", "named", "named"]
 RECOVERY_S = 12  # The users' limit on the recovery after the last fault.
 CONFIG_APPLY_S = 2.0
 LEASE_S = 1.0
@@ -437,7 +438,7 @@
             lambda: self.reload(entry),
             lambda: self.turn_away(rng.choice(self.endpoints), duration_s,
                                    copy),
-            lambda: self.crash_endpoint(rng.choice(self.endpoints),
+            lambda: self.crash_endpoint(rng.choice(self.endpoints[:3]),
                                         0.1, 2 * duration_s, copy),
             lambda: self.limit(limited, rate, limited_s),
             lambda: self.replace(rng.choice(self.endpoints[:6])),
