Let a limit of an endpoint that has left be no news

Found by reading: hosts kept the limits of endpoints that had left the list and stated them in each watch; the leader took each for a change, dropped it again and woke all watches, whose requests stated them again, without end.

--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -211,6 +211,7 @@
             co_await drivers::sleep_for(leader_search_interval);
             continue;
         }
+        forget_unlisted_limits(with_.board_.section<endpoint_section>());
         const watch_request request = next_watch_request(wait);
         const core::duration timeout =
             group.leader_.empty() ? leader_search_timeout : watch_timeout;
--- a/node/fleet_sections.cpp
+++ b/node/fleet_sections.cpp
@@ -234,6 +234,10 @@
 
 void forget_unlisted_limits(endpoint_section& section)
 {
+    if (section.limits_.statements().all().empty())
+    {
+        return;
+    }
     std::set<core::endpoint_id> listed;
     for (const auto& [name, item] : section.endpoints_)
     {
--- a/node/limit_controller.cpp
+++ b/node/limit_controller.cpp
@@ -1,6 +1,7 @@
 #include "node/limit_controller.hpp"
 
 #include <utility>
+#include <vector>
 
 #include "node/fleet_sections.hpp"
 #include "node/limit_messages.hpp"
@@ -34,12 +35,21 @@
 
 void limit_controller::record(std::span<const endpoint_limit_message> told)
 {
+    endpoint_section& list = with_.board_.section<endpoint_section>();
+    // A host may still know the limit of an endpoint that has left.
+    std::vector<endpoint_limit_message> listed(told.begin(), told.end());
+    std::erase_if(
+        listed,
+        [&list](const endpoint_limit_message& item)
+        {
+            return list.endpoints_.count(item.endpoint_) == 0;
+        });
     const core::time_point now = core::steady_now();
-    if (!record_limits(limits(), told, now - max_transit, now))
+    if (!record_limits(limits(), listed, now - max_transit, now))
     {
         return;
     }
-    forget_unlisted_limits(with_.board_.section<endpoint_section>());
+    forget_unlisted_limits(list);
     ++revision_;
     on_change_();
 }
--- a/tests/platform/shared_limit_test.cpp
+++ b/tests/platform/shared_limit_test.cpp
@@ -132,6 +132,33 @@
         return after - before;
     }
 
+    /// \return what a host that has heard nothing is told.
+    std::optional<node::watch_reply> watch(asking_host& host)
+    {
+        std::optional<node::watch_reply> out;
+        drivers::spawn(
+            io_,
+            [](asking_host& host,
+               std::optional<node::watch_reply>& out) -> asio::awaitable<void>
+            {
+                node::watch_request request;
+                request.host_ = "h";
+                request.wait_ms_ = 200;
+                const auto reply = co_await node::ask<node::watch_reply>(
+                    host.with_.peers_,
+                    member_address,
+                    node::method::catalog_watch,
+                    request,
+                    core::duration{1'000});
+                if (core::is_ok(reply))
+                {
+                    out = core::value(reply);
+                }
+            }(host, out));
+        run_for(core::duration{500});
+        return out;
+    }
+
     asio::io_context io_{1};
     std::filesystem::path folder_;
     std::unique_ptr<lone_member> member_;
@@ -163,24 +190,7 @@
 {
     tell_limit(*hosts_[0]);
     run_for(core::duration{50});
-    std::optional<node::watch_reply> heard;
-    drivers::spawn(
-        io_,
-        [](asking_host& host,
-           std::optional<node::watch_reply>& out) -> asio::awaitable<void>
-        {
-            node::watch_request request;
-            request.host_ = "h";
-            request.wait_ms_ = 5'000;
-            const auto reply = co_await node::ask<node::watch_reply>(
-                host.with_.peers_,
-                member_address,
-                node::method::catalog_watch,
-                request,
-                core::duration{1'000});
-            out = core::is_ok(reply) ? core::value(reply) : node::watch_reply();
-        }(*hosts_[1], heard));
-    run_for(core::duration{500});
+    const std::optional<node::watch_reply> heard = watch(*hosts_[1]);
     ASSERT_TRUE(heard.has_value());
     ASSERT_EQ(heard->limits_.size(), 1U);
     EXPECT_EQ(heard->limits_[0].endpoint_, endpoint);
@@ -188,6 +198,22 @@
     EXPECT_EQ(heard->limits_[0].milli_per_second_, 12'000);
 }
 
+// Guards against hosts that wake each other without end by the limit of an
+// endpoint that has left the list.
+TEST_F(shared_limit, of_an_endpoint_that_has_left_is_no_news)
+{
+    hosts_[0]->limits_.record("i-gone", {rate, core::steady_now()});
+    run_for(core::duration{100});
+    const std::optional<node::watch_reply> heard = watch(*hosts_[1]);
+    ASSERT_TRUE(heard.has_value());
+    EXPECT_TRUE(heard->limits_.empty());
+    EXPECT_EQ(heard->limit_revision_, 0U);
+    EXPECT_EQ(hosts_[0]->known().statements().limit_of("i-gone"), rate);
+    node::forget_unlisted_limits(
+        hosts_[0]->board_.section<node::endpoint_section>());
+    EXPECT_EQ(hosts_[0]->known().statements().limit_of("i-gone"), std::nullopt);
+}
+
 // Guards against hosts that stop or send without bound once the leader is gone.
 TEST_F(shared_limit, hosts_without_a_leader_keep_to_their_shares)
 {
