--- a/tests/fakes/platform_fakes.py
+++ b/tests/fakes/platform_fakes.py
@@ -369,7 +369,10 @@
             self.serve_connection, "127.0.0.1", 0)
         self.port = server.sockets[0].getsockname()[1]
 
-    def entry(self, name, link):
+    def entry(self, link):
+        return self.named_entry(link.endpoint.name, link)
+
+    def named_entry(self, name, link):
         endpoint = link.endpoint
         out = {"id": name, "service": endpoint.service,
                "address": f"127.0.0.1:{link.port}", "zone": "zone-a",
@@ -388,13 +391,13 @@
                 target = start.split(" ")[1]
                 page = int(target.split("pageToken=")[1]) \
                     if "pageToken=" in target else 0
-                listed = [*self.former.items(),
-                          *((link.endpoint.name, link) for link in self.links)]
+                listed = [*(self.named_entry(name, link)
+                            for name, link in self.former.items()),
+                          *(self.entry(link) for link in self.links)]
                 part = listed[page:page + 3]
                 more = page + 3 < len(listed)
                 body = json.dumps({
-                    "instances": [self.entry(name, link)
-                                  for name, link in part] +
+                    "instances": part +
                                  [{"id": 5, "state": "unknown"}],
                     "next": str(page + 3) if more else None}).encode()
                 writer.write(format_message("HTTP/1.1 200 OK", {}, body))
