Send events to the leader, open connections and check ledgers in one place each

Found by reading the whole change again; behaviour is unchanged.

- An event at an endpoint went to the leader by the same code in endpoint_client, limit_client, ingress_controller and placement_client; node/leader_notes has it now.
- http_client noted a request's id in two branches; a connection is opened in a function of its own, and the id is noted once.
- Settlements and limits were refused by the same eight lines in catalog_controller.
- The route of a request that its host refuses was looked up in a second place.
- limit_statements::find served limit_of only; the unit of a limit was converted twice.

Unit tests of the clients, forwarders, limits, notices and leaders pass.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -209,6 +209,32 @@
 namespace
 {
 
+asio::awaitable<core::result<connection_ptr>> open_connection(
+    http_client::pool& pool, const http_call& call)
+{
+    auto opened = std::make_shared<connection>(pool.context_);
+    opened->is_kept_ = !call.own_connection_;
+    opened->stream_.expires_after(call.connect_timeout_.chrono());
+    error_code failed;
+    co_await opened->stream_.async_connect(
+        parse_endpoint(call.address_),
+        asio::redirect_error(asio::use_awaitable, failed));
+    if (failed)
+    {
+        co_await throw_if_cancelled();
+        co_return error{errc::unreachable, failed.message()};
+    }
+    opened->number_ = ++pool.counts_.opened_;
+    tcp::socket& socket = opened->stream_.socket();
+    socket.set_option(tcp::no_delay(true), failed);
+    using user_timeout =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket.set_option(user_timeout(tcp_user_timeout_ms), failed);
+    co_return std::move(opened);
+}
+
+/// Returns an idle connection or a new one, which then has carried the call's
+/// id.
 asio::awaitable<core::result<connection_ptr>> connect(
     http_client::pool& pool, const http_call& call)
 {
@@ -217,42 +243,29 @@
     {
         id = core::stable_hash(call.echo_value_);
     }
-    connection_ptr connected =
+    connection_ptr used =
         call.own_connection_
             ? nullptr
             : pool.acquire(call.address_, call.max_idle_time_, id);
-    if (connected)
+    if (used)
     {
         ++pool.counts_.reused_;
-        if (id)
-        {
-            connected->ids_.push_back(*id);
-        }
-        co_return std::move(connected);
     }
-    connected = std::make_shared<connection>(pool.context_);
-    connected->is_kept_ = !call.own_connection_;
-    connected->stream_.expires_after(call.connect_timeout_.chrono());
-    error_code failed;
-    co_await connected->stream_.async_connect(
-        parse_endpoint(call.address_),
-        asio::redirect_error(asio::use_awaitable, failed));
-    if (failed)
+    else
     {
-        co_await throw_if_cancelled();
-        co_return error{errc::unreachable, failed.message()};
+        core::result<connection_ptr> opened =
+            co_await open_connection(pool, call);
+        if (!core::is_ok(opened))
+        {
+            co_return core::failure(opened);
+        }
+        used = std::move(core::value(opened));
     }
-    connected->number_ = ++pool.counts_.opened_;
     if (id)
     {
-        connected->ids_.push_back(*id);
+        used->ids_.push_back(*id);
     }
-    tcp::socket& socket = connected->stream_.socket();
-    socket.set_option(tcp::no_delay(true), failed);
-    using user_timeout =
-        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-    socket.set_option(user_timeout(tcp_user_timeout_ms), failed);
-    co_return std::move(connected);
+    co_return std::move(used);
 }
 
 http::request<http::string_body> make_request(http_call& call)
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -684,6 +684,17 @@
     co_return make_watch_reply(request);
 }
 
+/// \return why a call that only the leader's ledgers can answer is refused.
+std::optional<core::error> catalog_controller::find_ledger_objection()
+{
+    track_leadership();
+    if (!group_.leads())
+    {
+        return error{errc::not_leader, group_.leader()};
+    }
+    return queues_.check(policy::call_kind::settlement);
+}
+
 settle_reply catalog_controller::settle(const settle_request& request)
 {
     settle_reply out;
@@ -880,15 +891,9 @@
         [this](drivers::peer_identity, settle_request request)
             -> awaitable<core::result<settle_reply>>
         {
-            track_leadership();
-            if (!group_.leads())
+            if (const auto objection = find_ledger_objection())
             {
-                co_return error{errc::not_leader, group_.leader()};
-            }
-            const auto dropped = queues_.check(policy::call_kind::settlement);
-            if (dropped)
-            {
-                co_return *dropped;
+                co_return *objection;
             }
             co_return settle(request);
         });
@@ -898,15 +903,9 @@
         [this](drivers::peer_identity, limit_request request)
             -> awaitable<core::result<limit_reply>>
         {
-            track_leadership();
-            if (!group_.leads())
+            if (const auto objection = find_ledger_objection())
             {
-                co_return error{errc::not_leader, group_.leader()};
-            }
-            const auto dropped = queues_.check(policy::call_kind::settlement);
-            if (dropped)
-            {
-                co_return *dropped;
+                co_return *objection;
             }
             co_return limits_.take(request);
         });
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -100,6 +100,7 @@
     void apply_limits();
     awaitable<placement_reply> charge_and_place(placement_request request);
     awaitable<placement_reply> place_in_role(placement_request request);
+    std::optional<core::error> find_ledger_objection();
     settle_reply settle(const settle_request& request);
     void apply_catalog();
 
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -90,7 +90,7 @@
     bool takes_changes_ = false;
 
     /// The limits of endpoints that the host knows, for a new leader, and the
-    /// leader's revision of them that it has heard.
+    /// leader's revision of the last reply.
     std::vector<endpoint_limit_message> limits_;
     std::uint64_t limit_revision_ = 0;
 };
--- a/node/endpoint_client.cpp
+++ b/node/endpoint_client.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "drivers/log.hpp"
-#include "node/catalog_messages.hpp"
+#include "node/leader_notes.hpp"
 
 namespace poplarroute::node
 {
@@ -15,19 +15,8 @@
 namespace
 {
 
-constexpr core::duration tell_timeout{1'000};
-
 constexpr int min_error_status = 300;
 
-/// Tells the leader that an endpoint is leaving. A lost message is made up for
-/// by the next watch, which names the endpoint as well.
-awaitable<void> tell_leader(
-    context& with, core::host_id leader, engine_event_message event)
-{
-    co_await ask<empty_reply>(
-        with.peers_, leader, method::streams_note, event, tell_timeout);
-}
-
 } // namespace
 
 endpoint_client::endpoint_client(context& with, const wire_codec& codec)
@@ -98,15 +87,12 @@
          {"service", service},
          {"listed", listed.leaving_ ? "leaving" : "ready"},
          {"list_age_ms", (now - section.read_at_).ms_}});
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
-    if (!leader.empty())
-    {
-        engine_event_message event;
-        event.service_ = service;
-        event.host_ = with_.identity().host_;
-        event.leaving_ = from;
-        drivers::spawn(with_.io_, tell_leader(with_, leader, std::move(event)));
-    }
+    // A lost event is made up for by the next watch, which names the endpoint
+    // as well.
+    engine_event_message event;
+    event.service_ = service;
+    event.leaving_ = from;
+    send_to_leader(with_, std::move(event));
 }
 
 /// Takes the permissions to send a call.
--- a/node/entry_controller.cpp
+++ b/node/entry_controller.cpp
@@ -273,18 +273,15 @@
     info.arrived_ = core::steady_now();
     info.id_ = "req-" + core::random_hex(request_id_bytes);
     request_outcome outcome;
-    // check_host() comes first: a host without a usable directory version knows
-    // neither routes nor keys.
+    // check_host() decides first: a host without a usable directory version
+    // knows neither routes nor keys.
+    const optional_refusal route_missing = find_route(exchange.request(), info);
     optional_refusal refusal = check_host();
-    refusal = refusal ? refusal : find_route(exchange.request(), info);
+    refusal = refusal ? refusal : route_missing;
     refusal = refusal ? refusal : check_key(exchange.request(), info);
     refusal = refusal ? refusal : check_isolation(info);
     if (refusal)
     {
-        if (info.service_.name_.empty())
-        {
-            find_route(exchange.request(), info);
-        }
         refusal->not_run_ = may_promise_not_run(info);
         outcome.code_ = refusal->code_;
         outcome.result_ = refusal->status_ == status_unavailable
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -9,6 +9,7 @@
 #include "core/digest.hpp"
 #include "core/ini.hpp"
 #include "drivers/log.hpp"
+#include "node/leader_notes.hpp"
 #include "node/plain_forwarder.hpp"
 
 namespace poplarroute::node
@@ -147,29 +148,15 @@
 
 void ingress_context::report_answered(const ingress_call& call)
 {
-    const group_section& group = with_.board_.section<group_section>();
-    if (!group.suspects_parts_ || group.leader_.empty())
+    if (!with_.board_.section<group_section>().suspects_parts_)
     {
         return;
     }
     engine_event_message event;
     event.service_ = call.service_;
-    event.host_ = with_.identity().host_;
     event.answered_ = true;
     event.answered_digest_ = call.digest_;
-    drivers::spawn(
-        with_.io_,
-        [](context& with,
-           core::host_id leader,
-           engine_event_message event) -> awaitable<void>
-        {
-            co_await ask<empty_reply>(
-                with.peers_,
-                leader,
-                method::streams_note,
-                event,
-                crash_report_timeout);
-        }(with_, group.leader_, std::move(event)));
+    send_to_leader(with_, std::move(event));
 }
 
 bool ingress_context::is_quarantined(const ingress_call& call) const
--- a/node/limit_client.cpp
+++ b/node/limit_client.cpp
@@ -4,6 +4,7 @@
 
 #include "drivers/log.hpp"
 #include "node/fleet_sections.hpp"
+#include "node/leader_notes.hpp"
 #include "node/limit_messages.hpp"
 
 namespace poplarroute::node
@@ -18,24 +19,14 @@
 /// Longest time for which a request waits for the leader's grant.
 constexpr core::duration grant_timeout{60};
 
-/// Time after a failed question in which the leader is not asked again.
+/// Time after a request that the leader did not answer in which it is not asked
+/// again.
 constexpr core::duration failed_ask_backoff{500};
 
 /// How long after it was asked for a request may be sent. A process that was
-/// paused must not use a grant of before.
+/// paused must not use a grant from before the pause.
 constexpr core::duration grant_validity{250};
 
-constexpr core::duration tell_timeout{1'000};
-
-constexpr double milli = 1'000;
-
-awaitable<void> tell_leader(
-    context& with, core::host_id leader, engine_event_message event)
-{
-    co_await ask<empty_reply>(
-        with.peers_, leader, method::streams_note, event, tell_timeout);
-}
-
 } // namespace
 
 limit_client::limit_client(context& with) : with_(with) {}
@@ -63,8 +54,8 @@
         co_return send_permit{};
     }
     const core::host_id leader = with_.board_.section<group_section>().leader_;
-    const bool has_failed = asked_in_vain_at_.ms_ > 0 &&
-                            asked_at - asked_in_vain_at_ <= failed_ask_backoff;
+    const bool has_failed = ask_failed_at_.ms_ > 0 &&
+                            asked_at - ask_failed_at_ <= failed_ask_backoff;
     if (leader.empty() || has_failed)
     {
         co_return take_own_share(to);
@@ -78,10 +69,10 @@
     const core::time_point now = core::steady_now();
     if (!core::is_ok(answer))
     {
-        asked_in_vain_at_ = now;
+        ask_failed_at_ = now;
         co_return take_own_share(to);
     }
-    asked_in_vain_at_ = {};
+    ask_failed_at_ = {};
     const limit_reply& reply = core::value(answer);
     record_limits(limits, reply.limits_, asked_at, now);
     if (!reply.granted_)
@@ -105,21 +96,13 @@
         log_level::info,
         statement.per_second_ ? "endpoint_limited" : "endpoint_limit_ended",
         {{"endpoint", from},
-         {"milli_per_second",
-          static_cast<std::int64_t>(
-              statement.per_second_.value_or(0) * milli)}});
+         {"milli_per_second", milli_per_second_of(statement)}});
     with_.metrics_.count(
         "poplarroute_endpoint_limits_total",
         {{"kind", statement.per_second_ ? "named" : "ended"}});
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
-    if (leader.empty())
-    {
-        return;
-    }
     engine_event_message event;
-    event.host_ = with_.identity().host_;
     event.limits_ = to_limit_messages(limits.statements(), core::steady_now());
-    drivers::spawn(with_.io_, tell_leader(with_, leader, std::move(event)));
+    send_to_leader(with_, std::move(event));
 }
 
 } // namespace poplarroute::node
--- a/node/limit_client.hpp
+++ b/node/limit_client.hpp
@@ -25,8 +25,8 @@
     /// Takes one request to an endpoint.
     awaitable<send_permit> take(core::endpoint_id to);
 
-    /// Records what an answer says, and tells the leader what has changed.
-    /// \param statement as the answer has it.
+    /// Records what an answer says, and reports to the leader when an endpoint
+    /// begins or ends to be limited.
     void record(
         const core::endpoint_id& from,
         const policy::limit_statement& statement);
@@ -35,7 +35,7 @@
     send_permit take_own_share(const core::endpoint_id& to);
 
     context& with_;
-    core::time_point asked_in_vain_at_; ///< 0: the leader has answered.
+    core::time_point ask_failed_at_; ///< 0: the leader has answered since.
 };
 
 } // namespace poplarroute::node
--- a/node/limit_controller.hpp
+++ b/node/limit_controller.hpp
@@ -26,7 +26,7 @@
     /// Answers a host that wants to send a request to a limited endpoint.
     limit_reply take(const limit_request& request);
 
-    /// \return whether there is something that a watching host has not heard.
+    /// \return whether a watching host does not know the latest limits.
     bool has_news(const watch_request& request) const;
 
     void add_to(watch_reply& reply) const;
--- a/node/limit_messages.cpp
+++ b/node/limit_messages.cpp
@@ -12,6 +12,11 @@
 
 } // namespace
 
+std::int64_t milli_per_second_of(const policy::limit_statement& statement)
+{
+    return static_cast<std::int64_t>(statement.per_second_.value_or(0) * milli);
+}
+
 std::vector<endpoint_limit_message> to_limit_messages(
     const policy::limit_statements& statements, core::time_point now)
 {
@@ -21,8 +26,7 @@
         endpoint_limit_message message;
         message.endpoint_ = name;
         message.limited_ = item.per_second_.has_value();
-        message.milli_per_second_ =
-            static_cast<std::int64_t>(item.per_second_.value_or(0) * milli);
+        message.milli_per_second_ = milli_per_second_of(item);
         message.age_ms_ = (now - item.said_at_).ms_;
         out.push_back(std::move(message));
     }
--- a/node/limit_messages.hpp
+++ b/node/limit_messages.hpp
@@ -9,6 +9,9 @@
 namespace poplarroute::node
 {
 
+/// \return a limit in thousandths of a request per second; 0: none is named.
+std::int64_t milli_per_second_of(const policy::limit_statement& statement);
+
 /// \return the limits that this process knows, with the age of each.
 std::vector<endpoint_limit_message> to_limit_messages(
     const policy::limit_statements& statements, core::time_point now);
--- a/node/placement_client.cpp
+++ b/node/placement_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
 #include "drivers/log.hpp"
+#include "node/leader_notes.hpp"
 
 namespace poplarroute::node
 {
@@ -121,13 +122,6 @@
         with_.peers_, leader, method::streams_end, ending, notify_timeout);
 }
 
-awaitable<void> placement_client::send_engine_event(
-    core::host_id leader, engine_event_message event)
-{
-    co_await ask<empty_reply>(
-        with_.peers_, leader, method::streams_note, event, notify_timeout);
-}
-
 void placement_client::end_stream(stream_end_message ending)
 {
     const core::host_id leader = with_.board_.section<group_section>().leader_;
@@ -140,13 +134,9 @@
 
 void placement_client::record_engine_event(engine_event_message event)
 {
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
     event.host_ = with_.identity().host_;
     local_controller_.record_engine_event(event);
-    if (!leader.empty())
-    {
-        drivers::spawn(with_.io_, send_engine_event(leader, std::move(event)));
-    }
+    send_to_leader(with_, std::move(event));
 }
 
 } // namespace poplarroute::node
--- a/node/placement_client.hpp
+++ b/node/placement_client.hpp
@@ -36,8 +36,6 @@
     awaitable<void> wait_for_leader_change(core::host_id leader);
     awaitable<void> send_stream_end(
         core::host_id leader, stream_end_message ending);
-    awaitable<void> send_engine_event(
-        core::host_id leader, engine_event_message event);
 
     context& with_;
     placement_controller& local_controller_;
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -162,18 +162,15 @@
     {
         const core::error& error = core::failure(reply);
         result_.detail_ = error.message_;
-        if (error.code_ == core::errc::unreachable ||
-            error.code_ == core::errc::withheld)
+        const bool is_withheld = error.code_ == core::errc::withheld;
+        if (is_withheld || error.code_ == core::errc::unreachable)
         {
             --result_.sends_;
             counted_send_->record_not_sent();
             finish_attempt(
-                error.code_ == core::errc::withheld
-                    ? call_outcome::shed
-                    : call_outcome::unreachable);
-            return error.code_ == core::errc::withheld
-                       ? send_result::withheld
-                       : send_result::nothing_sent;
+                is_withheld ? call_outcome::shed : call_outcome::unreachable);
+            return is_withheld ? send_result::withheld
+                               : send_result::nothing_sent;
         }
         if (error.code_ == core::errc::broken)
         {
--- a/policy/call_retry_state.hpp
+++ b/policy/call_retry_state.hpp
@@ -11,7 +11,7 @@
     answered,     ///< There is an answer for the caller.
     not_run,      ///< The endpoint states that it did not run the call.
     nothing_sent, ///< No byte of the call can have reached an endpoint.
-    withheld,     ///< This host did not send it: the endpoint has no room.
+    withheld,     ///< This host did not send it, so another endpoint may do.
     may_have_run, ///< The answer was lost, or belongs to another request.
 };
 
--- a/policy/endpoint_limits.cpp
+++ b/policy/endpoint_limits.cpp
@@ -64,16 +64,10 @@
 
 std::optional<double> limit_statements::limit_of(
     const core::endpoint_id& name) const
-{
-    const limit_statement* found = find(name);
-    return found == nullptr ? std::nullopt : found->per_second_;
-}
-
-const limit_statement* limit_statements::find(
-    const core::endpoint_id& name) const
 {
     const auto found = statements_.find(name);
-    return found == statements_.end() ? nullptr : &found->second;
+    return found == statements_.end() ? std::nullopt
+                                      : found->second.per_second_;
 }
 
 void limit_statements::keep_only(const std::set<core::endpoint_id>& listed)
--- a/policy/endpoint_limits.hpp
+++ b/policy/endpoint_limits.hpp
@@ -35,9 +35,6 @@
     /// together; nothing when it names no limit.
     std::optional<double> limit_of(const core::endpoint_id& name) const;
 
-    /// \return the newest statement of an endpoint; null: none is kept.
-    const limit_statement* find(const core::endpoint_id& name) const;
-
     const std::map<core::endpoint_id, limit_statement>& all() const
     {
         return statements_;
