--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -47,6 +47,7 @@
     std::string refusals_;
     core::endpoint_id endpoint_;
     core::endpoint_id reader_; ///< Prefill engine; empty: none.
+    std::string version_;      ///< Of the endpoint's software, as listed.
     int sends_ = 0;            ///< Number of times it was sent to an endpoint.
     std::int64_t waited_ms_ = -1;      ///< Time in the queue; -1: none.
     std::int64_t read_ms_ = -1;        ///< Prefill time; -1: none.
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -539,6 +539,8 @@
          {"detail", result.detail_},
          {"refusals", result.refusals_},
          {"endpoint", result.endpoint_},
+         {"version", result.version_},
+         {"resumes", call.request_.resumes_},
          {"reader", result.reader_},
          {"sends", result.sends_},
          {"waited_ms", result.waited_ms_},
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -426,6 +426,7 @@
         result_.detail_ = "a roll-out withholds the decode engine";
         co_return step_result::retry;
     }
+    result_.version_ = endpoint->listed_.version_;
     send_plan plan = make_send_plan(*endpoint, call_);
     plan.resume_after_ = sequence_.last();
     if (kv_handle_)
--- a/node/wire_codec.hpp
+++ b/node/wire_codec.hpp
@@ -30,6 +30,9 @@
     std::int64_t output_hint_ = 0; ///< Estimate of output tokens; 0: none.
     std::optional<std::int64_t>
         resume_after_;               ///< Id of the caller's last event.
+    /// The caller's attempt that brought the first event of the stream that it
+    /// takes up; empty: not stated.
+    std::string resumes_;
     drivers::header_list forwarded_; ///< Headers that are forwarded unchanged.
     std::string body_;
 
--- a/tests/platform/platform_codec_test.cpp
+++ b/tests/platform/platform_codec_test.cpp
@@ -51,7 +51,8 @@
          {"Authorization", "Bearer secret"},
          {"Token-Counts", "1460,80"},
          {"Length-Hint", "70"},
-         {"Last-Event-Id", "12"}}));
+         {"Last-Event-Id", "12"},
+         {"Resumes", "a0"}}));
     EXPECT_EQ(read.virtual_host_, "ficu95.example");
     EXPECT_EQ(read.path_, "/lohu930/2f");
     EXPECT_EQ(read.attempt_, "9c41");
@@ -61,6 +62,7 @@
     EXPECT_EQ(read.most_output_, 80);
     EXPECT_EQ(read.output_hint_, 70);
     EXPECT_EQ(read.resume_after_, 12);
+    EXPECT_EQ(read.resumes_, "a0");
 }
 
 TEST(platform_codec, reads_the_parts_of_a_prompt_that_others_may_share)
