--- a/tests/platform/ingress_fixture.hpp
+++ b/tests/platform/ingress_fixture.hpp
@@ -182,9 +182,11 @@
 
     /// Sends a caller's request to the host and waits for the response.
     /// \param patience time after which the caller closes the connection.
+    /// \param headers besides those that each request has.
     drivers::http_response call(
         const std::string& target,
-        core::duration patience = drivers::http_call().timeout_)
+        core::duration patience = drivers::http_call().timeout_,
+        drivers::header_list headers = {})
     {
         drivers::http_response out;
         drivers::spawn(
@@ -192,6 +194,7 @@
             [](ingress_fixture& test,
                std::string target,
                core::duration patience,
+               drivers::header_list headers,
                drivers::http_response& out) -> drivers::asio::awaitable<void>
             {
                 drivers::http_call request;
@@ -199,10 +202,11 @@
                 request.address_ = host_address_;
                 request.method_ = "POST";
                 request.target_ = std::move(target);
-                request.headers_ = {
-                    {"Host", "a.example"},
-                    {"Attempt-Id", "a" + std::to_string(++test.attempts_)},
-                    {"Token-Counts", "100,100"}};
+                request.headers_ = std::move(headers);
+                request.headers_.emplace_back("Host", "a.example");
+                request.headers_.emplace_back(
+                    "Attempt-Id", "a" + std::to_string(++test.attempts_));
+                request.headers_.emplace_back("Token-Counts", "100,100");
                 request.body_ = "b";
                 const auto reply =
                     co_await test.caller_.request(std::move(request));
@@ -211,7 +215,7 @@
                     out = core::value(reply);
                 }
                 test.io_.stop();
-            }(*this, target, patience, out));
+            }(*this, target, patience, std::move(headers), out));
         io_.restart();
         io_.run();
         return out;
--- /dev/null
+++ b/tests/platform/mixed_versions_test.cpp
@@ -0,0 +1,122 @@
+// Streams that go on while engines of several software versions serve.
+
+#include "tests/platform/ingress_fixture.hpp"
+#include "tests/platform/raw_engine.hpp"
+
+namespace poplarroute::platform
+{
+namespace
+{
+
+constexpr int prefill_port = 19550;
+constexpr int first_decode_port = 19551;
+constexpr int status_unavailable = 503;
+
+class mixed_versions : public ingress_fixture
+{
+protected:
+    mixed_versions()
+    {
+        add_endpoint("i-read", prefill_port, "llm", true, prefill_answer);
+    }
+
+    /// Adds a decode engine that breaks each stream after two events, and
+    /// completes those that go on after them.
+    raw_engine& add_engine(const std::string& name, const std::string& version)
+    {
+        const int port = first_decode_port + static_cast<int>(engines_.size());
+        engines_.push_back(std::make_unique<raw_engine>(
+            io_, port, broken_stream(), rest_of_stream()));
+        node::listed_endpoint entry;
+        entry.name_ = name;
+        entry.address_ = "127.0.0.1:" + std::to_string(port);
+        entry.service_ = "llm";
+        entry.slots_ = 8;
+        entry.version_ = version;
+        list_.push_back(std::move(entry));
+        put_list();
+        return *engines_.back();
+    }
+
+    void remove_engine(const std::string& name)
+    {
+        std::erase_if(
+            list_,
+            [&](const node::listed_endpoint& item)
+            {
+                return item.name_ == name;
+            });
+        put_list();
+    }
+
+    /// Takes a stream up after its second event.
+    drivers::http_response take_up(const std::string& attempt)
+    {
+        return call(
+            "/llm/x",
+            core::duration{3'000},
+            {{"Last-Event-Id", "2"}, {"Resumes", attempt}});
+    }
+
+    std::vector<std::unique_ptr<raw_engine>> engines_;
+};
+
+TEST_F(mixed_versions, a_broken_stream_does_not_go_on_at_another_version)
+{
+    const raw_engine& old_engine = add_engine("i-old", "v1");
+    const raw_engine& new_engine = add_engine("i-new", "v2");
+    EXPECT_EQ(call("/llm/x").status_, 0);
+    EXPECT_EQ(old_engine.requests_.size() + new_engine.requests_.size(), 1U);
+}
+
+TEST_F(mixed_versions, a_broken_stream_goes_on_at_its_version)
+{
+    add_engine("i-1", "v1");
+    add_engine("i-2", "v1");
+    add_engine("i-3", "v2");
+    add_engine("i-4", "v2");
+    const drivers::http_response response = call("/llm/x");
+    EXPECT_EQ(response.status_, 200);
+    const bool by_old =
+        engines_[0]->requests_.size() + engines_[1]->requests_.size() == 2;
+    const bool by_new =
+        engines_[2]->requests_.size() + engines_[3]->requests_.size() == 2;
+    EXPECT_TRUE(by_old || by_new);
+}
+
+TEST_F(mixed_versions, a_taken_up_stream_does_not_go_on_at_another_version)
+{
+    add_engine("i-old", "v1");
+    EXPECT_EQ(call("/llm/x").status_, 0);
+    remove_engine("i-old");
+    raw_engine& other = add_engine("i-new", "v2");
+    EXPECT_EQ(take_up("a1").status_, status_unavailable);
+    EXPECT_TRUE(other.requests_.empty());
+}
+
+TEST_F(mixed_versions, a_taken_up_stream_goes_on_at_its_version)
+{
+    add_engine("i-old", "v1");
+    EXPECT_EQ(call("/llm/x").status_, 0);
+    remove_engine("i-old");
+    raw_engine& first = add_engine("i-new1", "v2");
+    raw_engine& second = add_engine("i-new2", "v2");
+    raw_engine& same = add_engine("i-old2", "v1");
+    const drivers::http_response response = take_up("a1");
+    EXPECT_EQ(response.status_, 200);
+    EXPECT_EQ(response.body_, stream_event_text(3) + stream_event_text(4));
+    EXPECT_EQ(same.requests_.size(), 1U);
+    EXPECT_TRUE(first.requests_.empty() && second.requests_.empty());
+}
+
+TEST_F(mixed_versions, a_stream_of_unknown_version_is_refused)
+{
+    add_engine("i-old", "v1");
+    add_engine("i-new", "v2");
+    EXPECT_EQ(take_up("unheard-of").status_, status_unavailable);
+    EXPECT_TRUE(engines_[0]->requests_.empty());
+    EXPECT_TRUE(engines_[1]->requests_.empty());
+}
+
+} // namespace
+} // namespace poplarroute::platform
