Let streams go on only at the version that began them

Nothing kept the version of an attempt; a host resumed at any engine, and a take-up was placed like a new stream.

The host that relays a first event records the version that began it and reports it to the leader, which copies it to all members; it is kept until the caller's deadline. Placements of streams that go on are pinned to the version. Engines state no version in answers and may come back under their id while the list lags, so a connection to a decode engine is asked once for the process behind it. What nobody can know is refused, unless the list has shown one version only.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -59,6 +59,9 @@
 /// deadlines.
 constexpr int tcp_user_timeout_ms = 1'500;
 
+/// Version of HTTP in requests, as the parser states it.
+constexpr unsigned http_version = 11;
+
 /// Smallest status that is not informational (RFC 9110, 15.2).
 constexpr unsigned min_final_status = 200;
 
@@ -84,6 +87,8 @@
     core::time_point usable_until_;
     std::uint64_t number_ = 0;
     std::vector<std::uint64_t> ids_; ///< Digests of the requests' ids.
+    /// What the process at the other end stated of itself, if it was asked.
+    std::optional<http_response> peer_statement_;
     bool reused_ = false;
     bool is_kept_ = true; ///< Whether another call may use it.
     bool writing_ = false;
@@ -233,9 +238,56 @@
     co_return std::move(opened);
 }
 
-/// Returns an idle connection or a new one, which then has carried the call's
-/// id.
-asio::awaitable<core::result<connection_ptr>> connect(
+/// Asks the process at the other end of a connection what it is, unless it has
+/// stated that before.
+/// \return nothing when it has.
+asio::awaitable<std::optional<error>> ask_peer(
+    connection& used, const std::string& address, const peer_check& check)
+{
+    if (used.peer_statement_)
+    {
+        co_return std::nullopt;
+    }
+    http::request<http::empty_body> question(
+        http::verb::get, check.target_, http_version);
+    question.set(http::field::host, address);
+    for (const auto& [key, text] : check.headers_)
+    {
+        question.insert(key, text);
+    }
+    used.stream_.expires_after(check.timeout_.chrono());
+    error_code failed;
+    co_await http::async_write(
+        used.stream_,
+        question,
+        asio::redirect_error(asio::use_awaitable, failed));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_protocol_response_bytes);
+    if (!failed)
+    {
+        co_await http::async_read(
+            used.stream_,
+            used.buffer_,
+            parser,
+            asio::redirect_error(asio::use_awaitable, failed));
+    }
+    co_await throw_if_cancelled();
+    if (failed || !parser.get().keep_alive() || parser.get().need_eof())
+    {
+        co_return error{
+            errc::unreachable,
+            "the endpoint does not state what it is: " +
+                (failed ? failed.message() : "it closes the connection")};
+    }
+    http_response statement;
+    statement.status_ = static_cast<int>(parser.get().result_int());
+    statement.body_ = parser.get().body();
+    used.peer_statement_ = std::move(statement);
+    used.reused_ = true;
+    co_return std::nullopt;
+}
+
+asio::awaitable<core::result<connection_ptr>> connect_any(
     http_client::pool& pool, const http_call& call)
 {
     std::optional<std::uint64_t> id;
@@ -268,10 +320,36 @@
     co_return std::move(used);
 }
 
+/// Returns an idle connection or a new one, which then has carried the call's
+/// id, to a process that the call accepts.
+asio::awaitable<core::result<connection_ptr>> connect(
+    http_client::pool& pool, const http_call& call)
+{
+    core::result<connection_ptr> connected = co_await connect_any(pool, call);
+    if (!core::is_ok(connected) || !call.peer_check_)
+    {
+        co_return std::move(connected);
+    }
+    connection& used = *core::value(connected);
+    if (auto problem =
+            co_await ask_peer(used, call.address_, *call.peer_check_))
+    {
+        used.stream_.close();
+        co_return std::move(*problem);
+    }
+    if (!call.peer_check_->accepts_(*used.peer_statement_))
+    {
+        used.stream_.close();
+        co_return error{
+            errc::withheld, "another process answers, or does not say which"};
+    }
+    co_return std::move(connected);
+}
+
 http::request<http::string_body> make_request(http_call& call)
 {
     http::request<http::string_body> message;
-    message.version(11);
+    message.version(http_version);
     message.method_string(call.method_);
     message.target(call.target_);
     message.set(http::field::host, call.address_);
@@ -320,6 +398,7 @@
           address_(std::move(address)),
           connection_(std::move(used)),
           connection_number_(connection_->number_),
+          peer_statement_(connection_->peer_statement_),
           line_held_(pool_->budget_)
     {
         reset_parser();
@@ -398,6 +477,11 @@
         return connection_number_;
     }
 
+    const http_response* peer_statement() const override
+    {
+        return peer_statement_ ? &*peer_statement_ : nullptr;
+    }
+
     asio::awaitable<core::result<std::optional<std::string>>> next_line(
         core::duration timeout) override
     {
@@ -611,6 +695,7 @@
     std::string address_;
     connection_ptr connection_;
     std::uint64_t connection_number_;
+    std::optional<http_response> peer_statement_;
     std::optional<parser_type> parser_;
     bool skipped_mismatched_ = false;
     bool is_named_ = true;
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,6 +34,18 @@
 /// are for callers. Parsing one takes a multiple of its size.
 inline constexpr std::size_t max_protocol_response_bytes = 64 * 1024;
 
+/// What a call requires of the process at the other end of its connection. The
+/// process states what it is in the response to a request of its own, which is
+/// sent once on each connection: a connection ends with its process.
+struct peer_check
+{
+    std::string target_; ///< Of the GET request.
+    header_list headers_;
+    core::duration timeout_{1'500};
+    /// Whether the call may use the connection; the response may be an error.
+    std::function<bool(const http_response&)> accepts_;
+};
+
 /// A request to an endpoint.
 struct http_call
 {
@@ -53,6 +66,10 @@
     /// shows that the response is no late copy of an earlier one.
     bool own_connection_ = false;
 
+    /// Nothing: any process will do. A call whose connection is not accepted is
+    /// not sent and fails with errc::withheld.
+    std::optional<peer_check> peer_check_;
+
     /// A header that responses repeat, and its value; empty: the request has
     /// none. A response with another value belongs to an earlier request and is
     /// skipped. Requests with one value are sent on different connections: a
@@ -78,6 +95,10 @@
     /// \return the number of the connection, counted from 1 by its client.
     virtual std::uint64_t connection() const = 0;
 
+    /// \return what the process stated; null if no call on the connection
+    /// required it.
+    virtual const http_response* peer_statement() const = 0;
+
     /// Reads the next line.
     /// \param timeout how long to wait for the whole line.
     /// \return the line without its line break; nothing when the body is
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -87,7 +87,8 @@
           [this]()
           {
               queues_.wake_watches();
-          })
+          }),
+      origins_(with, group)
 {
 }
 
@@ -113,6 +114,7 @@
     group_manager_.start();
     rollout_orders_.start();
     rollouts_.start();
+    origins_.start();
     drivers::spawn(with_.io_, maintenance_loop());
 }
 
@@ -190,6 +192,7 @@
             apply_limits();
             group_manager_.begin_leading();
             rollouts_.begin_leading();
+            origins_.begin_leading(leading_since_);
         }
         queues_.wake_watches();
     }
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -14,6 +14,7 @@
 #include "node/group_manager.hpp"
 #include "node/leader_queues.hpp"
 #include "node/limit_controller.hpp"
+#include "node/origin_registry.hpp"
 #include "node/placement_controller.hpp"
 #include "node/replica.hpp"
 #include "node/rollout_controller.hpp"
@@ -72,10 +73,12 @@
     /// this member's.
     std::int64_t hosts_behind() const;
 
-    /// Sets the gauges of what the leader places streams by.
+    /// Sets the gauges of what the leader places streams by, and of the streams
+    /// whose origin this member knows.
     void set_metrics() const
     {
         placements_.set_metrics();
+        origins_.set_metrics();
     }
 
 private:
@@ -144,6 +147,7 @@
     document_relay relay_;
     leader_queues queues_;
     limit_controller limits_;
+    origin_registry origins_;
     bool was_leading_ = false;
     core::host_id last_leader_;
 };
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -241,8 +241,8 @@
     /// been charged before. Older programs do not send them.
     core::account_id sharing_account_;
     std::int64_t sharing_price_ = 0;
-    /// Whether only engines of kv_version_ may serve it: one of them has
-    /// prefilled the prompt.
+    /// Whether only engines of kv_version_ may serve it: one of them has begun
+    /// the stream or prefilled the prompt.
     bool pins_version_ = false;
     std::string kv_version_;
 };
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -8,6 +8,7 @@
 #include "node/context.hpp"
 #include "node/endpoint_client.hpp"
 #include "node/fleet_sections.hpp"
+#include "node/origin_client.hpp"
 #include "node/rollout_client.hpp"
 #include "node/wire_codec.hpp"
 #include "policy/prompt_part_quarantine.hpp"
@@ -48,7 +49,11 @@
     core::endpoint_id endpoint_;
     core::endpoint_id reader_; ///< Prefill engine; empty: none.
     std::string version_;      ///< Of the endpoint's software, as listed.
-    int sends_ = 0;            ///< Number of times it was sent to an endpoint.
+    std::string began_; ///< Version that began the stream; empty: none has.
+    /// How the version of a stream that a caller takes up was found out, or why
+    /// the stream cannot go on; empty: it is not taken up.
+    std::string origin_;
+    int sends_ = 0; ///< Number of times it was sent to an endpoint.
     std::int64_t waited_ms_ = -1;      ///< Time in the queue; -1: none.
     std::int64_t read_ms_ = -1;        ///< Prefill time; -1: none.
     std::int64_t first_event_ms_ = -1; ///< Since the arrival; -1: none.
@@ -73,6 +78,7 @@
     std::map<core::service_id, policy::retry_allowance> retry_allowances_;
     std::map<core::service_id, policy::plain_balancer> balancers_;
     endpoint_client endpoints_;
+    origin_client origins_;
     std::map<core::service_id, policy::stream_times> stream_times_ = {};
 
     /// Takes one retry from the service's allowance.
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -182,7 +182,14 @@
 ingress_controller::ingress_controller(
     context& with, const wire_codec& codec, rollout_client& rollouts)
     : with_(with),
-      ingress_{with, codec, rollouts, {}, {}, endpoint_client(with, codec)},
+      ingress_{
+          with,
+          codec,
+          rollouts,
+          {},
+          {},
+          endpoint_client(with, codec),
+          origin_client(with)},
       local_placements_(with, placement_controller::scope::own_host),
       placements_(with, local_placements_, rollouts),
       stop_(with.io_)
@@ -192,6 +199,7 @@
 void ingress_controller::start()
 {
     local_placements_.start();
+    ingress_.origins_.start();
     started_at_ = core::steady_now();
     const auto update = [this]()
     {
@@ -541,6 +549,8 @@
          {"endpoint", result.endpoint_},
          {"version", result.version_},
          {"resumes", call.request_.resumes_},
+         {"began", result.began_},
+         {"origin", result.origin_},
          {"reader", result.reader_},
          {"sends", result.sends_},
          {"waited_ms", result.waited_ms_},
--- a/node/placement_controller.cpp
+++ b/node/placement_controller.cpp
@@ -46,17 +46,10 @@
         with_.board_.section<endpoint_section>(),
         scheduling_hosts(),
         core::steady_now());
-    const bool pairs_versions =
-        with_.board_.section<settings_section>()
-            .settings_.bounds_.rollout_share_.has_value();
     for (auto& [service, service_engines] : engines)
     {
         for (policy::engine_info& item : service_engines)
         {
-            if (!pairs_versions)
-            {
-                item.version_.clear();
-            }
             const bool changing =
                 changing_engines_[service].count(item.name_) != 0;
             item.usable_ = item.usable_ && !changing;
--- a/node/rollout_client.cpp
+++ b/node/rollout_client.cpp
@@ -385,15 +385,14 @@
 std::optional<send_permission> rollout_client::permit_stream(
     const known_endpoint& to,
     const placement_permission& placement,
-    const std::optional<std::string>& kv_version) const
+    const std::optional<std::string>& pinned_version) const
 {
     const core::service_id& service = to.listed_.service_;
     const std::string& version = to.listed_.version_;
     const control::rollout* item = find(service);
     const bool is_barred =
         item != nullptr && control::is_barred(*item, version);
-    const bool is_other_version =
-        is_enabled() && kv_version && *kv_version != version;
+    const bool is_other_version = pinned_version && *pinned_version != version;
     const bool is_unknown =
         !placement.by_leader_ && !is_version_allowed(service, version);
     if (is_barred || is_other_version || is_unknown)
@@ -409,9 +408,9 @@
         control::role_of(*item, version) == rollout_role::target;
     if (!is_target)
     {
-        // A stream goes on where its prompt has been prefilled.
+        // A stream goes on where it began, or its prompt has been prefilled.
         const bool may_start =
-            may_use_replaced(*item, now) || kv_version.has_value();
+            may_use_replaced(*item, now) || pinned_version.has_value();
         return may_start ? std::optional(send_permission()) : std::nullopt;
     }
     if (placement.target_until_ && now < *placement.target_until_)
@@ -428,7 +427,7 @@
 void rollout_client::restrict_local_placement(placement_request& request) const
 {
     const control::rollout* item = find(request.service_);
-    if (item == nullptr && !is_enabled())
+    if (item == nullptr && !is_enabled() && !request.pins_version_)
     {
         return;
     }
--- a/node/rollout_client.hpp
+++ b/node/rollout_client.hpp
@@ -120,12 +120,12 @@
 
     /// \return the permission to send a stream's call to an engine of its
     /// placement now; nothing when it may not be sent.
-    /// \param kv_version version of the engine that has prefilled its prompt;
+    /// \param pinned_version version that began it or has prefilled its prompt;
     /// absent: none has.
     std::optional<send_permission> permit_stream(
         const known_endpoint& to,
         const placement_permission& placement,
-        const std::optional<std::string>& kv_version) const;
+        const std::optional<std::string>& pinned_version) const;
 
     /// Excludes what a stream may not be placed on, when this host places it
     /// without a leader.
--- a/node/wire_codec.hpp
+++ b/node/wire_codec.hpp
@@ -114,6 +114,7 @@
     bool reads_prompts_ = false; ///< It prefills; other engines decode.
     bool changing_ = false;      ///< An order is in progress.
     std::int64_t accepted_orders_ = 0;
+    std::int64_t started_at_ms_ = 0; ///< Unix time of its start; 0: unknown.
 };
 
 /// An order to an engine to switch to prefill or to decode.
--- a/tests/fakes/platform_fakes.py
+++ b/tests/fakes/platform_fakes.py
@@ -43,6 +43,10 @@
     return "\r\n".join(lines).encode() + CRLF + CRLF + body
 
 
+def unix_ms():
+    return int(time.time() * 1000)
+
+
 class NamedLimit:
     """The requests per second that an endpoint names, and what it receives
     while it does so."""
@@ -100,6 +104,8 @@
         self.queued = 0
         self.work_s = (0.002, 0.03)   # Range of the duration of a plain call.
         self.version = "v1"
+        self.born = unix_ms()
+        self.listed_process = None    # (born, version, until): listed instead.
         self.failing_paths = ()       # Requests below these fail.
         self.fails_from = 0.0         # Time from which they do.
         self.bad_answers = []         # Times of failures by this switch.
@@ -126,13 +132,18 @@
             self.serve_connection, "127.0.0.1", self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
-    async def crash(self, down_s, name):
-        """Ends like a process, and starts again at the same address."""
+    async def crash(self, down_s, name, version=None):
+        """Ends like a process, and starts again at the same address, perhaps
+        with another version of its software. The list lags."""
         self.server.close()
         self.reset_connections()
         self.handles.clear()
         await asyncio.sleep(down_s)
         self.become(name)
+        self.listed_process = (self.born, self.version,
+                               time.monotonic() + LIST_LAG_S)
+        self.born = unix_ms()
+        self.version = version or self.version
         self.sequence = 0
         await self.start()
 
@@ -190,7 +201,7 @@
         if target == "/report":
             writer.write(format_message("HTTP/1.1 200 OK", {}, json.dumps({
                 "stage": self.stage, "busy": self.busy, "models": [],
-                "sequence": self.sequence}).encode()))
+                "sequence": self.sequence, "born": self.born}).encode()))
             return True
         if target == "/order":
             writer.write(format_message(
@@ -281,7 +292,8 @@
         writer.write("\r\n".join(head).encode() + CRLF + CRLF)
         first = int(headers.get("last-event-id", "0")) + 1
         for number in range(first, STREAM_EVENTS + 1):
-            event = f"id: {number}\ndata: {attempt}\n\n".encode()
+            event = (f"id: {number}\nevent: {self.version}\n"
+                     f"data: {attempt}\n\n").encode()
             writer.write(f"{len(event):x}".encode() + CRLF + event + CRLF)
             await writer.drain()
             await asyncio.sleep(0.01)
@@ -294,6 +306,7 @@
 
 
 STREAM_EVENTS = 20
+LIST_LAG_S = 0.8
 STAGE_CHANGE_S = 0.5
 
 
@@ -374,11 +387,15 @@
 
     def named_entry(self, name, link):
         endpoint = link.endpoint
+        born, version = endpoint.born, endpoint.version
+        former = endpoint.listed_process
+        if former and time.monotonic() < former[2]:
+            born, version = former[:2]
         out = {"id": name, "service": endpoint.service,
                "address": f"127.0.0.1:{link.port}", "zone": "zone-a",
-               "version": endpoint.version, "slots": endpoint.slots, "coldLeftMs": 0,
+               "version": version, "slots": endpoint.slots, "coldLeftMs": 0,
                "state": "draining" if name in self.leaving
-               else "ready"}
+               else "ready", "born": born}
         if endpoint.stage:
             out["stage"] = endpoint.stage
         return out
@@ -439,6 +456,43 @@
             self.close()
         return int(start.split(" ")[1]), got, content, True
 
+    async def stream(self, target, headers, body=b"", timeout=3.0):
+        """Returns (status, headers, events, complete), with the whole events
+        that arrived before the stream ended or broke; status 0: no response."""
+        out = [0, {}, [], False]
+        try:
+            await asyncio.wait_for(
+                self.read_stream(target, headers, body, out), timeout)
+        except (asyncio.TimeoutError, OSError, asyncio.IncompleteReadError,
+                ValueError):
+            self.close()
+        return tuple(out)
+
+    async def read_stream(self, target, headers, body, out):
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(
+                self.ip, self.port)
+        self.writer.write(format_message(f"POST {target} HTTP/1.1", headers,
+                                         body))
+        await self.writer.drain()
+        head = (await self.reader.readuntil(CRLF + CRLF)).decode("latin-1")
+        lines = head.split("\r\n")
+        out[0] = int(lines[0].split(" ")[1])
+        out[1] = {name.strip().lower(): value.strip() for name, value in (
+            line.split(":", 1) for line in lines[1:] if ":" in line)}
+        if out[1].get("transfer-encoding", "").lower() != "chunked":
+            await self.reader.readexactly(int(out[1]["content-length"]))
+            out[3] = True
+        pending = b""
+        while not out[3]:
+            size = int((await self.reader.readuntil(CRLF)).strip() or b"0", 16)
+            pending += (await self.reader.readexactly(size + 2))[:-2]
+            *whole, pending = pending.split(b"\n\n")
+            out[2] += whole
+            out[3] = size == 0
+        if out[1].get("connection", "").lower() == "close":
+            self.close()
+
     def close(self):
         if self.writer is not None:
             self.writer.close()
--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -13,6 +13,8 @@
 - an attempt that was answered with 429 or 503 never runs;
 - a success is complete, carries the stamp of its own attempt, and streams are
   in order;
+- a stream holds events of one software version, also when it breaks and its
+  caller takes it up at any host;
 - every response has a log line with the same status;
 - an endpoint that told a host that it is leaving, or turned it away for a
   time, gets no further requests from that host;
@@ -154,7 +156,9 @@
             fakes.Endpoint("i-read0", "llm", "prefill", 8, 7),
             fakes.Endpoint("i-read1", "llm", "prefill", 8, 8),
             fakes.Endpoint("i-read2", "llm", "prefill", 8, 9),
-            fakes.Endpoint("i-dec1", "llm", "decode", 8, 10)]
+            fakes.Endpoint("i-dec1", "llm", "decode", 8, 10),
+            fakes.Endpoint("i-dec2", "llm", "decode", 8, 11)]
+        self.endpoints[-1].version = "v2"
         if heavy:
             for endpoint in self.endpoints:
                 endpoint.slots = 3
@@ -175,7 +179,8 @@
         self.kills = []    # (time, host)
         self.attempt = 0
         self.counts = {"answered": 0, "refused": 0, "failed": 0, "faults": 0,
-                       "changes": 0, "reads": 0, "orders": 0, "limits": 0}
+                       "changes": 0, "reads": 0, "orders": 0, "limits": 0,
+                       "taken_up": 0, "went_on": 0}
         self.running = True
         self.disk_lost = False
         self.resumed = []    # (time, name)
@@ -282,12 +287,63 @@
             if body != f"done {attempt}".encode():
                 self.add_problem(f"{attempt}: got {body[:40]!r}")
             return
-        expected = "".join(f"id: {number}\ndata: {attempt}\n\n" for number in
-                           range(1, fakes.STREAM_EVENTS + 1)).encode()
+        version = body.partition(b"event: ")[2][:2].decode()
+        expected = "".join(
+            f"id: {number}\nevent: {version}\ndata: {attempt}\n\n"
+            for number in range(1, fakes.STREAM_EVENTS + 1)).encode()
         if body != expected:
             self.add_problem(f"{attempt}: a stream ended as complete with "
                              f"{len(body)} bytes of {len(expected)} expected")
 
+    async def run_stream(self, caller, host):
+        """Sends a request for a stream that may go on, and takes it up at any
+        host while it breaks. Returns the caller that is connected last."""
+        events, first, versions, began = [], "", set(), time.monotonic()
+        deadline_s = 4.0
+        for _ in range(8):
+            left_s = began + deadline_s - time.monotonic()
+            if left_s < 0.2:
+                break
+            self.attempt += 1
+            attempt = f"{self.seed:x}.{self.attempt:x}"
+            headers = {"Host": "a.example", "Attempt-Id": attempt,
+                       "Deadline-Ms": str(int(left_s * 1000)),
+                       "Authorization": "Bearer key-acme",
+                       "Token-Counts": "100,100"}
+            if events:
+                headers["Last-Event-Id"] = str(len(events))
+                headers["Resumes"] = first
+                self.counts["taken_up"] += 1
+            self.sent_by[attempt] = (host.name, time.monotonic())
+            status, got, part, complete = await caller.stream(
+                "/long/x", headers, b"b")
+            self.answers[attempt] = ("long", status if complete else 0)
+            self.answered_by[attempt] = (host.name, time.monotonic())
+            self.stamps[attempt] = got.get("server-stamp", "")
+            if part:
+                self.counts["went_on"] += bool(events)
+                first = first or attempt
+            for event in part:
+                lines = event.decode().split("\n")
+                events.append(lines[0])
+                versions.add(lines[1])
+            if status == 200 and complete:
+                self.counts["answered"] += 1
+                break
+            self.counts["refused" if status == 503 else "failed"] += 1
+            if status not in (0, 200, 503):
+                break
+            host = self.random.choice(self.entries)
+            caller.close()
+            caller = fakes.Caller(f"{host.ip}:{CLIENT_PORT}")
+            await asyncio.sleep(0.3)
+        if len(versions) > 1:
+            self.add_problem(f"{first}: a stream holds events of "
+                             f"{', '.join(sorted(versions))}")
+        if events != [f"id: {at + 1}" for at in range(len(events))]:
+            self.add_problem(f"{first}: a stream holds {events}")
+        return host, caller
+
     async def run_caller(self):
         """Runs one caller, which keeps its connection until it is closed."""
         host = self.random.choice(self.entries)
@@ -295,7 +351,10 @@
         while self.running:
             kind = self.random.choice(["book", "book", "check", "digest",
                                        "long"])
-            await self.call_once(caller, kind, host)
+            if kind == "long":
+                host, caller = await self.run_stream(caller, host)
+            else:
+                await self.call_once(caller, kind, host)
             if caller.writer is None:
                 host = self.random.choice(self.entries)
                 caller = fakes.Caller(f"{host.ip}:{CLIENT_PORT}")
@@ -313,6 +372,10 @@
         await host.start()
         self.disturbed.append((began, time.monotonic() + 0.1, host.name))
 
+    async def kill_all_entries(self, down_s):
+        await asyncio.gather(*[self.restart(entry, signal.SIGKILL, down_s)
+                               for entry in self.entries])
+
     async def pause(self, host, duration_s):
         if host.stopping or host.paused:
             return
@@ -379,7 +442,8 @@
         endpoint.arrivals.clear()
         endpoint.leaving = False
 
-    async def crash_endpoint(self, endpoint, down_s, listed_s, copy):
+    async def crash_endpoint(self, endpoint, down_s, listed_s, copy,
+                             version=None):
         """Ends an endpoint and starts it again. If it has another name then,
         the list shows the former one as well for a time."""
         if endpoint.leaving or endpoint.server is None:
@@ -391,7 +455,7 @@
         self.list.leaving.discard(endpoint.name)
         endpoint.notices.clear()
         endpoint.arrivals.clear()
-        await endpoint.crash(down_s, name)
+        await endpoint.crash(down_s, name, version)
         endpoint.notices.clear()
         endpoint.arrivals.clear()
         endpoint.leaving = False
@@ -440,6 +504,10 @@
                                    copy),
             lambda: self.crash_endpoint(rng.choice(self.endpoints[:3]),
                                         0.1, 2 * duration_s, copy),
+            lambda: self.crash_endpoint(rng.choice(self.endpoints[6:]),
+                                        duration_s / 4, duration_s, copy,
+                                        rng.choice(["v1", "v2"])),
+            lambda: self.kill_all_entries(duration_s / 2),
             lambda: self.limit(limited, rate, limited_s),
             lambda: self.replace(rng.choice(self.endpoints[:6])),
             lambda: self.disturb_link(
--- a/tests/platform/mixed_versions_test.cpp
+++ b/tests/platform/mixed_versions_test.cpp
@@ -22,7 +22,13 @@
 
     /// Adds a decode engine that breaks each stream after two events, and
     /// completes those that go on after them.
-    raw_engine& add_engine(const std::string& name, const std::string& version)
+    /// \param listed_born its start time in the list; 0: not stated.
+    /// \param born the start time that it states itself.
+    raw_engine& add_engine(
+        const std::string& name,
+        const std::string& version,
+        std::int64_t listed_born = 0,
+        std::optional<std::int64_t> born = std::nullopt)
     {
         const int port = first_decode_port + static_cast<int>(engines_.size());
         engines_.push_back(std::make_unique<raw_engine>(
@@ -33,6 +39,8 @@
         entry.service_ = "llm";
         entry.slots_ = 8;
         entry.version_ = version;
+        entry.started_at_ms_ = listed_born;
+        engines_.back()->born_ = born;
         list_.push_back(std::move(entry));
         put_list();
         return *engines_.back();
@@ -118,5 +126,72 @@
     EXPECT_TRUE(engines_[1]->requests_.empty());
 }
 
+// Guards against an engine that came back under its name with other software
+// while the list shows the former process.
+TEST_F(mixed_versions, a_stream_does_not_go_on_at_an_unlisted_process)
+{
+    add_engine("i-1", "v1", 1'000, 1'000);
+    EXPECT_EQ(call("/llm/x").status_, 0);
+    remove_engine("i-1");
+    const raw_engine& restarted = add_engine("i-2", "v1", 1'000, 2'000);
+    const raw_engine& silent = add_engine("i-3", "v1", 1'000);
+    EXPECT_EQ(take_up("a1").status_, status_unavailable);
+    EXPECT_TRUE(restarted.requests_.empty() && silent.requests_.empty());
+    add_engine("i-4", "v1", 1'000, 1'000);
+    EXPECT_EQ(take_up("a1").status_, 200);
+}
+
+TEST_F(
+    mixed_versions, a_stream_of_an_unlisted_process_goes_on_when_it_is_listed)
+{
+    add_engine("i-1", "v1", 1'000, 2'000);
+    EXPECT_EQ(call("/llm/x").status_, 0);
+    add_engine("i-2", "v1", 1'000, 1'000);
+    EXPECT_EQ(take_up("a1").status_, status_unavailable);
+    remove_engine("i-2");
+    list_.back().version_ = "v2";
+    list_.back().started_at_ms_ = 2'000;
+    const raw_engine& same = add_engine("i-3", "v2", 1'000, 1'000);
+    const raw_engine& other = add_engine("i-4", "v1", 1'000, 1'000);
+    wait(core::duration{300});
+    EXPECT_EQ(take_up("a1").status_, 200);
+    EXPECT_EQ(same.requests_.size() + engines_[0]->requests_.size(), 2U);
+    EXPECT_TRUE(other.requests_.empty());
+}
+
+TEST_F(mixed_versions, an_engine_states_its_process_once_on_a_connection)
+{
+    stub_endpoint& engine = add_endpoint(
+        "i-1",
+        first_decode_port,
+        "llm",
+        false,
+        [](const drivers::http_request& request)
+        {
+            return request.method_ == "GET"
+                       ? stub_answer{200, {}, R"({"stage":"decode",
+                           "busy":false,"sequence":0,"born":1000})"}
+                       : decode_answer(request);
+        });
+    list_.back().started_at_ms_ = 1'000;
+    put_list();
+    for (int count = 0; count < 5; ++count)
+    {
+        EXPECT_EQ(call("/llm/x").status_, 200);
+    }
+    EXPECT_EQ(engine.requests(), 5U);
+    EXPECT_EQ(engine.received_.size(), 6U);
+}
+
+// Guards against refusals while nothing is known of an attempt, but there has
+// been only one version all the time.
+TEST_F(mixed_versions, a_stream_of_unknown_attempt_goes_on_at_the_only_version)
+{
+    list_.front().version_ = "v1";
+    add_engine("i-1", "v1");
+    wait(core::duration{300});
+    EXPECT_EQ(take_up("unheard-of").status_, 200);
+}
+
 } // namespace
 } // namespace poplarroute::platform
--- a/tests/platform/raw_engine.hpp
+++ b/tests/platform/raw_engine.hpp
@@ -29,8 +29,7 @@
         std::string resumed)
         : io_(io),
           acceptor_(
-              io,
-              drivers::parse_endpoint("127.0.0.1:" + std::to_string(port))),
+              io, drivers::parse_endpoint("127.0.0.1:" + std::to_string(port))),
           first_(std::move(first)),
           resumed_(std::move(resumed))
     {
--- a/tests/platform/rejoined_streams_test.cpp
+++ b/tests/platform/rejoined_streams_test.cpp
@@ -18,6 +18,7 @@
 namespace asio = drivers::asio;
 
 constexpr const char* member_address = "127.0.0.1:19810";
+constexpr const char* next_member_address = "127.0.0.1:19818";
 constexpr int first_host_port = 19811;
 constexpr int first_engine_port = 19820;
 constexpr const char* configuration = R"({"version":1,
@@ -153,6 +154,38 @@
             io_, "127.0.0.1:" + std::to_string(port), list_));
     }
 
+    /// \return what a member knows of an attempt's stream.
+    node::origin_reply ask_member(
+        const std::string& member, const std::string& attempt)
+    {
+        std::optional<node::origin_reply> out;
+        drivers::spawn(
+            io_,
+            [](process& from,
+               std::string member,
+               std::string attempt,
+               std::optional<node::origin_reply>& out) -> asio::awaitable<void>
+            {
+                node::origin_request request;
+                request.attempt_ = std::move(attempt);
+                request.service_ = "llm";
+                const auto reply = co_await node::ask<node::origin_reply>(
+                    from.with_.peers_,
+                    member,
+                    node::method::origins_find,
+                    request,
+                    core::duration{1'000});
+                out = core::is_ok(reply) ? core::value(reply)
+                                         : node::origin_reply();
+            }(*hosts_.back(), member, attempt, out));
+        run_until(
+            [&out]()
+            {
+                return out.has_value();
+            });
+        return *out;
+    }
+
     drivers::http_response call(
         const std::string& attempt, drivers::header_list headers)
     {
@@ -227,5 +260,52 @@
     EXPECT_EQ(same.requests_.size(), 1U);
 }
 
+TEST_F(rejoined_streams, are_reported_to_a_new_leader)
+{
+    lone_member next(
+        io_, next_member_address, next_member_address, folder_.string() + "-2");
+    add_engine("i-old", "v1");
+    replace_host();
+    EXPECT_EQ(call("first", {}).status_, 0);
+    EXPECT_EQ(ask_member(member_address, "first").version_, "v1");
+    EXPECT_FALSE(ask_member(next_member_address, "first").known_);
+    hosts_.back()->board_.section<node::group_section>().leader_ =
+        next_member_address;
+    run_until(
+        [&]()
+        {
+            return ask_member(next_member_address, "first").known_;
+        });
+    EXPECT_EQ(ask_member(next_member_address, "first").version_, "v1");
+    std::filesystem::remove_all(folder_.string() + "-2");
+}
+
+TEST_F(rejoined_streams, are_known_to_members_that_got_a_copy)
+{
+    add_engine("i-old", "v1");
+    replace_host();
+    bool copied = false;
+    drivers::spawn(
+        io_,
+        [](process& from, bool& copied) -> asio::awaitable<void>
+        {
+            node::origins_message item;
+            item.origins_.push_back({"other", "llm", "v3", 5'000});
+            const auto reply = co_await node::ask<node::origins_reply>(
+                from.with_.peers_,
+                member_address,
+                node::method::origins_replicate,
+                item,
+                core::duration{1'000});
+            copied = core::is_ok(reply);
+        }(*hosts_.back(), copied));
+    run_until(
+        [&copied]()
+        {
+            return copied;
+        });
+    EXPECT_EQ(ask_member(member_address, "other").version_, "v3");
+}
+
 } // namespace
 } // namespace poplarroute::platform
--- a/tests/platform/resumed_stream_test.cpp
+++ b/tests/platform/resumed_stream_test.cpp
@@ -23,8 +23,8 @@
         for (int index = 0; index < 2; ++index)
         {
             const int port = first_decode_port + index;
-            engines_.push_back(
-                std::make_unique<raw_engine>(io_, port, broken_stream(), resumed));
+            engines_.push_back(std::make_unique<raw_engine>(
+                io_, port, broken_stream(), resumed));
             node::listed_endpoint entry;
             entry.name_ = "i-dec" + std::to_string(index);
             entry.address_ = "127.0.0.1:" + std::to_string(port);
@@ -53,16 +53,17 @@
 // events when it took over.
 TEST_F(resumed_stream, is_not_complete_when_events_are_missing)
 {
-    const drivers::http_response response =
-        play(raw_head(200, "text/event-stream") + raw_chunk(stream_event_text(4)) + "0\r\n\r\n");
+    const drivers::http_response response = play(
+        raw_head(200, "text/event-stream") + raw_chunk(stream_event_text(4)) +
+        "0\r\n\r\n");
     EXPECT_EQ(response.status_, 0);
 }
 
 // Guards against an error, or its text, within a stream that has begun.
 TEST_F(resumed_stream, is_not_complete_when_the_next_engine_fails)
 {
-    const drivers::http_response response =
-        play(raw_head(500, "text/plain") + raw_chunk("broken\n\n") + "0\r\n\r\n");
+    const drivers::http_response response = play(
+        raw_head(500, "text/plain") + raw_chunk("broken\n\n") + "0\r\n\r\n");
     EXPECT_EQ(response.status_, 0);
 }
 
