--- a/policy/stream_origins.cpp
+++ b/policy/stream_origins.cpp
@@ -8,7 +8,7 @@
 
 bool stream_origins::record(const known_origin& item, core::time_point now)
 {
-    if (item.attempt_.empty() || item.attempt_.size() > max_id_bytes ||
+    if (item.attempt_.empty() || item.attempt_.size() > max_attempt_id_bytes ||
         item.expires_at_ <= now)
     {
         return false;
--- a/policy/stream_origins.hpp
+++ b/policy/stream_origins.hpp
@@ -13,6 +13,12 @@
 namespace poplarroute::policy
 {
 
+/// Largest number of attempts whose streams' origins are kept.
+inline constexpr std::size_t max_stream_origins = 100'000;
+
+/// Attempts with a longer id are not kept.
+inline constexpr std::size_t max_attempt_id_bytes = 128;
+
 /// Which software began a stream. Another version cannot go on with it.
 struct stream_origin
 {
@@ -37,7 +43,7 @@
 {
 public:
     /// \param capacity largest number of attempts.
-    explicit stream_origins(std::size_t capacity = default_capacity)
+    explicit stream_origins(std::size_t capacity = max_stream_origins)
         : capacity_(capacity)
     {
     }
@@ -66,11 +72,6 @@
         return by_attempt_.size();
     }
 
-    static constexpr std::size_t default_capacity = 100'000;
-
-    /// Attempts with a longer id are not kept.
-    static constexpr std::size_t max_id_bytes = 128;
-
 private:
     struct entry
     {
