Hand requests of hosts without endpoints to hosts that reach them

A host could only send to endpoints itself.

A host now notes which endpoints it can connect to; silence or a broken connection counts for nothing but starts a few probes. What could not be sent, and everything while none of a service's endpoints is reached, is handed over HTTP to hosts that the leader names, the own zone's first. The other host does not hand on again, is told what has been waited and charged, and its refusals are passed on as they are; what may have run is never handed on. A stream that had begun goes on there as if its caller had taken it up.

The soak cuts hosts off from all endpoints (setting torture=yes) and checks that their callers are served; a host's log line of a request that another host handed to it is no longer taken for that of the host which the caller asked.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <set>
 #include <utility>
 
 #include <netinet/tcp.h>
@@ -195,6 +196,7 @@
 
     asio::io_context& context_;
     std::map<std::string, std::deque<connection_ptr>> idle_connections_;
+    std::set<std::string> blocked_; ///< Addresses; see set_blocked().
     http_client_counts counts_;
     byte_budget_ptr budget_;
 
@@ -219,6 +221,11 @@
 {
     auto opened = std::make_shared<connection>(pool.context_);
     opened->is_kept_ = !call.own_connection_;
+    if (pool.blocked_.count(call.address_) != 0)
+    {
+        co_await sleep_for(call.connect_timeout_);
+        co_return error{errc::unreachable, "the address is blocked"};
+    }
     opened->stream_.expires_after(call.connect_timeout_.chrono());
     error_code failed;
     co_await opened->stream_.async_connect(
@@ -719,6 +726,17 @@
     return pool_->budget_;
 }
 
+void http_client::set_blocked(const std::string& address, bool blocked)
+{
+    if (!blocked)
+    {
+        pool_->blocked_.erase(address);
+        return;
+    }
+    pool_->blocked_.insert(address);
+    pool_->idle_connections_.erase(address);
+}
+
 const http_client_counts& http_client::counts() const
 {
     return pool_->counts_;
@@ -786,6 +804,11 @@
 asio::awaitable<bool> http_client::accepts_connections(
     std::string address, core::duration timeout)
 {
+    if (pool_->blocked_.count(address) != 0)
+    {
+        co_await sleep_for(timeout);
+        co_return false;
+    }
     beast::tcp_stream stream(pool_->context_);
     stream.expires_after(timeout.chrono());
     error_code failed;
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -166,6 +166,10 @@
 
     const http_client_counts& counts() const;
 
+    /// Lets connections to an address hang, or no longer; for tests of the
+    /// fleet.
+    void set_blocked(const std::string& address, bool blocked);
+
     struct pool;
 
 private:
--- a/drivers/http_message.hpp
+++ b/drivers/http_message.hpp
@@ -15,6 +15,10 @@
 /// to case; empty if absent.
 std::string_view find_header(const header_list& headers, std::string_view name);
 
+/// \return whether a header applies to a single connection, or frames a message
+/// on it, and is not forwarded (RFC 9110, 7.6.1).
+bool is_connection_header(std::string_view name);
+
 /// A caller's request with its whole body.
 struct http_request
 {
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -34,6 +34,13 @@
 /// reaches it; hosts look for a leader several times per second.
 constexpr core::duration host_discovery_time{1'000};
 
+/// A host that has been silent for longer is not named to hosts that look for
+/// one which reaches a service.
+constexpr core::duration relay_contact_timeout{1'500};
+
+/// Number of hosts named of the zone of the one that asks, and of all others.
+constexpr std::size_t max_relay_hosts_per_group = 4;
+
 /// Longest time for which a watch request is held before the reply.
 constexpr core::duration max_watch_wait{2'000};
 
@@ -88,7 +95,8 @@
           {
               queues_.wake_watches();
           }),
-      origins_(with, group)
+      origins_(with, group),
+      random_(static_cast<std::uint32_t>(core::steady_now().ms_))
 {
 }
 
@@ -658,11 +666,50 @@
     co_return reply;
 }
 
+void catalog_controller::note_watching_host(const watch_request& request)
+{
+    watching_hosts_[request.host_] = {
+        core::steady_now(),
+        request.revision_,
+        request.hosts_,
+        request.relay_,
+        request.zone_,
+        {request.lost_services_.begin(), request.lost_services_.end()}};
+}
+
+/// \return some hosts that take requests of a service from a host which does
+/// not reach it: those of its zone first, in each group at random.
+relay_hosts_reply catalog_controller::name_relay_hosts(
+    const relay_hosts_request& request)
+{
+    std::vector<std::string> near;
+    std::vector<std::string> far;
+    const core::time_point now = core::steady_now();
+    for (const auto& [host, item] : watching_hosts_)
+    {
+        const bool may_take =
+            host != request.host_ && !item.relay_.empty() &&
+            item.lost_services_.count(request.service_) == 0 &&
+            now - item.seen_at_ <= relay_contact_timeout;
+        if (may_take)
+        {
+            (item.zone_ == request.zone_ ? near : far).push_back(item.relay_);
+        }
+    }
+    std::shuffle(near.begin(), near.end(), random_);
+    std::shuffle(far.begin(), far.end(), random_);
+    near.resize(std::min(near.size(), max_relay_hosts_per_group));
+    far.resize(std::min(far.size(), max_relay_hosts_per_group));
+    relay_hosts_reply out;
+    out.addresses_ = std::move(near);
+    out.addresses_.insert(out.addresses_.end(), far.begin(), far.end());
+    return out;
+}
+
 awaitable<watch_reply> catalog_controller::answer_watch(watch_request request)
 {
     track_leadership();
-    watching_hosts_[request.host_] = {
-        core::steady_now(), request.revision_, request.hosts_};
+    note_watching_host(request);
     if (group_.leads())
     {
         placements_.reconcile(request.host_, request.places_);
@@ -682,8 +729,7 @@
         is_newest = co_await queues_.hold_watch(request.host_, until);
     }
     track_leadership();
-    watching_hosts_[request.host_] = {
-        core::steady_now(), request.revision_, request.hosts_};
+    note_watching_host(request);
     co_return make_watch_reply(request);
 }
 
@@ -912,6 +958,18 @@
             }
             co_return limits_.take(request);
         });
+    with_.calls_.add_typed<relay_hosts_request, relay_hosts_reply>(
+        method::relay_hosts,
+        allowed_callers::host,
+        [this](drivers::peer_identity, relay_hosts_request request)
+            -> awaitable<core::result<relay_hosts_reply>>
+        {
+            if (const auto objection = find_ledger_objection())
+            {
+                co_return *objection;
+            }
+            co_return name_relay_hosts(request);
+        });
     with_.calls_.add_typed<crash_message, empty_reply>(
         method::crash_report,
         allowed_callers::host,
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "node/limit_controller.hpp"
 #include "node/origin_registry.hpp"
 #include "node/placement_controller.hpp"
+#include "node/relay_messages.hpp"
 #include "node/replica.hpp"
 #include "node/rollout_controller.hpp"
 #include "node/rollout_orders.hpp"
@@ -88,6 +90,9 @@
         core::time_point seen_at_;
         std::uint64_t revision_ = 0;
         std::int64_t told_hosts_ = 0; ///< Number of hosts that it was told.
+        std::string relay_; ///< Where it takes requests of other hosts.
+        core::zone_id zone_;
+        std::set<core::service_id> lost_services_;
     };
 
     void register_calls();
@@ -95,6 +100,8 @@
     awaitable<void> maintenance_loop();
     awaitable<core::result<submit_reply>> submit(std::string command);
     awaitable<core::result<submit_reply>> submit_locally(std::string command);
+    void note_watching_host(const watch_request& request);
+    relay_hosts_reply name_relay_hosts(const relay_hosts_request& request);
     awaitable<watch_reply> answer_watch(watch_request request);
     bool has_updates(const watch_request& request);
     watch_reply make_watch_reply(const watch_request& request);
@@ -143,6 +150,7 @@
     bool has_suspects_ = false;                  ///< As last published.
     core::time_point leading_since_;
     std::map<core::host_id, watching_host> watching_hosts_;
+    std::minstd_rand random_;
     document_publisher documents_;
     document_relay relay_;
     leader_queues queues_;
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -93,6 +93,12 @@
     /// leader's revision of the last reply.
     std::vector<endpoint_limit_message> limits_;
     std::uint64_t limit_revision_ = 0;
+
+    /// Where other hosts may hand requests to this one, "ip:port"; empty:
+    /// nowhere. It takes none of the services that it does not reach.
+    std::string relay_;
+    core::zone_id zone_;
+    std::vector<core::service_id> lost_services_;
 };
 
 /// An endpoint of the platform's list.
@@ -381,7 +387,10 @@
     hosts_,
     takes_changes_,
     limits_,
-    limit_revision_)
+    limit_revision_,
+    relay_,
+    zone_,
+    lost_services_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     endpoint_message,
     name_,
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -8,6 +8,7 @@
 #include "core/digest.hpp"
 #include "drivers/log.hpp"
 #include "node/limit_messages.hpp"
+#include "node/reach_monitor.hpp"
 
 namespace poplarroute::node
 {
@@ -130,6 +131,13 @@
     out.limits_ =
         to_limit_messages(list.limits_.statements(), core::steady_now());
     out.limit_revision_ = limit_revision_;
+    const reach_section& reach = with_.board_.section<reach_section>();
+    out.zone_ = with_.identity().zone_;
+    if (!with_.board_.section<lifecycle_section>().leaving_)
+    {
+        out.relay_ = reach.relay_address_;
+    }
+    out.lost_services_.assign(reach.lost_.begin(), reach.lost_.end());
     out.wait_ms_ = wait ? max_watch_wait.ms_ : 0;
     out.places_ = running_placements(
         with_.board_.section<stream_section>(), core::steady_now());
--- a/node/endpoint_client.cpp
+++ b/node/endpoint_client.cpp
@@ -5,6 +5,7 @@
 
 #include "drivers/log.hpp"
 #include "node/leader_notes.hpp"
+#include "node/reach_monitor.hpp"
 
 namespace poplarroute::node
 {
@@ -145,6 +146,35 @@
     }
 }
 
+/// Records what a call showed of the path to an endpoint.
+/// \param failure null: it answered.
+void endpoint_client::record_reach(
+    const core::endpoint_id& to, const core::error* failure)
+{
+    const auto& list = with_.board_.section<endpoint_section>().endpoints_;
+    const auto found = list.find(to);
+    if (found == list.end())
+    {
+        return;
+    }
+    policy::endpoint_reach& reach =
+        with_.board_.section<reach_section>()
+            .services_[found->second.listed_.service_];
+    const core::time_point now = core::steady_now();
+    if (failure == nullptr)
+    {
+        reach.record_reached(to, now);
+    }
+    else if (failure->code_ == core::errc::unreachable)
+    {
+        reach.record_unreached(to, now);
+    }
+    else if (failure->code_ != core::errc::withheld)
+    {
+        reach.record_doubt(now);
+    }
+}
+
 awaitable<core::result<drivers::http_response>> endpoint_client::request(
     core::endpoint_id to, policy::call_purpose purpose, drivers::http_call call)
 {
@@ -155,6 +185,7 @@
     const core::time_point sent_at = core::steady_now();
     core::result<drivers::http_response> reply =
         co_await with_.http_.request(std::move(call));
+    record_reach(to, core::is_ok(reply) ? nullptr : &core::failure(reply));
     if (core::is_ok(reply))
     {
         const drivers::http_response& response = core::value(reply);
@@ -175,6 +206,7 @@
     const core::time_point sent_at = core::steady_now();
     core::result<std::unique_ptr<drivers::http_stream>> opened =
         co_await with_.http_.open(std::move(call));
+    record_reach(to, core::is_ok(opened) ? nullptr : &core::failure(opened));
     if (core::is_ok(opened))
     {
         const drivers::http_stream& stream = *core::value(opened);
--- a/node/endpoint_client.hpp
+++ b/node/endpoint_client.hpp
@@ -45,6 +45,7 @@
         core::time_point sent_at,
         int status,
         const drivers::header_list& headers);
+    void record_reach(const core::endpoint_id& to, const core::error* failure);
     void record_notice(
         const core::endpoint_id& from, const policy::endpoint_notice& notice);
 
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -10,7 +10,10 @@
 #include "drivers/log.hpp"
 #include "node/catalog_watcher.hpp"
 #include "node/endpoint_list_poller.hpp"
+#include "node/fault_injection.hpp"
 #include "node/ingress_controller.hpp"
+#include "node/messages.hpp"
+#include "node/reach_monitor.hpp"
 #include "node/rollout_client.hpp"
 
 namespace poplarroute::node
@@ -122,11 +125,13 @@
     drivers::http_limits limits_of_service();
     void open_ports();
     void open_entry_ports();
+    void register_block_endpoints();
     void start();
     void reload_settings();
     awaitable<void> reload_on_hangup();
     awaitable<void> reload_while_leaderless();
     awaitable<void> stop_on_signal();
+    std::size_t open_requests() const;
     awaitable<void> drain();
     awaitable<void> answer_ready(drivers::http_exchange& exchange);
     awaitable<void> answer_metrics(drivers::http_exchange& exchange);
@@ -156,6 +161,7 @@
     std::unique_ptr<catalog_watcher> catalog_watcher_;
     std::unique_ptr<ingress_controller> ingress_;
     std::unique_ptr<drivers::http_server> client_port_;
+    std::unique_ptr<drivers::http_server> relay_port_; ///< For other hosts.
     std::unique_ptr<drivers::http_server> ready_port_;
     std::unique_ptr<drivers::http_server> control_port_;
     std::unique_ptr<drivers::http_server> metrics_port_;
@@ -253,6 +259,20 @@
             return ingress_->handle(exchange);
         },
         callers);
+    if (!settings().relay_listen_.empty())
+    {
+        relay_port_ = std::make_unique<drivers::http_server>(
+            io_,
+            settings().relay_listen_,
+            limits_of_clients(),
+            [this](drivers::http_exchange& exchange)
+            {
+                return ingress_->handle_relayed(exchange);
+            },
+            make_group("relay", limits_.peers_));
+        board_.section<reach_section>().relay_address_ =
+            settings().relay_listen_;
+    }
     ready_port_ = std::make_unique<drivers::http_server>(
         io_,
         settings().ready_listen_,
@@ -275,6 +295,10 @@
             limits.read_timeout_ = configured.request_header_timeout_ * 2;
             limits.idle_timeout_ = configured.connection_idle_timeout_;
             client_port_->set_limits(limits);
+            if (relay_port_)
+            {
+                relay_port_->set_limits(limits);
+            }
         });
 }
 
@@ -399,8 +423,29 @@
     co_await exchange.send(status_ok, std::move(headers), std::move(body));
 }
 
+void fleet_process::parts::register_block_endpoints()
+{
+    if (!settings().allow_fault_injection_)
+    {
+        return;
+    }
+    calls_.add_typed<block_peers_request, empty_reply>(
+        method::cut,
+        allowed_callers::operator_or_host,
+        [this](drivers::peer_identity, block_peers_request request)
+            -> awaitable<core::result<empty_reply>>
+        {
+            for (const std::string& address : request.addresses_)
+            {
+                http_.set_blocked(address, request.cut_);
+            }
+            co_return empty_reply();
+        });
+}
+
 void fleet_process::parts::start()
 {
+    register_block_endpoints();
     if (group_)
     {
         group_->start();
@@ -413,6 +458,10 @@
         catalog_watcher_->start();
         ingress_->start();
         client_port_->start();
+        if (relay_port_)
+        {
+            relay_port_->start();
+        }
         ready_port_->start();
     }
     list_poller_->start();
@@ -469,6 +518,13 @@
     }
 }
 
+/// \return the connections of callers, and the requests of other hosts.
+std::size_t fleet_process::parts::open_requests() const
+{
+    return client_port_->connections() +
+           (relay_port_ ? relay_port_->active_requests() : 0);
+}
+
 awaitable<void> fleet_process::parts::drain()
 {
     const core::time_point stop_started_at = core::steady_now();
@@ -481,17 +537,16 @@
     client_port_->stop_accepting();
     // A request that is still being received is not active yet, but its
     // connection is open.
-    while (client_port_->connections() > 0 && core::steady_now() < until)
+    while (open_requests() > 0 && core::steady_now() < until)
     {
         co_await drivers::sleep_for(drain_check_interval);
     }
-    if (client_port_->connections() > 0)
+    if (open_requests() > 0)
     {
         log_event(
             log_level::error,
             "connections_cut",
-            {{"open", client_port_->connections()},
-             {"active", ingress_->active()}});
+            {{"open", open_requests()}, {"active", ingress_->active()}});
         exit_status_ = exit_status_connections_cut;
     }
 }
--- a/node/fleet_settings.hpp
+++ b/node/fleet_settings.hpp
@@ -47,6 +47,7 @@
     std::string ready_listen_;
     std::string control_listen_; ///< Empty at entry hosts.
     std::string peer_listen_;
+    std::string relay_listen_; ///< For requests of other hosts; empty: none.
     std::string metrics_listen_;
     std::string data_folder_;        ///< Empty: not a group member.
     std::vector<std::string> seeds_; ///< Peer addresses of group members.
@@ -55,6 +56,7 @@
     std::string list_address_; ///< "ip:port" of the platform's endpoint list.
     std::vector<core::zone_id> zones_;
     std::int64_t memory_mb_ = 0; ///< Memory of this process; 0: not stated.
+    bool allow_fault_injection_ = false; ///< For tests of the fleet only.
     fleet_bounds bounds_;
     drivers::client_settings clients_; ///< Its memory is memory_mb_.
 };
--- a/node/host_process.cpp
+++ b/node/host_process.cpp
@@ -14,6 +14,7 @@
 #include "node/directory_controller.hpp"
 #include "node/entry_controller.hpp"
 #include "node/escrow_controller.hpp"
+#include "node/fault_injection.hpp"
 #include "node/fleet_controller.hpp"
 #include "node/membership_controller.hpp"
 #include "node/order_controller.hpp"
@@ -59,17 +60,6 @@
          settings.tls_key_});
 }
 
-/// Cuts the connections between this host and others, or restores them. Tests
-/// simulate a network partition with it.
-struct block_peers_request
-{
-    std::vector<std::string> addresses_;
-    bool cut_ = false;
-};
-
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
-    block_peers_request, addresses_, cut_)
-
 } // namespace
 
 /// All components of the process.
--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -9,6 +10,8 @@
 #include "node/endpoint_client.hpp"
 #include "node/fleet_sections.hpp"
 #include "node/origin_client.hpp"
+#include "node/reach_monitor.hpp"
+#include "node/relay_client.hpp"
 #include "node/rollout_client.hpp"
 #include "node/wire_codec.hpp"
 #include "policy/prompt_part_quarantine.hpp"
@@ -35,6 +38,7 @@
     std::int64_t price_ = 0; ///< Tokens or calls that the account is charged.
     bool charged_ = false;   ///< Whether the price has been charged.
     std::string digest_;     ///< Equal for repeated requests.
+    bool relayed_ = false;   ///< Another host has handed it to this one.
 };
 
 /// How a call ended, for the log and the metrics.
@@ -53,7 +57,9 @@
     /// How the version of a stream that a caller takes up was found out, or why
     /// the stream cannot go on; empty: it is not taken up.
     std::string origin_;
-    int sends_ = 0; ///< Number of times it was sent to an endpoint.
+    std::string relayed_to_; ///< Host that it was handed to; empty: none.
+    bool unreached_ = false; ///< No connection to an endpoint could be made.
+    int sends_ = 0;          ///< Number of times it was sent to an endpoint.
     std::int64_t waited_ms_ = -1;      ///< Time in the queue; -1: none.
     std::int64_t read_ms_ = -1;        ///< Prefill time; -1: none.
     std::int64_t first_event_ms_ = -1; ///< Since the arrival; -1: none.
@@ -79,6 +85,7 @@
     std::map<core::service_id, policy::plain_balancer> balancers_;
     endpoint_client endpoints_;
     origin_client origins_;
+    relay_client relay_;
     std::map<core::service_id, policy::stream_times> stream_times_ = {};
 
     /// Takes one retry from the service's allowance.
@@ -121,6 +128,22 @@
             .value_or(core::duration{0});
     }
 
+    /// \return the endpoints of a service to avoid, since this host did not
+    /// reach them a short while ago; none when there are no others.
+    std::set<core::endpoint_id> unreached_endpoints(
+        const core::service_id& service) const
+    {
+        const core::time_point now = core::steady_now();
+        std::set<core::endpoint_id> out =
+            with_.board_.section<reach_section>().services_[service].unreached(
+                now);
+        const std::set<core::endpoint_id> usable =
+            out.empty() ? out : usable_endpoints(with_.board_, service, now);
+        const bool has_others = !std::includes(
+            out.begin(), out.end(), usable.begin(), usable.end());
+        return has_others ? out : std::set<core::endpoint_id>();
+    }
+
     /// \return an endpoint of the list, or null when it is no longer listed.
     const known_endpoint* find_endpoint(const core::endpoint_id& name) const
     {
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -11,6 +11,7 @@
 #include "drivers/log.hpp"
 #include "node/leader_notes.hpp"
 #include "node/plain_forwarder.hpp"
+#include "node/relayed_exchange.hpp"
 
 namespace poplarroute::node
 {
@@ -35,6 +36,9 @@
 constexpr double plain_retry_fraction = 0.6;
 constexpr double isolated_stream_retry_fraction = 0.2;
 
+/// Number of requests of other hosts that this one serves at a time.
+constexpr std::size_t max_relayed = 96;
+
 /// Minimum Retry-After of a request whose account is over its rate.
 constexpr core::duration min_over_rate_retry_after{100};
 
@@ -189,9 +193,11 @@
           {},
           {},
           endpoint_client(with, codec),
-          origin_client(with)},
+          origin_client(with),
+          relay_client(with, codec)},
       local_placements_(with, placement_controller::scope::own_host),
       placements_(with, local_placements_, rollouts),
+      reach_(with),
       stop_(with.io_)
 {
 }
@@ -200,6 +206,7 @@
 {
     local_placements_.start();
     ingress_.origins_.start();
+    reach_.start();
     started_at_ = core::steady_now();
     const auto update = [this]()
     {
@@ -444,7 +451,15 @@
     ingress_call& call,
     ingress_result& result)
 {
-    ingress_.retry_allowances_[call.service_].request(core::steady_now());
+    if (!call.relayed_)
+    {
+        ingress_.retry_allowances_[call.service_].request(core::steady_now());
+    }
+    if (ingress_.relay_.has_lost(call.service_) &&
+        co_await ingress_.relay_.hand_on(exchange, call, result))
+    {
+        co_return;
+    }
     const control::catalog_service* service =
         call.catalog_->find_service(call.service_);
     if (service != nullptr && service->engine_)
@@ -459,15 +474,50 @@
 
 awaitable<void> ingress_controller::handle(drivers::http_exchange& exchange)
 {
-    using namespace drivers::asio::experimental::awaitable_operators;
     const core::counted active(active_);
     ingress_call call;
     call.arrived_at_ = core::steady_now();
     call.request_ = ingress_.codec_.decode_request(exchange.request());
     ingress_result result;
     co_await wait_until_ready();
+    co_await serve(exchange, call, result);
+}
+
+awaitable<void> ingress_controller::handle_relayed(
+    drivers::http_exchange& exchange)
+{
+    const core::counted active(active_);
+    const core::counted relayed(relayed_);
+    ingress_call call;
+    ingress_result result;
+    relayed_exchange answer(exchange, result);
+    answer.read_headers(call);
+    call.request_ = ingress_.codec_.decode_request(answer.request());
+    if (relayed_ <= max_relayed)
+    {
+        co_await serve(answer, call, result);
+        co_return;
+    }
+    result.status_ = status_unavailable;
+    result.outcome_ = relay_declined;
+    co_await send_local_response(
+        answer,
+        ingress_.codec_,
+        call.request_,
+        result.status_,
+        no_catalog_retry_after);
+    record_result(call, result);
+}
+
+awaitable<void> ingress_controller::serve(
+    drivers::http_exchange& exchange,
+    ingress_call& call,
+    ingress_result& result)
+{
+    using namespace drivers::asio::experimental::awaitable_operators;
+    const bool charged_before = call.charged_;
     std::optional<refusal> refused = admit(call);
-    if (!refused)
+    if (!refused && !charged_before)
     {
         co_await refresh_level(call);
         refused = charge(call);
@@ -497,7 +547,7 @@
     {
         co_await end_unfinished(exchange, call, result);
     }
-    if (result.sends_ == 0 && call.charged_)
+    if (result.sends_ == 0 && call.charged_ && !charged_before)
     {
         with_.board_.section<meter_section>().meter_.refund(
             call.account_, call.price_);
@@ -559,7 +609,9 @@
          {"events", result.events_},
          {"took_ms", took_ms},
          {"catalog", call.catalog_ ? call.catalog_->whole().version_ : 0},
-         {"list_age_ms", (now - list.read_at_).ms_}});
+         {"list_age_ms", (now - list.read_at_).ms_},
+         {"relayed", call.relayed_ ? 1 : 0},
+         {"relayed_to", result.relayed_to_}});
     with_.metrics_.count(
         "poplarroute_requests_total",
         {{"service", call.service_}, {"outcome", result.outcome_}});
--- a/node/ingress_controller.hpp
+++ b/node/ingress_controller.hpp
@@ -6,6 +6,7 @@
 
 #include "node/catalog_watcher.hpp"
 #include "node/ingress_call.hpp"
+#include "node/reach_monitor.hpp"
 #include "node/stop_gate.hpp"
 #include "node/stream_forwarder.hpp"
 
@@ -25,6 +26,9 @@
     /// Answers one request.
     awaitable<void> handle(drivers::http_exchange& exchange);
 
+    /// Answers a request that another host has handed to this one.
+    awaitable<void> handle_relayed(drivers::http_exchange& exchange);
+
     /// Refuses requests that could last longer, and ends those that still run
     /// at that time with an answer.
     void stop_at(core::time_point time)
@@ -60,6 +64,10 @@
     awaitable<void> refresh_level(const ingress_call& call);
     std::optional<refusal> charge(ingress_call& call);
     void choose_service(ingress_call& call) const;
+    awaitable<void> serve(
+        drivers::http_exchange& exchange,
+        ingress_call& call,
+        ingress_result& result);
     awaitable<void> forward(
         drivers::http_exchange& exchange,
         ingress_call& call,
@@ -75,9 +83,11 @@
     ingress_context ingress_;
     placement_controller local_placements_;
     placement_client placements_;
+    reach_monitor reach_;
     core::time_point started_at_;
     stop_gate stop_;
     std::size_t active_ = 0;
+    std::size_t relayed_ = 0; ///< Of these, handed on by other hosts.
 };
 
 } // namespace poplarroute::node
--- a/node/plain_forwarder.cpp
+++ b/node/plain_forwarder.cpp
@@ -102,6 +102,7 @@
     std::set<core::endpoint_id> avoid =
         ingress_.rollouts_.excluded_endpoints(call_.service_, role);
     avoid.insert(avoid_.begin(), avoid_.end());
+    avoid.merge(ingress_.unreached_endpoints(call_.service_));
     const core::duration objective_left =
         call_.arrived_at_ + call_.route_.target_latency_ - now;
     const policy::call_time_left left{
@@ -165,6 +166,7 @@
         const bool is_withheld = error.code_ == core::errc::withheld;
         if (is_withheld || error.code_ == core::errc::unreachable)
         {
+            result_.unreached_ = result_.unreached_ || !is_withheld;
             --result_.sends_;
             counted_send_->record_not_sent();
             finish_attempt(
@@ -258,6 +260,14 @@
     }
     if (last != send_result::answered)
     {
+        const bool may_hand_on =
+            result_.unreached_ && retry_state_.ending(time_left(call_)) ==
+                                      policy::call_failure::not_run;
+        if (may_hand_on &&
+            co_await ingress_.relay_.hand_on(exchange, call_, result_))
+        {
+            co_return;
+        }
         co_await answer_failure(exchange);
         co_return;
     }
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -208,6 +208,7 @@
             out.insert(name);
         }
     }
+    out.merge(ingress_.unreached_endpoints(call_.service_));
     return out;
 }
 
@@ -489,6 +490,7 @@
         }
         if (core::failure(reply).code_ == errc::unreachable)
         {
+            result_.unreached_ = true;
             --prefills_sent_;
             counted_send_->record_not_sent();
             counted_send_.reset();
@@ -629,6 +631,7 @@
         report_failure(placement_.decoder_);
         if (core::failure(opened).code_ == errc::unreachable)
         {
+            result_.unreached_ = true;
             --result_.sends_;
             counted_send_->record_not_sent();
             counted_send_.reset();
@@ -1053,10 +1056,39 @@
             }
         }
     }
-    if (last != step_result::done)
+    if (last == step_result::done ||
+        (may_hand_on(last) && co_await hand_on(exchange)))
     {
-        co_await answer_failure(exchange, last);
+        co_return;
     }
+    co_await answer_failure(exchange, last);
+}
+
+/// \return whether another host may go on with a stream that this one could
+/// not place: it reaches no engine, and the stream has not run, or may be
+/// resumed.
+bool stream_forwarder::may_hand_on(step_result last) const
+{
+    const bool avoids_some =
+        !ingress_.unreached_endpoints(call_.service_).empty() &&
+        placement_.reason_ ==
+            policy::name_of(policy::stream_refusal_reason::no_engine);
+    const bool has_no_path = result_.unreached_ || avoids_some ||
+                             ingress_.relay_.has_lost(call_.service_);
+    const bool has_not_run = last == step_result::refused && !may_have_run_;
+    return has_no_path && (result_.opened_ ? may_resume() : has_not_run);
+}
+
+awaitable<bool> stream_forwarder::hand_on(drivers::http_exchange& exchange)
+{
+    stream_.reset();
+    release_kv_handle();
+    release_placement(false);
+    co_return co_await ingress_.relay_.hand_on(
+        exchange,
+        call_,
+        result_,
+        result_.opened_ ? sequence_.last() : std::nullopt);
 }
 
 awaitable<void> stream_forwarder::answer_failure(
--- a/node/stream_forwarder.hpp
+++ b/node/stream_forwarder.hpp
@@ -69,6 +69,8 @@
         const drivers::header_list& headers,
         int status) const;
     void report_replaced(const core::endpoint_id& engine);
+    bool may_hand_on(step_result last) const;
+    awaitable<bool> hand_on(drivers::http_exchange& exchange);
     awaitable<void> answer_failure(
         drivers::http_exchange& exchange, step_result last);
 
--- a/node/wire_codec.hpp
+++ b/node/wire_codec.hpp
@@ -29,7 +29,7 @@
     std::int64_t most_output_ = 0; ///< Maximum number of output tokens.
     std::int64_t output_hint_ = 0; ///< Estimate of output tokens; 0: none.
     std::optional<std::int64_t>
-        resume_after_;               ///< Id of the caller's last event.
+        resume_after_; ///< Id of the caller's last event.
     /// The caller's attempt that brought the first event of the stream that it
     /// takes up; empty: not stated.
     std::string resumes_;
@@ -177,6 +177,14 @@
     virtual drivers::http_call release_kv_handle_call(
         std::string_view address, const kv_handle& handle) const = 0;
 
+    /// Makes a caller's request one that takes its stream up.
+    /// \param headers of the request, which are changed.
+    /// \param after id of the caller's last event.
+    virtual void add_resumption(
+        drivers::header_list& headers,
+        const ingress_request& request,
+        std::int64_t after) const = 0;
+
     /// \param findings receives the errors in the text.
     /// \return nothing when there are findings.
     virtual std::optional<control::catalog> decode_catalog(
--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -23,6 +23,7 @@
 - an endpoint gets the account of the key, but never the key;
 - a configuration read is never older than one acknowledged before;
 - graceful stops cut no request: hosts exit in time with status 0;
+- callers of hosts that are cut off from all endpoints are served like others;
 - orders to an engine come from one holder at a time, with rising fencing
   numbers;
 - acknowledged configurations exist at the end, and the hosts serve again.
@@ -63,6 +64,8 @@
 # The users' rule LIMIT.
 LIMIT_SETTLE_S, LIMIT_KNOWN_S, LIMIT_WINDOW_S = 3.0, 0.5, 4.0
 LIMIT_RATIO, LIMIT_SLACK = 1.5, 5
+# The users' rule RECOVER for hosts that are cut off from all endpoints.
+CUT_SETTLE_S, CUT_RATIO, CUT_SLACK = 3.0, 2 / 3, 10
 
 
 class Host:
@@ -90,7 +93,8 @@
                  f"cloudApi.address=127.0.0.1:{self.soak.list.port}",
                  f"bounds.graceS={GRACE_S}", "bounds.budgetSlack=50",
                  f"bounds.leaseMs={int(LEASE_S * 1000)}",
-                 "bounds.quotaSlack=1000"] + self.soak.extra_settings
+                 "bounds.quotaSlack=1000",
+                 "torture=yes"] + self.soak.extra_settings
         if self.member:
             lines += [f"listen.control={self.ip}:{CONTROL_PORT}",
                       f"dataDir={self.data}"]
@@ -180,7 +184,8 @@
         self.attempt = 0
         self.counts = {"answered": 0, "refused": 0, "failed": 0, "faults": 0,
                        "changes": 0, "reads": 0, "orders": 0, "limits": 0,
-                       "taken_up": 0, "went_on": 0}
+                       "taken_up": 0, "went_on": 0, "cuts": 0}
+        self.cuts = []       # (from, until, hosts cut off from all endpoints)
         self.running = True
         self.disk_lost = False
         self.resumed = []    # (time, name)
@@ -376,6 +381,20 @@
         await asyncio.gather(*[self.restart(entry, signal.SIGKILL, down_s)
                                for entry in self.entries])
 
+    async def cut_entries(self, entries, duration_s):
+        """Cuts hosts off from all endpoints, and checks that they serve."""
+        addresses = [f"127.0.0.1:{link.port}" for link in self.links]
+        for order in ("cut", "heal"):
+            began = time.monotonic()
+            for entry in entries:
+                tool = await asyncio.create_subprocess_exec(
+                    os.path.join(BUILD, "tests", "cut_link"),
+                    f"{entry.ip}:{PEER_PORT}", order, *addresses)
+                await tool.wait()
+            if order == "cut":
+                await asyncio.sleep(duration_s)
+        self.cuts.append((began - duration_s, began, entries))
+
     async def pause(self, host, duration_s):
         if host.stopping or host.paused:
             return
@@ -508,6 +527,8 @@
                                         duration_s / 4, duration_s, copy,
                                         rng.choice(["v1", "v2"])),
             lambda: self.kill_all_entries(duration_s / 2),
+            lambda: self.cut_entries(rng.sample(self.entries, 2),
+                                     4 + duration_s),
             lambda: self.limit(limited, rate, limited_s),
             lambda: self.replace(rng.choice(self.endpoints[:6])),
             lambda: self.disturb_link(
@@ -620,6 +641,31 @@
         return any(part in parts and start < until and end > since
                    for start, end, part in self.disturbed)
 
+    def check_cuts(self):
+        """Checks that callers of hosts that were cut off from all endpoints
+        were served as at the others, from a while after the cut on."""
+        for since, until, entries in self.cuts:
+            names = {entry.name for entry in entries}
+            served, asked = {True: 0, False: 0}, {True: 0, False: 0}
+            for attempt, (host, at) in self.sent_by.items():
+                if (since + CUT_SETTLE_S <= at <= until - CUT_SETTLE_S / 2
+                        and not self.overlaps_disturbance((host, "links"),
+                                                          since, until)):
+                    asked[host in names] += 1
+                    served[host in names] += (
+                        self.answers.get(attempt, ("", 0))[1] in (200, 500))
+            if not asked[True] or not asked[False]:
+                continue
+            self.counts["cuts"] += 1
+            others = served[False] / asked[False]
+            missing = asked[True] - served[True]
+            if (served[True] / asked[True] < CUT_RATIO * others
+                    and missing > CUT_SLACK + asked[True] / 50):
+                self.add_problem(
+                    f"{', '.join(sorted(names))} were cut off: {served[True]} "
+                    f"of {asked[True]} served, {served[False]} of "
+                    f"{asked[False]} at the others")
+
     def check_orders(self, endpoint):
         orders = [order for order in endpoint.orders if not any(
             name == order[1] and 0 <= order[0] - at < RESUME_TOLERANCE_S
@@ -643,7 +689,10 @@
             path = os.path.join(self.folder, entry.name + ".log")
             with open(path, encoding="utf-8", errors="replace") as log:
                 for line in log:
-                    if " event=request_end " in line:
+                    # The line of the host that the caller asked, not that of
+                    # one to which it handed the request.
+                    if (" event=request_end " in line
+                            and " relayed=1 " not in line):
                         fields = dict(part.split("=", 1) for part in
                                       line.split() if "=" in part)
                         logged_status[fields["id"]] = int(fields["status"])
@@ -667,6 +716,7 @@
 
     def check_records(self):
         self.check_logs()
+        self.check_cuts()
         for endpoint in self.endpoints:
             self.check_orders(endpoint)
             self.check_notices(endpoint)
--- a/tests/platform/cut_hosts_fixture.hpp
+++ b/tests/platform/cut_hosts_fixture.hpp
@@ -16,7 +16,7 @@
 {
 
 /// An entry host that watches the leader.
-struct watching_host : process
+struct cut_host : process
 {
     static constexpr const char* configuration_ = R"({"version":1,
       "routes":[
@@ -30,8 +30,8 @@
       "services":[{"name":"desk"},
         {"name":"llm","engine":{"slots":8,"kvCapTokens":20000,"stride":5}}]})";
 
-    /// \param ports of its peers' and its callers' listeners.
-    watching_host(
+    /// \param first_port of its listeners: for peers, callers and other hosts.
+    cut_host(
         drivers::asio::io_context& io,
         int first_port,
         const std::string& member)
@@ -47,8 +47,20 @@
               [this](drivers::http_exchange& exchange)
               {
                   return ingress_.handle(exchange);
+              }),
+          relay_port_(
+              io,
+              "127.0.0.1:" + std::to_string(first_port + 2),
+              drivers::http_limits(),
+              [this](drivers::http_exchange& exchange)
+              {
+                  ++relayed_;
+                  return ingress_.handle_relayed(exchange);
               })
     {
+        board_.section<node::reach_section>().relay_address_ =
+            "127.0.0.1:" + std::to_string(first_port + 2);
+        relay_port_.start();
         node::group_section& group = board_.section<node::group_section>();
         group.leader_ = member;
         group.members_ = {member};
@@ -62,6 +74,8 @@
     node::catalog_watcher watcher_;
     node::ingress_controller ingress_;
     drivers::http_server port_;
+    drivers::http_server relay_port_;
+    int relayed_ = 0; ///< Requests that other hosts handed to this one.
 };
 
 /// A member and two entry hosts, the first of which callers use.
@@ -85,6 +99,7 @@
         std::filesystem::remove_all(folder_);
         member_ = std::make_unique<lone_member>(
             io_, member_address_, member_address_, folder_.string());
+        allow_retries(*member_);
         run_until(
             [this]()
             {
@@ -97,8 +112,7 @@
                bool& accepted) -> drivers::asio::awaitable<void>
             {
                 const node::operator_call_result result =
-                    co_await controller.submit_text(
-                        watching_host::configuration_);
+                    co_await controller.submit_text(cut_host::configuration_);
                 accepted = result.accepted_;
             }(*member_->controller_, accepted));
         run_until(
@@ -109,7 +123,8 @@
         for (const int port : {first_host_port_, second_host_port_})
         {
             hosts_.push_back(
-                std::make_unique<watching_host>(io_, port, member_address_));
+                std::make_unique<cut_host>(io_, port, member_address_));
+            allow_retries(*hosts_.back());
         }
         run_until(
             [this]()
@@ -124,6 +139,12 @@
         std::filesystem::remove_all(folder_);
     }
 
+    static void allow_retries(process& item)
+    {
+        item.board_.section<node::settings_section>()
+            .settings_.bounds_.retry_slack_ = 100;
+    }
+
     template <class Condition>
     void run_until(Condition condition)
     {
@@ -259,7 +280,7 @@
     drivers::asio::io_context io_{1};
     std::filesystem::path folder_;
     std::unique_ptr<lone_member> member_;
-    std::vector<std::unique_ptr<watching_host>> hosts_;
+    std::vector<std::unique_ptr<cut_host>> hosts_;
     std::vector<std::unique_ptr<stub_endpoint>> stubs_;
     std::vector<node::listed_endpoint> list_;
     drivers::http_client caller_;
