Keep a stream's origin in a class of its own

stream_forwarder had the placing, relaying and now also the origin of streams, over 1,100 lines; what finds, checks and records the version that began a stream is node/stream_origin_guard now. Behaviour is unchanged: 82 tests of streams, versions, cut hosts and settings pass.

Tried beside it and reverted: to end a silent stream after 1 s while its host has lost the service, so that it goes on at another host sooner.

--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -51,17 +51,6 @@
 /// Events of a stream that carry no token, such as comments.
 constexpr std::int64_t max_events_without_tokens = 1'000;
 
-/// How long a host tries to find out which version began a stream. Callers
-/// leave after about two seconds without an answer.
-constexpr core::duration find_origin_timeout{1'500};
-
-/// Longest time for which callers are assumed to take one stream up again and
-/// again, if their deadlines are no longer.
-constexpr core::duration longest_stream_time{60'000};
-
-/// A caller's clock may run slower than this host's.
-constexpr core::duration origin_margin{2'000};
-
 constexpr int max_placement_attempts = 4;
 constexpr core::duration min_retry_after{300};
 
@@ -93,7 +82,7 @@
       placements_(placements),
       call_(call),
       result_(result),
-      has_begun_(call.request_.resume_after_.has_value()),
+      origin_(ingress, call, result),
       sequence_(call.request_.resume_after_)
 {
 }
@@ -242,8 +231,9 @@
     out.resends_ = (prefills_again ? 1 : 0) + (result_.sends_ > 0 ? 1 : 0);
     out.sharing_account_ = call_.account_;
     out.sharing_price_ = call_.price_;
-    out.pins_version_ = has_begun_ || kv_handle_;
-    out.kv_version_ = has_begun_ ? version_.value_or("") : kv_version_;
+    out.pins_version_ = origin_.has_begun() || kv_handle_;
+    out.kv_version_ =
+        origin_.has_begun() ? origin_.version().value_or("") : kv_version_;
     if (!call_.charged_ && !call_.account_.empty())
     {
         out.account_ = call_.account_;
@@ -252,124 +242,6 @@
     return out;
 }
 
-/// \return the attempt that brought the first event of the stream.
-std::string stream_forwarder::origin_attempt() const
-{
-    return call_.request_.resume_after_ ? call_.request_.resumes_
-                                        : call_.request_.attempt_;
-}
-
-/// Finds out which version began the stream that the caller takes up.
-/// \return false when it cannot be known; then no version may go on.
-awaitable<bool> stream_forwarder::find_origin()
-{
-    const core::duration longest =
-        std::max(longest_stream_time, call_.route_.time_limit_ * 2);
-    const std::optional<found_origin> found = co_await ingress_.origins_.find(
-        call_.request_.resumes_,
-        call_.service_,
-        longest,
-        std::min(find_origin_timeout, time_left(call_)));
-    if (!found)
-    {
-        result_.origin_ = "unknown";
-        result_.detail_ = "it is unknown which version began the stream";
-        count_resumption("unknown_version");
-        co_return false;
-    }
-    result_.origin_ = found->known_by_;
-    version_ = found->version_;
-    result_.began_ = *version_;
-    co_return true;
-}
-
-/// Records which version began the stream, before its first event goes to the
-/// caller, or that its caller has taken it up once more.
-void stream_forwarder::record_origin()
-{
-    const core::duration patience =
-        call_.request_.deadline_.value_or(call_.route_.time_limit_);
-    const core::time_point expires_at =
-        call_.arrived_at_ + patience + origin_margin;
-    const std::string attempt = origin_attempt();
-    if (!has_begun_)
-    {
-        has_begun_ = true;
-        version_ = process_version_;
-        result_.began_ = version_.value_or("unknown");
-    }
-    if (version_)
-    {
-        ingress_.origins_.record(
-            attempt, call_.service_, *version_, expires_at);
-    }
-    else if (process_.started_at_ms_ != 0)
-    {
-        ingress_.origins_.record_unlisted(
-            attempt, call_.service_, process_, expires_at);
-    }
-}
-
-/// \return the condition that the engine's process is the listed one. Its
-/// software may be of another version if it has been restarted since.
-drivers::peer_check stream_forwarder::make_peer_check(
-    const known_endpoint& engine) const
-{
-    const drivers::http_call report = ingress_.codec_.engine_report_call(
-        engine.listed_.address_, engine.listed_.name_);
-    drivers::peer_check out;
-    out.target_ = report.target_;
-    out.headers_ = report.headers_;
-    out.accepts_ = [&codec = ingress_.codec_,
-                    has_to_be_listed = has_begun_,
-                    listed = engine.listed_.started_at_ms_](
-                       const drivers::http_response& statement)
-    {
-        const auto read = codec.decode_engine_report(statement.body_);
-        const bool is_listed = read && read->started_at_ms_ == listed;
-        return statement.status_ != status_misdirected &&
-               (is_listed || !has_to_be_listed);
-    };
-    return out;
-}
-
-/// Notes which process has opened the stream.
-void stream_forwarder::note_process(const known_endpoint& engine)
-{
-    const listed_endpoint& listed = engine.listed_;
-    process_ = {listed.name_, listed.started_at_ms_};
-    process_version_ = listed.version_;
-    const drivers::http_response* statement = stream_->peer_statement();
-    if (listed.started_at_ms_ == 0 || statement == nullptr)
-    {
-        return;
-    }
-    const auto read = ingress_.codec_.decode_engine_report(statement->body_);
-    process_.started_at_ms_ = read ? read->started_at_ms_ : 0;
-    const bool is_listed = process_.started_at_ms_ == listed.started_at_ms_;
-    if (!is_listed)
-    {
-        process_version_.reset();
-        result_.version_.clear();
-    }
-    ingress_.with_.metrics_.count(
-        "poplarroute_engine_process_checks_total",
-        {{"result",
-          is_listed                      ? "listed"
-          : process_.started_at_ms_ != 0 ? "another"
-                                         : "not_stated"}});
-}
-
-/// Counts a stream that went on at an engine, or could not.
-void stream_forwarder::count_resumption(const char* result) const
-{
-    ingress_.with_.metrics_.count(
-        "poplarroute_streams_resumed_total",
-        {{"service", call_.service_},
-         {"by", call_.request_.resume_after_ ? "caller" : "host"},
-         {"result", result}});
-}
-
 awaitable<stream_forwarder::step_result> stream_forwarder::acquire_placement()
 {
     release_placement(false);
@@ -393,7 +265,7 @@
         retry_after_ = core::duration{placement_.retry_ms_};
         result_.detail_ = placement_.reason_;
         const bool lacks_version =
-            kv_handle_ && !has_begun_ &&
+            kv_handle_ && !origin_.has_begun() &&
             placement_.reason_ ==
                 policy::name_of(policy::stream_refusal_reason::no_engine);
         if (lacks_version)
@@ -440,7 +312,7 @@
         result_.detail_ = "the reader is leaving or gone";
         co_return step_result::retry;
     }
-    if (has_begun_ && endpoint->listed_.version_ != version_)
+    if (!origin_.allows(endpoint->listed_))
     {
         avoid_.insert(placement_.reader_);
         result_.detail_ = "the prefill engine is of another version";
@@ -563,7 +435,7 @@
         result_.detail_ = "the decode engine is leaving or gone";
         co_return step_result::retry;
     }
-    if (has_begun_ && endpoint->listed_.version_ != version_)
+    if (!origin_.allows(endpoint->listed_))
     {
         // The leader's list is of another revision than this host's, or the
         // leader runs an older program.
@@ -571,7 +443,7 @@
         result_.detail_ = "the decode engine is of another version";
         co_return step_result::retry;
     }
-    std::optional<std::string> pinned_version = version_;
+    std::optional<std::string> pinned_version = origin_.version();
     if (kv_handle_)
     {
         pinned_version = kv_version_;
@@ -587,7 +459,6 @@
                           "another version";
         co_return step_result::retry;
     }
-    result_.version_ = endpoint->listed_.version_;
     send_plan plan = make_send_plan(*endpoint, call_);
     plan.resume_after_ = sequence_.last();
     if (kv_handle_)
@@ -599,10 +470,7 @@
     out.timeout_ = std::min(open_timeout, plan.deadline_);
     out.connect_timeout_ = connect_timeout;
     out.send_before_ = permission->until_;
-    if (endpoint->listed_.started_at_ms_ != 0)
-    {
-        out.peer_check_ = make_peer_check(*endpoint);
-    }
+    out.peer_check_ = origin_.make_peer_check(endpoint->listed_);
     if (result_.sends_ > 0 && placement_.decided_locally_ &&
         !ingress_.take_retry_allowance(call_.service_))
     {
@@ -612,7 +480,7 @@
     ++result_.sends_;
     counted_send_.emplace(ingress_.rollouts_, *endpoint, call_.route_.name_);
     sent_at_ = core::steady_now();
-    const known_endpoint engine = *endpoint;
+    const listed_endpoint engine = endpoint->listed_;
     const core::endpoint_id decoder = placement_.decoder_;
     core::result<std::unique_ptr<drivers::http_stream>> opened =
         co_await ingress_.endpoints_.open(
@@ -651,7 +519,7 @@
         co_return may_resume() ? step_result::retry : step_result::failed;
     }
     stream_ = std::move(core::value(opened));
-    note_process(engine);
+    origin_.note_process(engine, *stream_);
     co_return check_decode_response();
 }
 
@@ -744,11 +612,7 @@
     }
     if (events_from_engine_ == 0)
     {
-        if (has_begun_)
-        {
-            count_resumption("went_on");
-        }
-        record_origin();
+        origin_.record_first_event();
     }
     last_event_at_ = now;
     ++events_from_engine_;
@@ -907,9 +771,8 @@
 
 bool stream_forwarder::may_resume() const
 {
-    const bool has_version = !has_begun_ || version_;
-    return call_.route_.resumable_ && sequence_.is_resumable() && has_version &&
-           time_left(call_) > min_retry_time;
+    return call_.route_.resumable_ && sequence_.is_resumable() &&
+           origin_.allows_any() && time_left(call_) > min_retry_time;
 }
 
 /// \return whether an engine's response can go on within the response that has
@@ -1039,7 +902,7 @@
 awaitable<void> stream_forwarder::run(drivers::http_exchange& exchange)
 {
     step_result last = step_result::retry;
-    if (has_begun_ && !co_await find_origin())
+    if (origin_.has_begun() && !co_await origin_.find())
     {
         last = step_result::refused;
     }
@@ -1094,9 +957,9 @@
 awaitable<void> stream_forwarder::answer_failure(
     drivers::http_exchange& exchange, step_result last)
 {
-    if (has_begun_ && version_)
+    if (origin_.version())
     {
-        count_resumption(result_.opened_ ? "broken" : "refused");
+        origin_.count(result_.opened_ ? "broken" : "refused");
     }
     if (result_.opened_)
     {
--- a/node/stream_forwarder.hpp
+++ b/node/stream_forwarder.hpp
@@ -4,6 +4,7 @@
 #include "node/event_stream_parser.hpp"
 #include "node/ingress_call.hpp"
 #include "node/placement_client.hpp"
+#include "node/stream_origin_guard.hpp"
 
 namespace poplarroute::node
 {
@@ -37,12 +38,6 @@
 
     std::set<core::endpoint_id> engines_to_avoid() const;
     placement_request make_placement_request() const;
-    awaitable<bool> find_origin();
-    std::string origin_attempt() const;
-    void record_origin();
-    drivers::peer_check make_peer_check(const known_endpoint& engine) const;
-    void note_process(const known_endpoint& engine);
-    void count_resumption(const char* result) const;
     awaitable<step_result> acquire_placement();
     awaitable<step_result> prefill_prompt();
     awaitable<step_result> open_decode_stream();
@@ -90,14 +85,7 @@
     std::string kv_handle_address_;
     std::string kv_version_; ///< Of the engine that keeps the KV handle.
 
-    /// Whether the caller has events of the stream, so that only the version
-    /// that began it may go on.
-    bool has_begun_ = false;
-    std::optional<std::string> version_; ///< That began it; nothing: unknown.
-
-    /// The process that answers now, and its version if that is certain.
-    endpoint_process process_;
-    std::optional<std::string> process_version_;
+    stream_origin_guard origin_;
     core::time_point prefilled_at_;
     core::duration prefill_time_;
     std::unique_ptr<drivers::http_stream> stream_;
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -31,6 +31,7 @@
     EXPECT_TRUE(findings.empty()) << findings.text();
     EXPECT_EQ(read.host_, "front-a-1");
     EXPECT_EQ(read.peer_listen_, "10.1.0.16:7500");
+    EXPECT_EQ(read.relay_listen_, "10.1.0.16:7515");
     EXPECT_EQ(read.seeds_.size(), 2U);
     EXPECT_EQ(read.seeds_[1], "10.2.0.35:7500");
     EXPECT_TRUE(read.first_start_);
