Keep only the identity of an endpoint's process with a connection

Each pooled connection kept the whole report of its endpoint, up to 64 KB, outside the budget of responses: a faulty endpoint could have filled a host's memory with them. The caller of the client now reduces the response to a short identity, and only that is kept. Found by reading; no memory figure was taken. 79 tests of clients, streams, versions and cut hosts pass.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -88,8 +88,8 @@
     core::time_point usable_until_;
     std::uint64_t number_ = 0;
     std::vector<std::uint64_t> ids_; ///< Digests of the requests' ids.
-    /// What the process at the other end stated of itself, if it was asked.
-    std::optional<http_response> peer_statement_;
+    /// Of the process at the other end, if it was asked.
+    std::optional<std::string> peer_identity_;
     bool reused_ = false;
     bool is_kept_ = true; ///< Whether another call may use it.
     bool writing_ = false;
@@ -251,7 +251,7 @@
 asio::awaitable<std::optional<error>> ask_peer(
     connection& used, const std::string& address, const peer_check& check)
 {
-    if (used.peer_statement_)
+    if (used.peer_identity_)
     {
         co_return std::nullopt;
     }
@@ -289,7 +289,7 @@
     http_response statement;
     statement.status_ = static_cast<int>(parser.get().result_int());
     statement.body_ = parser.get().body();
-    used.peer_statement_ = std::move(statement);
+    used.peer_identity_ = check.identify_(statement);
     used.reused_ = true;
     co_return std::nullopt;
 }
@@ -344,7 +344,7 @@
         used.stream_.close();
         co_return std::move(*problem);
     }
-    if (!call.peer_check_->accepts_(*used.peer_statement_))
+    if (!call.peer_check_->accepts_(*used.peer_identity_))
     {
         used.stream_.close();
         co_return error{
@@ -405,7 +405,7 @@
           address_(std::move(address)),
           connection_(std::move(used)),
           connection_number_(connection_->number_),
-          peer_statement_(connection_->peer_statement_),
+          peer_identity_(connection_->peer_identity_),
           line_held_(pool_->budget_)
     {
         reset_parser();
@@ -484,9 +484,9 @@
         return connection_number_;
     }
 
-    const http_response* peer_statement() const override
+    const std::optional<std::string>& peer_identity() const override
     {
-        return peer_statement_ ? &*peer_statement_ : nullptr;
+        return peer_identity_;
     }
 
     asio::awaitable<core::result<std::optional<std::string>>> next_line(
@@ -702,7 +702,7 @@
     std::string address_;
     connection_ptr connection_;
     std::uint64_t connection_number_;
-    std::optional<http_response> peer_statement_;
+    std::optional<std::string> peer_identity_;
     std::optional<parser_type> parser_;
     bool skipped_mismatched_ = false;
     bool is_named_ = true;
--- a/drivers/http_client.hpp
+++ b/drivers/http_client.hpp
@@ -42,8 +42,11 @@
     std::string target_; ///< Of the GET request.
     header_list headers_;
     core::duration timeout_{1'500};
-    /// Whether the call may use the connection; the response may be an error.
-    std::function<bool(const http_response&)> accepts_;
+    /// What the response, which may be an error, says of the process. Only this
+    /// is kept with the connection.
+    std::function<std::string(const http_response&)> identify_;
+    /// Whether the call may use a connection to such a process.
+    std::function<bool(const std::string&)> accepts_;
 };
 
 /// A request to an endpoint.
@@ -95,9 +98,9 @@
     /// \return the number of the connection, counted from 1 by its client.
     virtual std::uint64_t connection() const = 0;
 
-    /// \return what the process stated; null if no call on the connection
-    /// required it.
-    virtual const http_response* peer_statement() const = 0;
+    /// \return what peer_check::identify_ made of the process; nothing if no
+    /// call on the connection required it.
+    virtual const std::optional<std::string>& peer_identity() const = 0;
 
     /// Reads the next line.
     /// \param timeout how long to wait for the whole line.
--- a/node/stream_origin_guard.cpp
+++ b/node/stream_origin_guard.cpp
@@ -17,6 +17,9 @@
 /// again, if their deadlines are no longer.
 constexpr core::duration longest_stream_time{60'000};
 
+/// Identity of a process that is not the one that was asked; it takes no call.
+constexpr const char* misdirected = "misdirected";
+
 /// A caller's clock may run slower than this host's.
 constexpr core::duration origin_margin{2'000};
 
@@ -71,15 +74,22 @@
     drivers::peer_check out;
     out.target_ = report.target_;
     out.headers_ = report.headers_;
-    out.accepts_ = [&codec = ingress_.codec_,
-                    has_to_be_listed = has_begun_,
-                    listed = engine.started_at_ms_](
-                       const drivers::http_response& statement)
+    out.identify_ = [&codec = ingress_.codec_](
+                        const drivers::http_response& statement) -> std::string
     {
+        if (statement.status_ == status_misdirected)
+        {
+            return misdirected;
+        }
         const auto read = codec.decode_engine_report(statement.body_);
-        const bool is_listed = read && read->started_at_ms_ == listed;
-        return statement.status_ != status_misdirected &&
-               (is_listed || !has_to_be_listed);
+        return std::to_string(read ? read->started_at_ms_ : 0);
+    };
+    out.accepts_ = [has_to_be_listed = has_begun_,
+                    listed = std::to_string(engine.started_at_ms_)](
+                       const std::string& identity)
+    {
+        return identity == listed ||
+               (!has_to_be_listed && identity != misdirected);
     };
     return out;
 }
@@ -90,13 +100,12 @@
     process_ = {engine.name_, engine.started_at_ms_};
     process_version_ = engine.version_;
     result_.version_ = engine.version_;
-    const drivers::http_response* statement = stream.peer_statement();
-    if (engine.started_at_ms_ == 0 || statement == nullptr)
+    const std::optional<std::string>& identity = stream.peer_identity();
+    if (engine.started_at_ms_ == 0 || !identity)
     {
         return;
     }
-    const auto read = ingress_.codec_.decode_engine_report(statement->body_);
-    process_.started_at_ms_ = read ? read->started_at_ms_ : 0;
+    process_.started_at_ms_ = std::stoll(*identity);
     const bool is_listed = process_.started_at_ms_ == engine.started_at_ms_;
     if (!is_listed)
     {
