Break a handed-on stream off that goes on as no stream

A host whose stream goes on at another host started the response a second time when the engine there answered 200 with another content type: the invariant 'a request gets only one response' ended the process, with all its callers. Found by reading the change again. Such an answer now counts as one that does not go on, as it does between two engines of one host.

cut_hosts.break_a_stream_off_that_goes_on_as_no_stream: the process aborted before, passes now, with the six others of cut_hosts.

--- a/node/relay_client.cpp
+++ b/node/relay_client.cpp
@@ -50,6 +50,11 @@
     return out;
 }
 
+bool is_event_stream(const drivers::header_list& headers)
+{
+    return drivers::find_header(headers, "Content-Type") == "text/event-stream";
+}
+
 } // namespace
 
 relay_client::relay_client(context& with, const wire_codec& codec)
@@ -230,7 +235,9 @@
     result.sends_ +=
         integer_of(drivers::find_header(headers, relay_header::sends));
     result.outcome_ = outcome;
-    if (exchange.opened() && answer.status() != result.status_)
+    const bool continues =
+        answer.status() == result.status_ && is_event_stream(headers);
+    if (exchange.opened() && !continues)
     {
         result.detail_ = "the other host does not go on with the stream";
         co_return attempt_result::lost;
@@ -256,10 +263,8 @@
             headers.emplace_back(name, value);
         }
     }
-    const bool is_stream =
-        drivers::find_header(headers, "Content-Type") == "text/event-stream";
     result.status_ = answer.status();
-    if (!is_stream)
+    if (!is_event_stream(headers))
     {
         drivers::byte_hold held(with_.http_.budget());
         core::result<std::string> body = co_await answer.read_rest(
--- a/tests/platform/cut_hosts_test.cpp
+++ b/tests/platform/cut_hosts_test.cpp
@@ -116,5 +116,27 @@
         stream_event_text(1) + stream_event_text(2) + stream_event_text(3));
 }
 
+// Guards against a host that ends, since it starts a response a second time.
+TEST_F(cut_hosts, break_a_stream_off_that_goes_on_as_no_stream)
+{
+    const auto answer = [](const drivers::http_request&) -> stub_answer
+    {
+        return {
+            200,
+            {{"Server-Stamp", "s"}, {"Content-Type", "application/json"}},
+            stream_event_text(3)};
+    };
+    add_endpoint("i-1", "llm", false, answer);
+    add_endpoint("i-2", "llm", false, answer);
+    raw_engine closing(io_, 19'859, broken_stream(), rest_of_stream());
+    std::vector<node::listed_endpoint> first = list_;
+    first[0].address_ = "127.0.0.1:19859";
+    first[1].address_ = closed_address_;
+    put_lists(first);
+    run_for(core::duration{3'000});
+    EXPECT_EQ(call("/llm/x", "a1").status_, 0);
+    EXPECT_EQ(hosts_[1]->relayed_, 1);
+}
+
 } // namespace
 } // namespace poplarroute::platform
