Ask the leader for a document after one lost member

Callers: requests on added routes got 404 more than 2.5 s after the change was acknowledged (CONFIG), on hosts in touch, while members of the group were paused or gone. Cause: a host asked every other member before the leader, one second each; a lost one was tried again after 3 s, and a member that had not yet applied the change counted as failed like a lost one, so that hosts went on to those. The time of a transfer grew with the number of lost members.

A loss is remembered for 30 s, the leader is asked after the first one, and a member that follows its leader lets hosts wait until it has applied the change.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/counted.hpp"
 #include "core/ini.hpp"
 #include "drivers/log.hpp"
 
@@ -60,6 +61,12 @@
 /// force.
 constexpr core::duration current_member_silence{1'000};
 
+/// How long a member that follows its leader lets hosts wait for a catalog that
+/// it is about to apply: it learns of it by the next heartbeat.
+constexpr core::duration catalog_wait{400};
+constexpr core::duration catalog_check_interval{20};
+constexpr std::size_t max_catalog_waits = 128;
+
 /// Time after its election in which a leader takes over what hosts refuse.
 constexpr core::duration adoption_period{4'000};
 
@@ -619,10 +626,7 @@
     const control::catalog_state_machine& state = group_.state();
     out.revision_ = state.revision();
     out.version_ = state.version();
-    const std::optional<core::time_point> current_as_of =
-        group_.current_as_of();
-    out.current_ = current_as_of && core::steady_now() - *current_as_of <=
-                                        current_member_silence;
+    out.current_ = is_current();
     if (state.revision() > request.revision_ && !request.fetches_parts_)
     {
         out.text_ = core::binary(state.text());
@@ -644,6 +648,34 @@
     return out;
 }
 
+/// \return whether this member has heard of its group a moment ago, so that it
+/// has or is about to have what is in force.
+bool catalog_controller::is_current() const
+{
+    const std::optional<core::time_point> as_of = group_.current_as_of();
+    return as_of && core::steady_now() - *as_of <= current_member_silence;
+}
+
+/// Waits until this member has applied a catalog that the leader has told hosts
+/// of. A host that is refused asks the leader, as all hosts would.
+awaitable<void> catalog_controller::wait_for_catalog(document_id wanted)
+{
+    const bool is_due = wanted.name_ == catalog_document(0).name_ &&
+                        !group_.leads() && is_current() &&
+                        catalog_waits_ < max_catalog_waits;
+    if (!is_due)
+    {
+        co_return;
+    }
+    const core::counted waiting(catalog_waits_);
+    const core::time_point until = core::steady_now() + catalog_wait;
+    while (group_.state().version() < wanted.revision_ &&
+           core::steady_now() < until)
+    {
+        co_await drivers::sleep_for(catalog_check_interval);
+    }
+}
+
 awaitable<core::result<document_part_reply>> catalog_controller::answer_part(
     document_part_request request)
 {
@@ -652,6 +684,7 @@
     {
         co_return *dropped;
     }
+    co_await wait_for_catalog(request.id_);
     core::result<document_part_reply> reply = documents_.answer_part(request);
     const bool relays =
         !core::is_ok(reply) && !group_.leads() && is_endpoint_list(request.id_);
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -105,6 +105,8 @@
     awaitable<watch_reply> answer_watch(watch_request request);
     bool has_updates(const watch_request& request);
     watch_reply make_watch_reply(const watch_request& request);
+    bool is_current() const;
+    awaitable<void> wait_for_catalog(document_id wanted);
     awaitable<core::result<document_part_reply>> answer_part(
         document_part_request request);
     void apply_limits();
@@ -152,6 +154,7 @@
     std::map<core::host_id, watching_host> watching_hosts_;
     std::minstd_rand random_;
     document_publisher documents_;
+    std::size_t catalog_waits_ = 0; ///< Hosts that wait_for_catalog() holds.
     document_relay relay_;
     leader_queues queues_;
     limit_controller limits_;
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -51,6 +51,16 @@
 /// Age of the endpoint list after which this host reads it itself.
 constexpr core::duration list_stale_after{2'500};
 
+/// \return what an error says of the member that was asked for a part.
+document_sources::failure failure_kind(const core::error& problem)
+{
+    const bool is_lost = problem.code_ == core::errc::timeout ||
+                         problem.code_ == core::errc::broken ||
+                         problem.code_ == core::errc::unreachable;
+    return is_lost ? document_sources::failure::lost
+                   : document_sources::failure::not_ready;
+}
+
 } // namespace
 
 catalog_watcher::catalog_watcher(
@@ -432,7 +442,7 @@
 }
 
 /// Fetches the next part of a document. After a failure, another member is
-/// asked at once; when the leader has failed, too, after a while.
+/// asked at once; when the leader has failed, or none is known, after a while.
 awaitable<catalog_watcher::part_result> catalog_watcher::fetch_part(
     document_download& download)
 {
@@ -440,16 +450,18 @@
     const core::host_id source = sources_.choose(
         known_members(), leader, with_.identity().zone_, core::steady_now());
     download_source_ = source;
-    const bool is_last = source == leader || leader.empty();
-    const core::duration timeout = is_last ? part_timeout : relay_timeout;
+    const bool is_leader = source == leader;
+    const core::duration timeout = is_leader ? part_timeout : relay_timeout;
     const document_part_request request = download.next_request();
     const core::result<document_part_reply> reply =
         co_await ask<document_part_reply>(
             with_.peers_, source, method::document_part, request, timeout);
     core::error problem{core::errc::invalid, "the document is damaged"};
+    auto kind = document_sources::failure::not_ready;
     if (!core::is_ok(reply))
     {
         problem = core::failure(reply);
+        kind = failure_kind(problem);
     }
     else
     {
@@ -463,7 +475,7 @@
                 : part_result::received;
         }
     }
-    sources_.record_failure(source, core::steady_now());
+    sources_.record_failure(source, kind, core::steady_now());
     log_event(
         log_level::warning,
         "part_failed",
@@ -474,7 +486,7 @@
          {"offset", request.offset_},
          {"since_ms", (core::steady_now() - download_started_at_).ms_}});
     with_.metrics_.count("poplarroute_part_failures_total");
-    if (is_last)
+    if (is_leader || leader.empty())
     {
         co_await drivers::sleep_for(part_retry_interval);
     }
@@ -490,7 +502,10 @@
         const bool is_news = list_.finish_download();
         if (!is_news)
         {
-            sources_.record_failure(download_source_, core::steady_now());
+            sources_.record_failure(
+                download_source_,
+                document_sources::failure::not_ready,
+                core::steady_now());
         }
         confirm_versions();
     }
--- a/node/document_sources.cpp
+++ b/node/document_sources.cpp
@@ -11,8 +11,16 @@
 namespace
 {
 
-/// Time after a failure for which other members are asked first.
-constexpr core::duration failure_retention{3'000};
+/// Time for which other members are asked before one that did not have a
+/// document.
+constexpr core::duration not_ready_retention{3'000};
+
+/// The same for a member that did not reply. Trying it again costs a timeout.
+constexpr core::duration lost_retention{30'000};
+
+/// Time after a loss in which the leader is asked first. It covers the transfer
+/// of a document.
+constexpr core::duration leader_first_period{3'000};
 
 /// Ranks of members; the lowest is asked first.
 constexpr int own_zone_rank = 0;
@@ -21,7 +29,16 @@
 constexpr int leader_rank = 3;
 
 /// Added to the rank of a member that has failed.
-constexpr int failed_rank = 4;
+constexpr int not_ready_rank = 4;
+constexpr int lost_rank = 8;
+
+bool is_within(
+    const std::optional<core::time_point>& event,
+    core::duration period,
+    core::time_point now)
+{
+    return event && now - *event <= period;
+}
 
 } // namespace
 
@@ -39,12 +56,21 @@
     }
     if (member == leader)
     {
-        out = leader_rank;
+        out = is_within(last_loss_at_, leader_first_period, now)
+                  ? own_zone_rank - 1
+                  : leader_rank;
+    }
+    if (found == sources_.end())
+    {
+        return out;
     }
-    const bool failed = found != sources_.end() &&
-                        found->second.failed_at_.ms_ > 0 &&
-                        now - found->second.failed_at_ <= failure_retention;
-    return out + (failed ? failed_rank : 0);
+    if (is_within(found->second.lost_at_, lost_retention, now))
+    {
+        return out + lost_rank;
+    }
+    return is_within(found->second.not_ready_at_, not_ready_retention, now)
+               ? out + not_ready_rank
+               : out;
 }
 
 core::host_id document_sources::choose(
@@ -72,13 +98,23 @@
 void document_sources::record_reply(
     const core::host_id& member, const core::zone_id& zone)
 {
-    sources_[member] = {zone, {}};
+    sources_[member] = {zone, std::nullopt, std::nullopt};
 }
 
 void document_sources::record_failure(
-    const core::host_id& member, core::time_point now)
+    const core::host_id& member, failure kind, core::time_point now)
 {
-    sources_[member].failed_at_ = now;
+    source& found = sources_[member];
+    if (kind == failure::lost)
+    {
+        found.lost_at_ = now;
+        last_loss_at_ = now;
+    }
+    else
+    {
+        found.not_ready_at_ = now;
+        found.lost_at_.reset();
+    }
 }
 
 } // namespace poplarroute::node
--- a/node/document_sources.hpp
+++ b/node/document_sources.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 
 #include "core/clock.hpp"
@@ -16,9 +17,18 @@
 /// lost, cut off or of an older program. A member of the host's own zone comes
 /// first, then one whose zone is not known yet, then one of another zone, and
 /// the leader last. Hosts go through members of equal rank in different orders.
+/// Several members may be lost at once, and each costs its timeout: after one
+/// loss the leader is asked, which is known to live.
 class document_sources
 {
 public:
+    /// Why a member did not send what it was asked for.
+    enum class failure
+    {
+        lost,      ///< It did not reply.
+        not_ready, ///< It does not have the document, or a damaged one.
+    };
+
     /// \param seed must differ between hosts.
     explicit document_sources(std::uint64_t seed = 0) : seed_(seed) {}
 
@@ -35,15 +45,17 @@
     /// \param zone its zone; empty: it did not state it.
     void record_reply(const core::host_id& member, const core::zone_id& zone);
 
-    /// Records that a member does not have a document, or did not reply. Others
-    /// come before it for a while.
-    void record_failure(const core::host_id& member, core::time_point now);
+    /// Records that a member did not send a part. Others come before it for a
+    /// while; for longer if it is lost.
+    void record_failure(
+        const core::host_id& member, failure kind, core::time_point now);
 
 private:
     struct source
     {
         core::zone_id zone_; ///< Empty: unknown.
-        core::time_point failed_at_;
+        std::optional<core::time_point> not_ready_at_;
+        std::optional<core::time_point> lost_at_;
     };
 
     int rank(
@@ -54,6 +66,7 @@
 
     std::uint64_t seed_;
     std::map<core::host_id, source> sources_;
+    std::optional<core::time_point> last_loss_at_; ///< Of any but the leader.
 };
 
 } // namespace poplarroute::node
--- a/tests/platform/catalog_transfer_test.cpp
+++ b/tests/platform/catalog_transfer_test.cpp
@@ -112,6 +112,30 @@
     std::int64_t bytes_per_ms_;
 };
 
+/// Process that accepts connections and never answers, like a paused member.
+class silent_member
+{
+public:
+    silent_member(asio::io_context& io, const std::string& address)
+        : acceptor_(io, drivers::parse_endpoint(address))
+    {
+        drivers::spawn(io, accept());
+    }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;)
+        {
+            connections_.push_back(
+                co_await acceptor_.async_accept(asio::use_awaitable));
+        }
+    }
+
+    tcp::acceptor acceptor_;
+    std::vector<tcp::socket> connections_;
+};
+
 /// A group of one member, known to hosts by the address of the slow link.
 struct group_member : lone_member
 {
@@ -316,6 +340,47 @@
         }));
 }
 
+// Guards against hosts that ask one lost member after another for a change
+// which the leader could have sent in time.
+TEST_F(catalog_transfer, a_change_is_in_force_in_time_while_members_are_lost)
+{
+    // The users' shortest configApplyMs.
+    constexpr core::duration max_delay{2'000};
+    constexpr core::duration retention{4'000};
+    slow_link link(io_, link_bytes_per_ms);
+    group_member member(io_, folder_.string());
+    const std::array<std::string, 3> lost{
+        "127.0.0.1:19470", "127.0.0.1:19471", "127.0.0.1:19472"};
+    std::vector<std::unique_ptr<silent_member>> silent;
+    submit(member, 4, 48);
+    entry_host host(io_);
+    for (const std::string& address : lost)
+    {
+        silent.push_back(std::make_unique<silent_member>(io_, address));
+        host.board_.section<node::settings_section>()
+            .settings_.seeds_.push_back(address);
+    }
+    ASSERT_TRUE(run_until(
+        [&]()
+        {
+            return has_version(host, 4);
+        }));
+    const core::time_point rested_at = core::steady_now() + retention;
+    run_until(
+        [&]()
+        {
+            return core::steady_now() >= rested_at;
+        });
+    submit(member, 8, 48 + routes_per_change);
+    const core::time_point confirmed_at = core::steady_now();
+    ASSERT_TRUE(run_until(
+        [&]()
+        {
+            return has_version(host, 8);
+        }));
+    EXPECT_LE((core::steady_now() - confirmed_at).ms_, max_delay.ms_);
+}
+
 TEST_F(catalog_transfer, a_host_of_an_older_program_gets_the_whole_catalog)
 {
     slow_link link(io_, link_bytes_per_ms);
