Send a paused member its entries once, not for each rejection

Cause: each heartbeat that waited in a paused member's socket is rejected, and the leader answered each rejection with all entries, up to 1 MB. A heartbeat that overtook a large entry on a slow link had the same effect, every 150 ms.

A rejection counts only if it answers what was sent after the last one; until a member accepts, only the entries at the assumed end of its log are sent, once per time that they need at 1 MB/s; heartbeats meanwhile refer to what the member is known to have. A message gets longer to arrive by its size. The messages are the same, so that members of the builds before and after understand each other.

--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -13,6 +13,10 @@
 
 constexpr std::size_t max_entries_per_message = 512;
 constexpr std::size_t max_bytes_per_message = 1024 * 1024;
+
+/// Least rate at which entries are taken to arrive at a member.
+constexpr std::int64_t min_bytes_per_ms = 1'000;
+
 /// A learner that is at most this far behind may be promoted.
 constexpr log_index max_learner_lag_entries = 16;
 
@@ -311,22 +315,51 @@
         }
         return;
     }
-    const log_index previous = follower.next_ - 1;
+    const bool awaits_reply =
+        now < follower.resend_at_ &&
+        (follower.probes_ || follower.next_ > follower.match_ + 1);
     append_request request;
+    log_index previous = follower.next_ - 1;
+    if (!follower.probes_ || !awaits_reply)
+    {
+        request.entries_ = log_.entries_from(
+            follower.next_, max_entries_per_message, max_bytes_per_message);
+    }
+    if (request.entries_.empty() && awaits_reply)
+    {
+        // A heartbeat that overtakes the entries must not be rejected.
+        const bool is_kept = log_.term_at(follower.match_).has_value();
+        previous = is_kept ? follower.match_ : 0;
+    }
     request.term_ = state_.term_;
     request.previous_index_ = previous;
     request.previous_term_ = log_.term_at(previous).value_or(0);
-    request.entries_ = log_.entries_from(
-        follower.next_, max_entries_per_message, max_bytes_per_message);
     request.commit_ = commit_;
     request.round_ = round_;
     if (!request.entries_.empty())
     {
-        follower.next_ = request.entries_.back().index_ + 1;
+        const core::time_point due = now + resend_delay(request.entries_);
+        follower.resend_at_ = std::max(follower.resend_at_, due);
+        if (!follower.probes_)
+        {
+            follower.next_ = request.entries_.back().index_ + 1;
+        }
     }
     send(to, std::move(request));
 }
 
+/// \return how long entries are left to arrive before they are sent again.
+core::duration raft::resend_delay(std::span<const log_entry> entries) const
+{
+    std::int64_t bytes = 0;
+    for (const log_entry& entry : entries)
+    {
+        bytes += static_cast<std::int64_t>(entry.payload_.size());
+    }
+    return times_.heartbeat_interval_ +
+           core::duration{bytes / min_bytes_per_ms};
+}
+
 void raft::append_entry(entry_kind kind, std::string payload)
 {
     log_entry entry{
@@ -758,20 +791,33 @@
     }
     progress& follower = progress_[from.from_];
     follower.last_reply_at_ = now;
-    follower.next_snapshot_at_ = now;
     follower.round_ = std::max(follower.round_, body.round_);
+    // What was sent before the last rejection is rejected as well, and says
+    // nothing of the entries that went out since.
+    if (!body.accepted_ && body.round_ < follower.first_valid_round_)
+    {
+        return;
+    }
+    follower.next_snapshot_at_ = now;
     if (!body.accepted_)
     {
+        follower.first_valid_round_ = ++round_;
         follower.next_ = std::max(follower.match_, body.match_) + 1;
+        follower.probes_ = true;
+        follower.resend_at_ = {};
         send_append(from.from_, now);
         return;
     }
     follower.match_ = std::max(follower.match_, body.match_);
+    if (follower.match_ + 1 >= follower.next_)
+    {
+        follower.probes_ = false;
+    }
     follower.next_ = std::max(follower.next_, follower.match_ + 1);
     advance_commit();
     answer_reads();
-    const bool is_behind =
-        role_ == raft_role::leader && follower.next_ <= log_.last_index();
+    const bool is_behind = role_ == raft_role::leader && !follower.probes_ &&
+                           follower.next_ <= log_.last_index();
     if (is_behind)
     {
         send_append(from.from_, now);
--- a/control/raft.hpp
+++ b/control/raft.hpp
@@ -173,6 +173,14 @@
         std::uint64_t round_ = 0; ///< Last read-index round it confirmed.
         core::time_point last_reply_at_;
         core::time_point next_snapshot_at_; ///< Earliest time to send one.
+
+        /// Until then, entries that were sent may still arrive.
+        core::time_point resend_at_;
+        std::uint64_t first_valid_round_ = 0; ///< Of rejections.
+
+        /// Whether the leader looks for the end of the common log: it sends the
+        /// entries from next_ only, until the member accepts them.
+        bool probes_ = false;
     };
 
     /// Read that waits for a majority to confirm its round.
@@ -195,6 +203,7 @@
     void reply(const raft_message& to, raft_body body);
     void broadcast(core::time_point now);
     void send_append(const core::host_id& to, core::time_point now);
+    core::duration resend_delay(std::span<const log_entry> entries) const;
     void answer_reads();
     void refuse_reads();
     void check_quorum(core::time_point now);
--- a/tests/control/raft_test.cpp
+++ b/tests/control/raft_test.cpp
@@ -264,6 +264,177 @@
     EXPECT_EQ(now.ready_reads_[0], 7U);
 }
 
+namespace
+{
+
+constexpr std::size_t large_payload_bytes = 700'000;
+
+/// \return the bytes of entries in messages to a member.
+std::size_t entry_bytes_to(
+    const core::host_id& host, const std::vector<raft_message>& messages)
+{
+    std::size_t out = 0;
+    for (const raft_message& item : messages)
+    {
+        const auto* request = std::get_if<append_request>(&item.body_);
+        if (item.to_ != host || request == nullptr)
+        {
+            continue;
+        }
+        for (const log_entry& entry : request->entries_)
+        {
+            out += entry.payload_.size();
+        }
+    }
+    return out;
+}
+
+/// A leader, and a follower that has its log.
+struct leader_and_follower
+{
+    leader_and_follower()
+    {
+        leader_.tick({5'000});
+        leader_.receive(
+            {"b", "sb", "a", "sa", vote_reply{1, true, true}}, {5'001});
+        const vote_reply granted{leader_.term(), true, false};
+        settle(
+            leader_.receive({"b", "sb", "a", "sa", granted}, {5'002}).send_,
+            {5'002});
+    }
+
+    /// Exchanges messages until no more are sent.
+    void settle(std::vector<raft_message> messages, core::time_point now)
+    {
+        while (!messages.empty())
+        {
+            messages = exchange(messages, now);
+        }
+    }
+
+    /// Delivers messages to the follower, and its replies to the leader.
+    /// \return what the leader sends then.
+    std::vector<raft_message> exchange(
+        const std::vector<raft_message>& messages, core::time_point now)
+    {
+        std::vector<raft_message> out;
+        for (const raft_message& item : messages)
+        {
+            if (item.to_ != "b")
+            {
+                continue;
+            }
+            for (const raft_message& answer :
+                 follower_.receive(item, now).send_)
+            {
+                const auto sent = leader_.receive(answer, now).send_;
+                out.insert(out.end(), sent.begin(), sent.end());
+            }
+        }
+        return out;
+    }
+
+    std::vector<raft_message> propose_large(core::time_point now)
+    {
+        const std::vector<std::string> payloads{
+            std::string(large_payload_bytes, 'x')};
+        log_index index = 0;
+        return core::value(leader_.propose(payloads, now, index)).send_;
+    }
+
+    raft leader_ = make_raft("a", "sa", false);
+    raft follower_ = make_raft("b", "sb", false);
+};
+
+} // namespace
+
+// Guards against a leader that sends its entries once for each heartbeat that a
+// member had not read while it was paused.
+TEST(raft, the_backlog_of_a_paused_member_is_answered_with_its_entries_once)
+{
+    constexpr int heartbeats = 100;
+    leader_and_follower group;
+    ASSERT_EQ(group.leader_.role(), raft_role::leader);
+    // The member's connection breaks with the entries.
+    core::time_point now{5'200};
+    group.propose_large(now);
+    std::vector<raft_message> backlog;
+    for (int count = 0; count < heartbeats; ++count)
+    {
+        now = now + core::duration{200};
+        // Another member keeps the leader in office.
+        const auto sent = group.leader_.tick(now).send_;
+        for (const raft_message& item : sent)
+        {
+            if (item.to_ == "b")
+            {
+                backlog.push_back(item);
+            }
+            else
+            {
+                const auto& request = std::get<append_request>(item.body_);
+                group.leader_.receive(
+                    {"c",
+                     "sc",
+                     "a",
+                     "sa",
+                     append_reply{
+                         request.term_,
+                         true,
+                         request.previous_index_,
+                         request.round_}},
+                    now);
+            }
+        }
+    }
+    ASSERT_EQ(group.leader_.role(), raft_role::leader);
+    const auto sent = group.exchange(backlog, now);
+    EXPECT_LE(entry_bytes_to("b", sent), 2 * large_payload_bytes);
+    EXPECT_GE(entry_bytes_to("b", sent), large_payload_bytes);
+    group.settle(sent, now);
+    EXPECT_EQ(
+        group.follower_.log().last_index(), group.leader_.log().last_index());
+}
+
+// Guards against heartbeats that overtake entries on a slow link and let the
+// leader send the entries again each time.
+TEST(raft, entries_on_their_way_are_not_sent_again_for_each_heartbeat)
+{
+    leader_and_follower group;
+    ASSERT_EQ(group.leader_.role(), raft_role::leader);
+    core::time_point now{5'200};
+    const auto entries = group.propose_large(now);
+    ASSERT_GE(entry_bytes_to("b", entries), large_payload_bytes);
+    std::size_t sent_again = 0;
+    for (int count = 0; count < 4; ++count)
+    {
+        now = now + core::duration{160};
+        const auto answers = group.exchange(group.leader_.tick(now).send_, now);
+        sent_again += entry_bytes_to("b", answers);
+    }
+    EXPECT_EQ(sent_again, 0U);
+    group.exchange(entries, now);
+    EXPECT_EQ(
+        group.follower_.log().last_index(), group.leader_.log().last_index());
+}
+
+// Guards against entries that are never sent again after their loss.
+TEST(raft, lost_entries_are_sent_again)
+{
+    leader_and_follower group;
+    core::time_point now{5'200};
+    group.propose_large(now);
+    const core::time_point until = now + core::duration{2'000};
+    while (group.follower_.log().last_index() !=
+               group.leader_.log().last_index() &&
+           now < until)
+    {
+        now = now + core::duration{160};
+        group.settle(group.leader_.tick(now).send_, now);
+    }
+    EXPECT_LT(now.ms_, until.ms_);
+}
+
 RC_GTEST_PROP(
     raft, decodes_any_bytes_without_a_crash, (const std::string& bytes))
 {
