Take an answer whose status is none of HTTP for broken

Callers got 600 and 999 from an endpoint as an answer; 000 and 101 were taken for informational, so that the bytes after them counted as the answer. A body in a transfer coding that was not asked for was passed on as it was. Cause: the client checked an answer's framing only.

An answer with a status outside of 100 to 599, with 101, or with another transfer coding than chunked breaks its connection: callers get 502, an idempotent call is repeated. All calls to endpoints, the list and helping hosts go through this place; calls between processes are HTTP/2, whose library rejects such frames.

http_client.refuses_a_status_outside_of_the_protocol and refuses_a_body_in_a_transfer_coding_that_was_not_asked_for failed before.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -63,8 +63,12 @@
 /// Version of HTTP in requests, as the parser states it.
 constexpr unsigned http_version = 11;
 
-/// Smallest status that is not informational (RFC 9110, 15.2).
+/// Statuses of the protocol (RFC 9110, 15). A switch of the protocol is never
+/// asked for.
+constexpr unsigned min_status = 100;
+constexpr unsigned switching_status = 101;
 constexpr unsigned min_final_status = 200;
+constexpr unsigned max_status = 599;
 
 /// A connection is closed when more informational responses and responses to
 /// other requests than this arrive before the response to the current one.
@@ -106,6 +110,18 @@
     return {code, failed.message()};
 }
 
+/// \return whether a response is one that the protocol allows here: with a
+/// status of the protocol, and a body in no coding that was not asked for.
+bool is_acceptable(const http::response_header<>& header)
+{
+    const unsigned status = header.result_int();
+    const auto coding = header.find(http::field::transfer_encoding);
+    return status >= min_status && status <= max_status &&
+           status != switching_status &&
+           (coding == header.end() ||
+            beast::iequals(coding->value(), "chunked"));
+}
+
 /// Returns how long an idle connection may be reused, from "timeout=N" of the
 /// Keep-Alive header.
 core::duration idle_limit(const http::fields& headers)
@@ -279,7 +295,8 @@
             asio::redirect_error(asio::use_awaitable, failed));
     }
     co_await throw_if_cancelled();
-    if (failed || !parser.get().keep_alive() || parser.get().need_eof())
+    if (failed || !is_acceptable(parser.get().base()) ||
+        !parser.get().keep_alive() || parser.get().need_eof())
     {
         co_return error{
             errc::unreachable,
@@ -439,6 +456,10 @@
                 co_await throw_if_cancelled();
                 co_return failed;
             }
+            if (!is_acceptable(parser_->get().base()))
+            {
+                break;
+            }
             if (!is_informational())
             {
                 const attribution belongs = attribute(echo_header, echo_value);
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -495,5 +495,57 @@
         });
 }
 
+// Guards against a status that is none in the protocol being passed on as an
+// answer, or taken for an informational one.
+TEST(http_client, refuses_a_status_outside_of_the_protocol)
+{
+    for (const char* status : {"000", "001", "099", "101", "600", "999"})
+    {
+        asio::io_context io;
+        const std::string odd = std::string("HTTP/1.1 ") + status +
+                                " Odd\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nno";
+        raw_endpoint endpoint(io, {odd + make_response("a", "late")});
+        http_client client(io);
+        run(io,
+            [&]() -> asio::awaitable<void>
+            {
+                http_call call = make_call("a");
+                const auto reply = co_await client.request(std::move(call));
+                EXPECT_FALSE(core::is_ok(reply)) << status;
+                EXPECT_TRUE(
+                    core::is_ok(reply) ||
+                    core::failure(reply).code_ == core::errc::broken)
+                    << status;
+            });
+    }
+}
+
+// Guards against bytes in a coding of the connection being passed on as the
+// body.
+TEST(http_client, refuses_a_body_in_a_transfer_coding_that_was_not_asked_for)
+{
+    for (const char* coding : {"gzip", "chunked, gzip", "gzip, chunked"})
+    {
+        asio::io_context io;
+        raw_endpoint endpoint(
+            io,
+            {std::string("HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\n"
+                         "Transfer-Encoding: ") +
+             coding + "\r\n\r\n2\r\nno\r\n0\r\n\r\n"});
+        http_client client(io);
+        run(io,
+            [&]() -> asio::awaitable<void>
+            {
+                http_call call = make_call("a");
+                const auto reply = co_await client.request(std::move(call));
+                EXPECT_FALSE(core::is_ok(reply)) << coding;
+                EXPECT_TRUE(
+                    core::is_ok(reply) ||
+                    core::failure(reply).code_ == core::errc::broken)
+                    << coding;
+            });
+    }
+}
+
 } // namespace
 } // namespace poplarroute::drivers
