Do not believe an early answer whose connection resets the request

Cause: an endpoint that breaks off while it has nothing left to read ends its side in order, and only the rest of the upload resets the connection. An answer without a length counted as whole then: only a reset that the writing side had seen by that moment, and not after an orderly end, made it broken.

After a body that ended with its connection, the client waits until the endpoint has acknowledged the request; an error until then makes the answer broken. Nothing changes for requests that were received, and for answers with a length.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -5,7 +5,9 @@
 #include <set>
 #include <utility>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/core.hpp>
@@ -70,6 +72,9 @@
 constexpr unsigned min_final_status = 200;
 constexpr unsigned max_status = 599;
 
+/// Interval at which the delivery of a request is checked after its answer.
+constexpr core::duration delivery_check_interval{5};
+
 /// A connection is closed when more informational responses and responses to
 /// other requests than this arrive before the response to the current one.
 constexpr int max_mismatched_responses = 4;
@@ -110,6 +115,30 @@
     return {code, failed.message()};
 }
 
+/// \return an error of a socket that no call has reported yet.
+error_code pending_error(tcp::socket& socket)
+{
+    asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR> state;
+    error_code failed;
+    socket.get_option(state, failed);
+    return failed ? failed
+                  : error_code(state.value(), boost::system::system_category());
+}
+
+/// \return whether bytes wait for the peer's acknowledgement on a connection
+/// that may still deliver them.
+bool has_unacknowledged_bytes(tcp::socket& socket)
+{
+    tcp_info state{};
+    socklen_t size = sizeof(state);
+    const bool is_known =
+        ::getsockopt(
+            socket.native_handle(), IPPROTO_TCP, TCP_INFO, &state, &size) == 0;
+    int bytes = 0;
+    return is_known && state.tcpi_state != TCP_CLOSE &&
+           ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 /// \return whether a response is one that the protocol allows here: with a
 /// status of the protocol, and a body in no coding that was not asked for.
 bool is_acceptable(const http::response_header<>& header)
@@ -546,9 +575,14 @@
         {
             if (parser_->is_done())
             {
-                if (was_reset())
+                if (connection_ && parser_->need_eof())
                 {
-                    co_return error_from(connection_->write_error_);
+                    const error_code broken =
+                        co_await find_undelivered_request(timeout);
+                    if (broken)
+                    {
+                        co_return error_from(broken);
+                    }
                 }
                 release_connection();
                 co_return std::optional<std::string>();
@@ -630,15 +664,29 @@
         co_return failed;
     }
 
-    /// \return whether the connection broke that ended a body without a
-    /// length. The kernel reports that once, to the writing side if the request
-    /// is still being written; reading then sees an orderly end. A broken pipe
-    /// means that the orderly end came first.
-    bool was_reset() const
+    /// Waits until the endpoint has received the request, after a body that
+    /// ended with its connection. An endpoint that breaks off while it has
+    /// nothing left to read ends its side in order; the rest of the request
+    /// then resets the connection. The kernel reports a reset once, to the
+    /// writing side if the request is still being written.
+    /// \return why the request was not received; success when it was.
+    asio::awaitable<error_code> find_undelivered_request(core::duration timeout)
     {
-        return connection_ && parser_->need_eof() &&
-               connection_->write_error_ &&
-               connection_->write_error_ != asio::error::broken_pipe;
+        const core::time_point deadline = core::steady_now() + timeout;
+        while (connection_->writing_ ||
+               has_unacknowledged_bytes(connection_->stream_.socket()))
+        {
+            if (core::steady_now() >= deadline)
+            {
+                co_return beast::error::timeout;
+            }
+            co_await sleep_for(delivery_check_interval);
+        }
+        if (connection_->write_error_)
+        {
+            co_return connection_->write_error_;
+        }
+        co_return pending_error(connection_->stream_.socket());
     }
 
     bool is_informational() const
