Conclude a stream's version only from a list as new as the take-up

It can happen here: a host without a leader took the only version that its list had shown for the version of any stream, however long ago it had read the list.

The history states until when it has to reach: at a host without a leader until the take-up arrived, at the leader until the age at which hosts stop using its list. What nobody can know is refused (503, not run), as before.

--- a/node/origin_client.cpp
+++ b/node/origin_client.cpp
@@ -153,7 +153,8 @@
     core::duration longest,
     core::duration timeout)
 {
-    const core::time_point until = core::steady_now() + timeout;
+    const core::time_point asked_at = core::steady_now();
+    const core::time_point until = asked_at + timeout;
     if (const auto version = own(attempt))
     {
         co_return found_origin{*version, "own_record"};
@@ -195,8 +196,12 @@
         }
         if (leader.empty())
         {
+            // A host that was cut off or paused may have missed a version at
+            // which others have begun the stream.
+            observe_list(
+                with_.board_.section<endpoint_section>(), versions_);
             const auto version =
-                versions_.only_version(service, core::steady_now() - longest);
+                versions_.only_version(service, asked_at - longest, asked_at);
             if (version)
             {
                 co_return found_origin{*version, "only_version"};
--- a/node/origin_registry.cpp
+++ b/node/origin_registry.cpp
@@ -1,5 +1,6 @@
 #include "node/origin_registry.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace poplarroute::node
@@ -21,6 +22,10 @@
 /// they have begun.
 constexpr core::duration adoption_period{1'200};
 
+/// Age up to which hosts use the leader's endpoint list. With an older one, they
+/// may have found endpoints that the leader does not know.
+constexpr core::duration max_list_age{2'500};
+
 } // namespace
 
 origin_registry::origin_registry(context& with, catalog_replica& group)
@@ -166,7 +171,9 @@
     }
     const std::optional<std::string> version =
         leads ? versions_.only_version(
-                    request.service_, now - core::duration{request.longest_ms_})
+                    request.service_,
+                    now - core::duration{request.longest_ms_},
+                    std::max(leading_since_, now - max_list_age))
               : std::nullopt;
     if (version)
     {
--- a/policy/version_history.cpp
+++ b/policy/version_history.cpp
@@ -43,9 +43,11 @@
 }
 
 std::optional<std::string> version_history::only_version(
-    const core::service_id& service, core::time_point since) const
+    const core::service_id& service,
+    core::time_point since,
+    core::time_point until) const
 {
-    if (!known_ || known_->began_at_ > since)
+    if (!known_ || known_->began_at_ > since || known_->read_at_ < until)
     {
         return std::nullopt;
     }
--- a/policy/version_history.hpp
+++ b/policy/version_history.hpp
@@ -32,10 +32,14 @@
         core::time_point read_at);
 
     /// \param since start of the time that counts.
+    /// \param until its end. A list that was read before may lack a version
+    /// that other hosts have used since.
     /// \return the one version that a service had in all of that time; nothing
     /// when it had several, or none, or the history is shorter.
     std::optional<std::string> only_version(
-        const core::service_id& service, core::time_point since) const;
+        const core::service_id& service,
+        core::time_point since,
+        core::time_point until) const;
 
     void expire(core::time_point before);
 
--- a/tests/platform/mixed_versions_test.cpp
+++ b/tests/platform/mixed_versions_test.cpp
@@ -57,6 +57,19 @@
         put_list();
     }
 
+    /// Lets the host read the list once more.
+    void read_list_after(core::duration delay)
+    {
+        drivers::spawn(
+            io_,
+            [](mixed_versions& test,
+               core::duration delay) -> drivers::asio::awaitable<void>
+            {
+                co_await drivers::sleep_for(delay);
+                test.put_list();
+            }(*this, delay));
+    }
+
     /// Takes a stream up after its second event.
     drivers::http_response take_up(const std::string& attempt)
     {
@@ -190,8 +203,22 @@
     list_.front().version_ = "v1";
     add_engine("i-1", "v1");
     wait(core::duration{300});
+    read_list_after(core::duration{200});
     EXPECT_EQ(take_up("unheard-of").status_, 200);
 }
 
+// Guards against a host that was cut off or paused while engines of a new
+// version joined, and lets a stream of theirs go on at the version that it knows.
+TEST_F(mixed_versions, a_host_that_may_have_missed_a_version_concludes_none)
+{
+    list_.front().version_ = "v1";
+    const raw_engine& known = add_engine("i-1", "v1");
+    wait(core::duration{300});
+    EXPECT_EQ(take_up("begun-elsewhere").status_, status_unavailable);
+    add_engine("i-2", "v2");
+    EXPECT_EQ(take_up("begun-elsewhere").status_, status_unavailable);
+    EXPECT_TRUE(known.requests_.empty());
+}
+
 } // namespace
 } // namespace poplarroute::platform
