Let an older leader place streams at one version, before the prefill

While hosts of this build stood beside members of the build before versions, half of the streams were refused and prompts were prefilled in vain: that leader joins prefill and decode engines of two versions, which the host noticed after the prefill.

The host checks a placement before it uses it. It then asks for engines of the decode engine's version (or of the version that the stream is bound to) by leaving the others out, which every earlier leader understands; if that version has no prefill engine, the decode engine reads the prompt. No message has changed.

--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -275,6 +275,14 @@
             co_return may_place_again() ? step_result::retry
                                         : step_result::refused;
         }
+        const bool lacks_reader =
+            avoids_versions_ && !kv_handle_ && !decode_reads_prompt_;
+        if (lacks_reader)
+        {
+            decode_reads_prompt_ = true;
+            co_return may_place_again() ? step_result::retry
+                                        : step_result::refused;
+        }
         co_return step_result::refused;
     }
     permission_ = {!placement_.decided_locally_, std::nullopt};
@@ -302,6 +310,50 @@
     co_return step_result::done;
 }
 
+/// \return the version at which the stream has to be placed, if the placement
+/// joins engines of several: of the list that the leader has, or by a program
+/// that does not know of versions.
+std::optional<std::string> stream_forwarder::misplaced_version() const
+{
+    const known_endpoint* decoder =
+        ingress_.find_usable_endpoint(placement_.decoder_);
+    if (decoder == nullptr)
+    {
+        return std::nullopt;
+    }
+    const std::string& version = decoder->listed_.version_;
+    if (!origin_.allows(decoder->listed_))
+    {
+        return origin_.version();
+    }
+    if (kv_handle_)
+    {
+        return version == kv_version_ ? std::nullopt
+                                      : std::optional(kv_version_);
+    }
+    const known_endpoint* reader =
+        ingress_.find_usable_endpoint(placement_.reader_);
+    return reader == nullptr || reader->listed_.version_ == version
+               ? std::nullopt
+               : std::optional(version);
+}
+
+/// Leaves out the engines of other versions in further placements.
+void stream_forwarder::avoid_other_versions(const std::string& version)
+{
+    const endpoint_section& list =
+        ingress_.with_.board_.section<endpoint_section>();
+    for (const auto& [name, item] : list.endpoints_)
+    {
+        if (item.listed_.service_ == call_.service_ &&
+            item.listed_.version_ != version)
+        {
+            avoid_.insert(name);
+        }
+    }
+    avoids_versions_ = true;
+}
+
 awaitable<stream_forwarder::step_result> stream_forwarder::prefill_prompt()
 {
     const known_endpoint* endpoint =
@@ -806,6 +858,12 @@
     {
         co_return step_result::refused;
     }
+    if (const auto version = misplaced_version(); version && !avoids_versions_)
+    {
+        avoid_other_versions(*version);
+        result_.detail_ = "the placement joins engines of several versions";
+        co_return step_result::retry;
+    }
     if (!kv_handle_ && !placement_.reader_.empty())
     {
         const step_result prefilled = co_await prefill_prompt();
--- a/node/stream_forwarder.hpp
+++ b/node/stream_forwarder.hpp
@@ -39,6 +39,8 @@
     std::set<core::endpoint_id> engines_to_avoid() const;
     placement_request make_placement_request() const;
     awaitable<step_result> acquire_placement();
+    std::optional<std::string> misplaced_version() const;
+    void avoid_other_versions(const std::string& version);
     awaitable<step_result> prefill_prompt();
     awaitable<step_result> open_decode_stream();
     step_result check_decode_response();
@@ -80,6 +82,7 @@
     std::string placement_id_;
     int placement_attempts_ = 0;
     std::set<core::endpoint_id> avoid_;
+    bool avoids_versions_ = false; ///< See avoid_other_versions().
     bool decode_reads_prompt_ = false;
     std::optional<kv_handle> kv_handle_;
     std::string kv_handle_address_;
--- a/tests/platform/mixed_versions_test.cpp
+++ b/tests/platform/mixed_versions_test.cpp
@@ -1,6 +1,7 @@
 // Streams that go on while engines of several software versions serve.
 
 #include "tests/platform/ingress_fixture.hpp"
+#include "tests/platform/process.hpp"
 #include "tests/platform/raw_engine.hpp"
 
 namespace poplarroute::platform
@@ -8,10 +9,69 @@
 namespace
 {
 
+namespace asio = drivers::asio;
+
 constexpr int prefill_port = 19550;
+constexpr int second_prefill_port = 19559;
+constexpr const char* leader_address = "127.0.0.1:19558";
 constexpr int first_decode_port = 19551;
 constexpr int status_unavailable = 503;
 
+/// A leader of an older program: it places streams without regard to versions.
+struct older_leader : listening_process
+{
+    older_leader(asio::io_context& io, const char* address)
+        : listening_process(io, address, address)
+    {
+        calls_.add_typed<node::placement_request, node::placement_reply>(
+            node::method::streams_place,
+            node::allowed_callers::host,
+            [this](drivers::peer_identity, node::placement_request request)
+                -> asio::awaitable<core::result<node::placement_reply>>
+            {
+                co_return place(request);
+            });
+        port_.start();
+    }
+
+    /// \return the first of some engines that the host does not leave out.
+    static std::string first_of(
+        const std::vector<std::string>& engines,
+        const node::placement_request& request)
+    {
+        for (const std::string& name : engines)
+        {
+            if (std::find(
+                    request.avoid_.begin(), request.avoid_.end(), name) ==
+                request.avoid_.end())
+            {
+                return name;
+            }
+        }
+        return {};
+    }
+
+    node::placement_reply place(const node::placement_request& request) const
+    {
+        node::placement_reply out;
+        out.decoder_ = first_of(decoders_, request);
+        if (!request.prompt_is_read_ && !request.decode_reads_prompt_)
+        {
+            out.reader_ = first_of(readers_, request);
+        }
+        const bool has_reader = !out.reader_.empty() ||
+                                request.prompt_is_read_ ||
+                                request.decode_reads_prompt_;
+        out.placed_ = !out.decoder_.empty() && has_reader;
+        out.reason_ =
+            policy::name_of(policy::stream_refusal_reason::no_engine);
+        return out;
+    }
+
+    std::vector<std::string> readers_;
+    std::vector<std::string> decoders_;
+};
+
 class mixed_versions : public ingress_fixture
 {
 protected:
@@ -220,5 +280,40 @@
     EXPECT_TRUE(known.requests_.empty());
 }
 
+// Guards against prompts that are prefilled in vain while the leader runs an
+// older program, which joins engines of two versions.
+TEST_F(mixed_versions, an_older_leader_wastes_no_prefill)
+{
+    older_leader leader(io_, leader_address);
+    leader.readers_ = {"i-read", "i-read-new"};
+    leader.decoders_ = {"i-new", "i-old"};
+    stubs_.front()->received_.clear();
+    list_.front().version_ = "v1";
+    stub_endpoint& matching = add_endpoint(
+        "i-read-new", second_prefill_port, "llm", true, prefill_answer);
+    list_.back().version_ = "v2";
+    const raw_engine& placed = add_engine("i-new", "v2");
+    add_engine("i-old", "v1");
+    host_.board_.section<node::group_section>().leader_ = leader_address;
+    call("/llm/x");
+    EXPECT_EQ(stubs_.front()->requests(), 0U);
+    EXPECT_EQ(matching.requests(), 1U);
+    EXPECT_EQ(placed.requests_.size(), 1U);
+}
+
+// Guards against refusals while a version has no prefill engine.
+TEST_F(mixed_versions, an_older_leader_finds_no_matching_prefill_engine)
+{
+    older_leader leader(io_, leader_address);
+    leader.readers_ = {"i-read"};
+    leader.decoders_ = {"i-new"};
+    list_.front().version_ = "v1";
+    const raw_engine& placed = add_engine("i-new", "v2");
+    host_.board_.section<node::group_section>().leader_ = leader_address;
+    call("/llm/x");
+    EXPECT_EQ(stubs_.front()->requests(), 0U);
+    EXPECT_EQ(placed.requests_.size(), 1U);
+}
+
 } // namespace
 } // namespace poplarroute::platform
