Log whether a source of documents is lost; format

part_failed states lost=1 for a member that did not reply and 0 for one that lacks the document, which tells the two ways apart in which the transfer of a change is slow.

--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -481,6 +481,7 @@
         "part_failed",
         {{"asked", source},
          {"problem", problem.message_},
+         {"lost", kind == document_sources::failure::lost ? 1 : 0},
          {"document", request.id_.name_},
          {"revision", request.id_.revision_},
          {"offset", request.offset_},
--- a/node/origin_client.cpp
+++ b/node/origin_client.cpp
@@ -198,8 +198,7 @@
         {
             // A host that was cut off or paused may have missed a version at
             // which others have begun the stream.
-            observe_list(
-                with_.board_.section<endpoint_section>(), versions_);
+            observe_list(with_.board_.section<endpoint_section>(), versions_);
             const auto version =
                 versions_.only_version(service, asked_at - longest, asked_at);
             if (version)
--- a/node/origin_registry.cpp
+++ b/node/origin_registry.cpp
@@ -22,8 +22,8 @@
 /// they have begun.
 constexpr core::duration adoption_period{1'200};
 
-/// Age up to which hosts use the leader's endpoint list. With an older one, they
-/// may have found endpoints that the leader does not know.
+/// Age up to which hosts use the leader's endpoint list. With an older one,
+/// they may have found endpoints that the leader does not know.
 constexpr core::duration max_list_age{2'500};
 
 } // namespace
--- a/tests/drivers/early_answer_test.cpp
+++ b/tests/drivers/early_answer_test.cpp
@@ -22,10 +22,10 @@
 /// How an endpoint's connection ends after its answer.
 enum class ending
 {
-    reset,           ///< At once.
-    close,           ///< Without reading on, which resets what still arrives.
-    end_then_reset,  ///< Its own side in order, then a reset.
-    end_then_read,   ///< Its own side in order; the upload is read to its end.
+    reset,          ///< At once.
+    close,          ///< Without reading on, which resets what still arrives.
+    end_then_reset, ///< Its own side in order, then a reset.
+    end_then_read,  ///< Its own side in order; the upload is read to its end.
 };
 
 /// Answers one upload without a length, in a thread of its own.
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -502,8 +502,9 @@
     for (const char* status : {"000", "001", "099", "101", "600", "999"})
     {
         asio::io_context io;
-        const std::string odd = std::string("HTTP/1.1 ") + status +
-                                " Odd\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nno";
+        const std::string odd =
+            std::string("HTTP/1.1 ") + status +
+            " Odd\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nno";
         raw_endpoint endpoint(io, {odd + make_response("a", "late")});
         http_client client(io);
         run(io,
--- a/tests/platform/cut_answer_test.cpp
+++ b/tests/platform/cut_answer_test.cpp
@@ -95,7 +95,7 @@
     core::duration pause_{0}; ///< Around the last answer.
     /// Whether it ends its side in order, and reads what still arrives.
     bool ends_and_reads_ = false;
-    int requests_ = 0;        ///< Received from callers.
+    int requests_ = 0; ///< Received from callers.
     std::string last_request_;
 };
 
--- a/tests/platform/mixed_versions_test.cpp
+++ b/tests/platform/mixed_versions_test.cpp
@@ -41,8 +41,7 @@
     {
         for (const std::string& name : engines)
         {
-            if (std::find(
-                    request.avoid_.begin(), request.avoid_.end(), name) ==
+            if (std::find(request.avoid_.begin(), request.avoid_.end(), name) ==
                 request.avoid_.end())
             {
                 return name;
@@ -63,8 +62,7 @@
                                 request.prompt_is_read_ ||
                                 request.decode_reads_prompt_;
         out.placed_ = !out.decoder_.empty() && has_reader;
-        out.reason_ =
-            policy::name_of(policy::stream_refusal_reason::no_engine);
+        out.reason_ = policy::name_of(policy::stream_refusal_reason::no_engine);
         return out;
     }
 
@@ -268,7 +266,8 @@
 }
 
 // Guards against a host that was cut off or paused while engines of a new
-// version joined, and lets a stream of theirs go on at the version that it knows.
+// version joined, and lets a stream of theirs go on at the version that it
+// knows.
 TEST_F(mixed_versions, a_host_that_may_have_missed_a_version_concludes_none)
 {
     list_.front().version_ = "v1";
