Send entries no second time for a heartbeat that comes before them

Read again: a heartbeat that a member accepted while the entries after its log were on their way ended the search for its log's end, so that they were sent once more. Also, a refusal for an account's rate is no sign of a missing prefill engine.

--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -809,7 +809,11 @@
         return;
     }
     follower.match_ = std::max(follower.match_, body.match_);
-    if (follower.match_ + 1 >= follower.next_)
+    // A heartbeat that is accepted before the entries are shows nothing new.
+    const bool has_entries = follower.match_ >= follower.next_;
+    const bool lacks_none = follower.match_ + 1 >= follower.next_ &&
+                            follower.next_ > log_.last_index();
+    if (has_entries || lacks_none)
     {
         follower.probes_ = false;
     }
--- a/node/document_sources.hpp
+++ b/node/document_sources.hpp
@@ -66,7 +66,7 @@
 
     std::uint64_t seed_;
     std::map<core::host_id, source> sources_;
-    std::optional<core::time_point> last_loss_at_; ///< Of any but the leader.
+    std::optional<core::time_point> last_loss_at_; ///< Of any member.
 };
 
 } // namespace poplarroute::node
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -275,8 +275,9 @@
             co_return may_place_again() ? step_result::retry
                                         : step_result::refused;
         }
-        const bool lacks_reader =
-            avoids_versions_ && !kv_handle_ && !decode_reads_prompt_;
+        const bool lacks_reader = avoids_versions_ && !kv_handle_ &&
+                                  !decode_reads_prompt_ &&
+                                  !placement_.over_rate_;
         if (lacks_reader)
         {
             decode_reads_prompt_ = true;
