State the rate of messages and the age of the list in one place each

Read again, behaviour unchanged. The least rate of messages between members stood in control/raft and node/replica, with the same division (control::transfer_time now); the age up to which hosts use the leader's list stood in catalog_watcher and origin_registry (node::max_list_age); a step of a stream repeated the check that its caller makes of every retry; two tests of broken responses had one body, which is a function now, with the same assertions. Ruled out: raft_log's own count of payload bytes, which is private to its limits.

82 tests of these parts passed, the soak of the group and the early answers among them.

--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -14,8 +14,8 @@
 constexpr std::size_t max_entries_per_message = 512;
 constexpr std::size_t max_bytes_per_message = 1024 * 1024;
 
-/// Least rate at which entries are taken to arrive at a member.
-constexpr std::int64_t min_bytes_per_ms = 1'000;
+/// Least rate at which messages are taken to arrive at a member.
+constexpr std::size_t min_bytes_per_ms = 1'000;
 
 /// A learner that is at most this far behind may be promoted.
 constexpr log_index max_learner_lag_entries = 16;
@@ -53,6 +53,11 @@
 
 } // namespace
 
+core::duration transfer_time(std::size_t bytes)
+{
+    return core::duration{static_cast<std::int64_t>(bytes / min_bytes_per_ms)};
+}
+
 bool raft_actions::needs_disk_write() const
 {
     return hard_state_ || install_snapshot_ || truncate_from_ ||
@@ -351,13 +356,12 @@
 /// \return how long entries are left to arrive before they are sent again.
 core::duration raft::resend_delay(std::span<const log_entry> entries) const
 {
-    std::int64_t bytes = 0;
+    std::size_t bytes = 0;
     for (const log_entry& entry : entries)
     {
-        bytes += static_cast<std::int64_t>(entry.payload_.size());
+        bytes += entry.payload_.size();
     }
-    return times_.heartbeat_interval_ +
-           core::duration{bytes / min_bytes_per_ms};
+    return times_.heartbeat_interval_ + transfer_time(bytes);
 }
 
 void raft::append_entry(entry_kind kind, std::string payload)
--- a/control/raft.hpp
+++ b/control/raft.hpp
@@ -27,6 +27,10 @@
     core::duration min_first_election_timeout_{800};
 };
 
+/// \param bytes size of a message between members.
+/// \return the longest time, in ms, that it is taken to need on its way.
+core::duration transfer_time(std::size_t bytes);
+
 /// Role of a member in the current term.
 enum class raft_role
 {
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -48,9 +48,6 @@
 /// host that reaches no such member has to serve at last.
 constexpr core::duration outdated_catalog_wait{3'000};
 
-/// Age of the endpoint list after which this host reads it itself.
-constexpr core::duration list_stale_after{2'500};
-
 /// \return what an error says of the member that was asked for a part.
 document_sources::failure failure_kind(const core::error& problem)
 {
@@ -95,7 +92,7 @@
 bool catalog_watcher::list_is_stale() const
 {
     const endpoint_section& list = with_.board_.section<endpoint_section>();
-    return core::steady_now() - list.read_at_ > list_stale_after &&
+    return core::steady_now() - list.read_at_ > max_list_age &&
            with_.board_.section<catalog_section>().view_ != nullptr;
 }
 
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -51,6 +51,10 @@
     core::time_point cold_until_;
 };
 
+/// Age up to which hosts use the leader's endpoint list; then they read it
+/// themselves.
+inline constexpr core::duration max_list_age{2'500};
+
 /// The platform's endpoint list. Written by endpoint_list_poller or
 /// catalog_watcher.
 struct endpoint_section
--- a/node/origin_registry.cpp
+++ b/node/origin_registry.cpp
@@ -22,10 +22,6 @@
 /// they have begun.
 constexpr core::duration adoption_period{1'200};
 
-/// Age up to which hosts use the leader's endpoint list. With an older one,
-/// they may have found endpoints that the leader does not know.
-constexpr core::duration max_list_age{2'500};
-
 } // namespace
 
 origin_registry::origin_registry(context& with, catalog_replica& group)
@@ -169,6 +165,7 @@
         out.version_ = origin->version_;
         return out;
     }
+    // With an older list, hosts may have found endpoints that are not in it.
     const std::optional<std::string> version =
         leads ? versions_.only_version(
                     request.service_,
--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -25,9 +25,6 @@
 
 constexpr core::duration tick_interval{20};
 constexpr core::duration send_timeout{1'000};
-
-/// Least rate at which a message is taken to arrive; it gets that much longer.
-constexpr std::int64_t min_bytes_per_ms = 1'000;
 constexpr core::duration commit_timeout{4'000};
 constexpr control::log_index snapshot_interval_entries = 2'000;
 
@@ -59,13 +56,9 @@
 awaitable<void> send_message(
     drivers::peer_client& peers, std::string to, std::string body)
 {
-    const core::duration transfer_time{
-        static_cast<std::int64_t>(body.size()) / min_bytes_per_ms};
-    co_await peers.call(
-        std::move(to),
-        method::raft,
-        std::move(body),
-        send_timeout + transfer_time);
+    const core::duration timeout =
+        send_timeout + control::transfer_time(body.size());
+    co_await peers.call(std::move(to), method::raft, std::move(body), timeout);
 }
 
 } // namespace
--- a/node/stream_forwarder.cpp
+++ b/node/stream_forwarder.cpp
@@ -281,8 +281,7 @@
         if (lacks_reader)
         {
             decode_reads_prompt_ = true;
-            co_return may_place_again() ? step_result::retry
-                                        : step_result::refused;
+            co_return step_result::retry;
         }
         co_return step_result::refused;
     }
--- a/tests/drivers/http_client_test.cpp
+++ b/tests/drivers/http_client_test.cpp
@@ -495,29 +495,36 @@
         });
 }
 
+/// Lets a client read a response that it has to take for broken.
+void expect_broken(const std::string& response, const char* reason)
+{
+    asio::io_context io;
+    raw_endpoint endpoint(io, {response});
+    http_client client(io);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            http_call call = make_call("a");
+            const auto reply = co_await client.request(std::move(call));
+            EXPECT_FALSE(core::is_ok(reply)) << reason;
+            EXPECT_TRUE(
+                core::is_ok(reply) ||
+                core::failure(reply).code_ == core::errc::broken)
+                << reason;
+        });
+}
+
 // Guards against a status that is none in the protocol being passed on as an
 // answer, or taken for an informational one.
 TEST(http_client, refuses_a_status_outside_of_the_protocol)
 {
     for (const char* status : {"000", "001", "099", "101", "600", "999"})
     {
-        asio::io_context io;
-        const std::string odd =
+        expect_broken(
             std::string("HTTP/1.1 ") + status +
-            " Odd\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nno";
-        raw_endpoint endpoint(io, {odd + make_response("a", "late")});
-        http_client client(io);
-        run(io,
-            [&]() -> asio::awaitable<void>
-            {
-                http_call call = make_call("a");
-                const auto reply = co_await client.request(std::move(call));
-                EXPECT_FALSE(core::is_ok(reply)) << status;
-                EXPECT_TRUE(
-                    core::is_ok(reply) ||
-                    core::failure(reply).code_ == core::errc::broken)
-                    << status;
-            });
+                " Odd\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nno" +
+                make_response("a", "late"),
+            status);
     }
 }
 
@@ -527,24 +534,11 @@
 {
     for (const char* coding : {"gzip", "chunked, gzip", "gzip, chunked"})
     {
-        asio::io_context io;
-        raw_endpoint endpoint(
-            io,
-            {std::string("HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\n"
-                         "Transfer-Encoding: ") +
-             coding + "\r\n\r\n2\r\nno\r\n0\r\n\r\n"});
-        http_client client(io);
-        run(io,
-            [&]() -> asio::awaitable<void>
-            {
-                http_call call = make_call("a");
-                const auto reply = co_await client.request(std::move(call));
-                EXPECT_FALSE(core::is_ok(reply)) << coding;
-                EXPECT_TRUE(
-                    core::is_ok(reply) ||
-                    core::failure(reply).code_ == core::errc::broken)
-                    << coding;
-            });
+        expect_broken(
+            std::string("HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\n"
+                        "Transfer-Encoding: ") +
+                coding + "\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+            coding);
     }
 }
 
