--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -24,6 +24,7 @@
 import platform_fakes as fakes  # noqa: E402
 
 HOLDS, BROKEN, CANNOT_RUN = 0, 1, 2
+MAX_SECONDS = 110
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -259,11 +260,19 @@
                          "ratePerS": 0, "burst": 0}], **more}
 
 
+async def run_until_ended(main):
+    """Runs the case. Its processes are stopped as well when it is ended."""
+    case = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, case.cancel)
+    return await asyncio.wait_for(main(), MAX_SECONDS)
+
+
 def run_case(main):
     """Runs the case's coroutine, which returns the exit status."""
     try:
-        status = asyncio.run(asyncio.wait_for(main(), 115))
-    except Exception as problem:  # pylint: disable=broad-except
+        status = asyncio.run(run_until_ended(main))
+    except (Exception, asyncio.CancelledError) as problem:
         print(f"the case could not run: {problem!r}", file=sys.stderr)
         status = CANNOT_RUN
     sys.exit(status)
