Let the fakes read heads of up to 4 MiB

The fakes of endpoints and callers read at most 64 KiB of a message's head (asyncio's default limit), so that no test could show what a process does with a longer one.

--- a/tests/deadly_part.py
+++ b/tests/deadly_part.py
@@ -71,7 +71,8 @@
     async def start_again(self):
         await asyncio.sleep(DOWN_S)
         self.server = await asyncio.start_server(
-            self.serve_connection, "127.0.0.1", self.port)
+            self.serve_connection, "127.0.0.1", self.port,
+            limit=fakes.MAX_HEAD_BYTES)
         self.is_down = False
 
 
--- a/tests/fakes/platform_fakes.py
+++ b/tests/fakes/platform_fakes.py
@@ -11,6 +11,9 @@
 
 CRLF = b"\r\n"
 
+# Largest head of a message that a fake reads: above any limit of a test.
+MAX_HEAD_BYTES = 4 * 1024 * 1024
+
 
 async def read_message(reader):
     """Reads one HTTP/1.1 message: start line, headers (lower case), body.
@@ -129,7 +132,8 @@
 
     async def start(self):
         self.server = await asyncio.start_server(
-            self.serve_connection, "127.0.0.1", self.port)
+            self.serve_connection, "127.0.0.1", self.port,
+            limit=MAX_HEAD_BYTES)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def crash(self, down_s, name, version=None):
@@ -325,7 +329,8 @@
 
     async def start(self):
         server = await asyncio.start_server(
-            self.serve_connection, "127.0.0.1", 0)
+            self.serve_connection, "127.0.0.1", 0,
+            limit=MAX_HEAD_BYTES)
         self.port = server.sockets[0].getsockname()[1]
 
     async def serve_connection(self, reader, writer):
@@ -334,7 +339,7 @@
             return
         try:
             to_reader, to_writer = await asyncio.open_connection(
-                "127.0.0.1", self.endpoint.port)
+                "127.0.0.1", self.endpoint.port, limit=MAX_HEAD_BYTES)
         except OSError:
             writer.transport.abort()
             return
@@ -379,7 +384,8 @@
 
     async def start(self):
         server = await asyncio.start_server(
-            self.serve_connection, "127.0.0.1", 0)
+            self.serve_connection, "127.0.0.1", 0,
+            limit=MAX_HEAD_BYTES)
         self.port = server.sockets[0].getsockname()[1]
 
     def entry(self, link):
@@ -447,7 +453,7 @@
     async def exchange(self, method, target, headers, body):
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(
-                self.ip, self.port)
+                self.ip, self.port, limit=MAX_HEAD_BYTES)
         self.writer.write(format_message(f"{method} {target} HTTP/1.1",
                                          headers, body))
         await self.writer.drain()
@@ -471,7 +477,7 @@
     async def read_stream(self, target, headers, body, out):
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(
-                self.ip, self.port)
+                self.ip, self.port, limit=MAX_HEAD_BYTES)
         self.writer.write(format_message(f"POST {target} HTTP/1.1", headers,
                                          body))
         await self.writer.drain()
