Log and count how late the event loop runs, and which calls load it

Whether a leader lacks processor time, and what loads it, could not be told from logs: lists that were read late, refusals and lost leaders looked alike. loop_late names the lateness and the calls of other hosts since the last line; metrics: poplarroute_loop_late_ms, poplarroute_peer_calls.

--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -12,6 +12,7 @@
 #include "node/endpoint_list_poller.hpp"
 #include "node/fault_injection.hpp"
 #include "node/ingress_controller.hpp"
+#include "node/load_monitor.hpp"
 #include "node/messages.hpp"
 #include "node/reach_monitor.hpp"
 #include "node/rollout_client.hpp"
@@ -96,7 +97,8 @@
           peers_(io_, nullptr),
           with_{io_, board_, peers_, http_, metrics_, calls_},
           signals_(io_, SIGTERM, SIGINT),
-          hangups_(io_, SIGHUP)
+          hangups_(io_, SIGHUP),
+          load_(with_)
     {
         identity_section& identity = board_.section<identity_section>();
         identity.host_ = settings.peer_listen_;
@@ -157,6 +159,7 @@
     asio::signal_set hangups_;
     int exit_status_ = 0;
 
+    load_monitor load_;
     std::unique_ptr<catalog_replica> group_;
     std::unique_ptr<catalog_controller> catalog_controller_;
     std::unique_ptr<endpoint_list_poller> list_poller_;
@@ -386,6 +389,7 @@
         {},
         static_cast<double>(board_.section<catalog_section>().revision_));
     drivers::set_traffic_metrics(metrics_);
+    load_.set_metrics();
     metrics_.set(
         "poplarroute_exceptions",
         {},
@@ -472,6 +476,7 @@
         }
         ready_port_->start();
     }
+    load_.start();
     list_poller_->start();
     peer_port_->start();
     metrics_port_->start();
--- a/node/peers.cpp
+++ b/node/peers.cpp
@@ -28,6 +28,7 @@
     {
         co_return core::error{core::errc::denied, "not for this certificate"};
     }
+    ++counts_[name];
     co_return co_await found->second.handle_(std::move(from), std::move(body));
 }
 
--- a/node/peers.hpp
+++ b/node/peers.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -62,6 +63,12 @@
     awaitable<core::result<std::string>> answer(
         drivers::peer_identity from, std::string name, std::string body);
 
+    /// \return how often each registered call was made, by its name.
+    const std::map<std::string, std::uint64_t>& counts() const
+    {
+        return counts_;
+    }
+
 private:
     struct entry
     {
@@ -70,6 +77,7 @@
     };
 
     std::map<std::string, entry> entries_;
+    std::map<std::string, std::uint64_t> counts_;
 };
 
 /// Calls a peer with typed messages.
