Replace a silent connection after the first call that it loses

Callers of a peer saw: after an open connection had fallen silent for good, not only the call that was lost failed, but the next one as well. A connection counts as silent when nothing has arrived since the call began; a reply that arrived in the same millisecond, before it began, counted as news.

--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -307,7 +307,7 @@
     {
         co_return core::error{core::errc::broken, "connection lost"};
     }
-    if (last_read_at_ < started_at)
+    if (last_read_at_ <= started_at)
     {
         // Nothing has arrived on this connection since the call began; a new
         // connection may work.
