Refuse messages of the group that would break an invariant

raft::find_objection looks at a message before it is handled; replicas refuse what it objects to, with a line in the log and a counter. Messages of earlier terms are still answered, so that an old leader learns of the new term. The invariants stay: the soak, which passes messages on directly, checks them.

--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -12,6 +12,11 @@
 {
 
 constexpr std::size_t max_entries_per_message = 512;
+
+/// Largest index and term that a message may state. Greater ones would overflow
+/// after some more steps.
+constexpr log_index max_index = std::uint64_t{1} << 62U;
+constexpr term_number max_term = std::uint64_t{1} << 62U;
 constexpr std::size_t max_bytes_per_message = 1024 * 1024;
 
 /// Least rate at which messages are taken to arrive at a member.
@@ -607,6 +612,74 @@
     return message.to_ == host_ && message.to_store_ == store_;
 }
 
+std::string_view raft::find_objection(const append_request& body) const
+{
+    if (body.term_ == state_.term_ && role_ == raft_role::leader)
+    {
+        return "a term has one leader, which is this member";
+    }
+    if (body.previous_index_ > max_index || body.commit_ > max_index ||
+        body.previous_term_ > body.term_)
+    {
+        return "an index or a term is out of range";
+    }
+    log_index next = body.previous_index_ + 1;
+    term_number term = body.previous_term_;
+    for (const log_entry& entry : body.entries_)
+    {
+        if (entry.index_ != next || entry.term_ < term ||
+            entry.term_ > body.term_)
+        {
+            return "the entries are no part of a log";
+        }
+        const bool is_committed_here =
+            entry.index_ > log_.base_index() && entry.index_ <= commit_;
+        if (is_committed_here && log_.term_at(entry.index_) != entry.term_)
+        {
+            return "an entry differs from a committed one";
+        }
+        term = entry.term_;
+        ++next;
+    }
+    return {};
+}
+
+std::string_view raft::find_objection(const snapshot_request& body) const
+{
+    if (body.term_ == state_.term_ && role_ == raft_role::leader)
+    {
+        return "a term has one leader, which is this member";
+    }
+    if (body.snapshot_.index_ > max_index || body.snapshot_.term_ > body.term_)
+    {
+        return "an index or a term is out of range";
+    }
+    return {};
+}
+
+std::string_view raft::find_objection(const raft_message& message) const
+{
+    return std::visit(
+        [this](const auto& body) -> std::string_view
+        {
+            using body_type = std::decay_t<decltype(body)>;
+            if (body.term_ > max_term)
+            {
+                return "an index or a term is out of range";
+            }
+            if constexpr (
+                std::is_same_v<body_type, append_request> ||
+                std::is_same_v<body_type, snapshot_request>)
+            {
+                // One of an earlier term is answered, not stored.
+                return body.term_ < state_.term_ ? std::string_view()
+                                                 : find_objection(body);
+            }
+            return {};
+        },
+        message.body_);
+}
+
 raft_actions raft::receive(const raft_message& message, core::time_point now)
 {
     if (!is_addressed_to_this_member(message))
--- a/control/raft.hpp
+++ b/control/raft.hpp
@@ -90,6 +90,11 @@
     /// it still reaches a majority.
     raft_actions tick(core::time_point now);
 
+    /// \return why a message must not be passed to receive(): no member whose
+    /// state follows from this group sends it, and it would break an invariant.
+    /// Empty for every other message.
+    std::string_view find_objection(const raft_message& message) const;
+
     /// Handles a message from another member.
     raft_actions receive(const raft_message& message, core::time_point now);
 
@@ -213,6 +218,8 @@
     void check_quorum(core::time_point now);
     bool has_reply_from_majority(core::time_point since) const;
     core::time_point majority_contact_at(core::time_point now) const;
+    std::string_view find_objection(const append_request& body) const;
+    std::string_view find_objection(const snapshot_request& body) const;
     bool is_addressed_to_this_member(const raft_message& message) const;
     bool is_log_up_to_date(const vote_request& request) const;
     core::result<core::done> check_group_change(const member_group& next) const;
--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -261,7 +261,10 @@
     inbox_.clear();
     for (const control::raft_message& message : messages)
     {
-        co_await perform(raft_->receive(message, core::steady_now()));
+        if (!refuse_message(message))
+        {
+            co_await perform(raft_->receive(message, core::steady_now()));
+        }
     }
     co_await propose_queued_commands();
     co_await propose_queued_group_changes();
@@ -369,6 +372,31 @@
     answer_reads(actions);
 }
 
+/// Refuses a message that would break an invariant or cannot be stored. Another
+/// program that reaches the port can send anything.
+/// \return whether it is refused.
+template <class Machine>
+bool raft_replica<Machine>::refuse_message(const control::raft_message& message)
+{
+    std::string_view objection = raft_->find_objection(message);
+    const auto* sent = std::get_if<control::snapshot_request>(&message.body_);
+    if (objection.empty() && sent != nullptr &&
+        !Machine::decode(sent->snapshot_.state_))
+    {
+        objection = "the snapshot cannot be read";
+    }
+    if (objection.empty())
+    {
+        return false;
+    }
+    with_.metrics_.count("poplarroute_group_messages_refused_total");
+    log_event(
+        log_level::error,
+        "group_message_refused",
+        {{"from", message.from_}, {"why", std::string(objection)}});
+    return true;
+}
+
 template <class Machine>
 awaitable<bool> raft_replica<Machine>::write(
     const control::raft_actions& actions)
--- a/node/replica.hpp
+++ b/node/replica.hpp
@@ -126,6 +126,7 @@
     awaitable<void> propose_queued_commands();
     awaitable<void> propose_queued_group_changes();
     awaitable<void> perform(control::raft_actions actions);
+    bool refuse_message(const control::raft_message& message);
     awaitable<bool> write(const control::raft_actions& actions);
     void suspend(const std::string& why);
     awaitable<void> resume();
--- a/tests/control/raft_test.cpp
+++ b/tests/control/raft_test.cpp
@@ -1,4 +1,6 @@
 #include <map>
+#include <random>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -8,6 +10,7 @@
 
 #include "control/membership.hpp"
 #include "control/raft.hpp"
+#include "core/invariant.hpp"
 
 namespace poplarroute::control
 {
@@ -47,6 +50,111 @@
     }
 }
 
+namespace
+{
+
+/// Lets an invariant that does not hold throw while it exists.
+class throwing_invariants
+{
+public:
+    throwing_invariants()
+        : previous_(core::set_invariant_handler(
+              [](std::string_view what)
+              {
+                  throw std::logic_error(std::string(what));
+              }))
+    {
+    }
+
+    ~throwing_invariants()
+    {
+        core::set_invariant_handler(previous_);
+    }
+
+    throwing_invariants(const throwing_invariants&) = delete;
+    throwing_invariants& operator=(const throwing_invariants&) = delete;
+
+private:
+    core::invariant_handler previous_;
+};
+
+/// Draws a small number, or sometimes one near the end of the range.
+std::uint64_t draw_number(std::mt19937_64& random)
+{
+    return random() % 16 == 0 ? ~std::uint64_t{0} - random() % 2 : random() % 6;
+}
+
+std::vector<log_entry> draw_entries(std::mt19937_64& random)
+{
+    std::vector<log_entry> out;
+    std::uint64_t index = draw_number(random);
+    for (std::uint64_t count = random() % 4; count > 0; --count)
+    {
+        const entry_kind kind =
+            random() % 4 == 0 ? entry_kind::membership : entry_kind::command;
+        out.push_back({index, draw_number(random), kind, "x"});
+        index = random() % 4 == 0 ? draw_number(random) : index + 1;
+    }
+    return out;
+}
+
+raft_body draw_body(std::mt19937_64& random)
+{
+    const auto number = [&]()
+    {
+        return draw_number(random);
+    };
+    switch (random() % 5)
+    {
+    case 0:
+        return vote_request{number(), number(), number(), random() % 2 == 0};
+    case 1:
+        return vote_reply{number(), random() % 2 == 0, random() % 2 == 0};
+    case 2:
+        return append_request{
+            number(),
+            number(),
+            number(),
+            draw_entries(random),
+            number(),
+            number()};
+    case 3:
+        return append_reply{number(), random() % 2 == 0, number(), number()};
+    default:
+        return snapshot_request{
+            number(), {number(), number(), three_voters(), "s"}, number()};
+    }
+}
+
+} // namespace
+
+// Another program that reaches the port of a member can send any message.
+// Guards against one that breaks an invariant, which ends the process.
+RC_GTEST_PROP(
+    raft, no_message_that_is_accepted_breaks_an_invariant, (unsigned seed))
+{
+    const throwing_invariants guard;
+    std::mt19937_64 random(seed);
+    raft member = make_raft("a", "sa", false);
+    core::time_point now{10};
+    for (int step = 0; step < 60; ++step)
+    {
+        now = now + core::duration{static_cast<std::int64_t>(random() % 400)};
+        member.tick(now);
+        const char* sender = random() % 2 == 0 ? "b" : "c";
+        const raft_message message{
+            sender,
+            sender == std::string("b") ? "sb" : "sc",
+            "a",
+            "sa",
+            draw_body(random)};
+        if (member.find_objection(message).empty())
+        {
+            member.receive(message, now);
+        }
+    }
+}
+
 TEST(raft, the_vote_of_a_replaced_store_does_not_count)
 {
     raft candidate = make_raft("a", "sa", false);
