Do not close a peer's connection for one call of a short deadline

Callers saw, on the large deployment: once the leader was 60 ms late, hosts lost it for good. A host asks for an account's level (60 ms) and for a limited endpoint (60 ms) on the connection that carries its watch; when such a call passed its deadline and nothing had arrived since it began, the connection was closed as silent, with the watch and all other calls on it. The host took the leader for lost, searched, connected anew and asked again, which made the leader later still.

A connection counts as silent when calls have failed for 300 ms without anything arriving. severed_connection.is_not_concluded_from_a_call_of_a_short_ deadline failed before (the other call was lost, two connections), passes now, with the tests of severed connections.

--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -29,6 +29,9 @@
 constexpr int status_error_base = 500;
 constexpr const char* path_prefix = "/call/";
 
+/// Silence after which a connection counts as broken, once a call has failed.
+constexpr core::duration min_silence{300};
+
 /// Longer than the name of any method. A longer one is not kept, so that the
 /// call is refused as one of an unknown method.
 constexpr std::size_t max_path_bytes = 256;
@@ -307,10 +310,9 @@
     {
         co_return core::error{core::errc::broken, "connection lost"};
     }
-    if (last_read_at_ <= started_at)
+    if (is_silent(started_at))
     {
-        // Nothing has arrived on this connection since the call began; a new
-        // connection may work.
+        // A new connection may work.
         close();
         co_return core::error{core::errc::timeout, "silent: " + method};
     }
@@ -320,6 +322,22 @@
     co_return core::error{core::errc::timeout, "deadline passed: " + method};
 }
 
+/// \param call_started_at of a call whose deadline has passed.
+/// \return whether the connection has been silent for so long that it counts as
+/// broken. A call of a short deadline alone does not show that: the other side
+/// may be late, and all other calls would be lost with the connection.
+bool peer_connection::is_silent(core::time_point call_started_at)
+{
+    if (last_read_at_ > call_started_at)
+    {
+        return false;
+    }
+    const bool is_first = !silent_since_ || *silent_since_ < last_read_at_;
+    silent_since_ =
+        is_first ? call_started_at : std::min(*silent_since_, call_started_at);
+    return core::steady_now() - *silent_since_ >= min_silence;
+}
+
 peer_connection::stream_state_ptr peer_connection::find_stream(
     std::int32_t stream) const
 {
--- a/drivers/peer_connection.hpp
+++ b/drivers/peer_connection.hpp
@@ -137,6 +137,7 @@
 
     void make_session();
     bool hold_bytes();
+    bool is_silent(core::time_point call_started_at);
     asio::awaitable<void> read_loop();
     asio::awaitable<void> write_loop();
     asio::awaitable<void> run_and_close(asio::awaitable<void> loop);
@@ -164,6 +165,8 @@
     std::optional<core::time_point> writing_since_;
     bool closed_ = false;
     core::time_point last_read_at_;
+    /// When the earliest call began that has failed since anything arrived.
+    std::optional<core::time_point> silent_since_;
 };
 
 } // namespace poplarroute::drivers
--- a/tests/drivers/severed_connection_test.cpp
+++ b/tests/drivers/severed_connection_test.cpp
@@ -195,6 +195,52 @@
         });
 }
 
+// A peer that is late loses one call of a short deadline. Guards against a
+// connection that is closed with it: all other calls of the host were lost, the
+// host searched for a leader, and the leader had more to do.
+TEST(severed_connection, is_not_concluded_from_a_call_of_a_short_deadline)
+{
+    asio::io_context io;
+    link between(io);
+    peer_server server(
+        io,
+        server_address,
+        nullptr,
+        [](peer_identity,
+           std::string,
+           std::string body) -> asio::awaitable<core::result<std::string>>
+        {
+            co_await sleep_for(core::duration{150});
+            co_return body;
+        });
+    server.start();
+    peer_client client(io, nullptr);
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            const auto before =
+                co_await client.call(link_address, "echo", "x", call_timeout);
+            EXPECT_TRUE(core::is_ok(before));
+            bool has_reply = false;
+            const auto wait = [&]() -> asio::awaitable<void>
+            {
+                const auto held = co_await client.call(
+                    link_address, "echo", "x", core::duration{1'000});
+                has_reply = core::is_ok(held);
+            };
+            spawn(io, wait());
+            for (int call = 0; call < 2; ++call)
+            {
+                const auto late = co_await client.call(
+                    link_address, "echo", "x", core::duration{60});
+                EXPECT_FALSE(core::is_ok(late));
+            }
+            co_await sleep_for(core::duration{200});
+            EXPECT_TRUE(has_reply);
+            EXPECT_EQ(between.accepted(), 1U);
+        });
+}
+
 TEST(severed_connection, of_an_endpoint_is_used_for_one_request)
 {
     asio::io_context io;
