Keep a list that a host has read when the leader's is older

Nothing compared when the two lists had been read: their revisions belong to different sources.

A host downloads the leader's list in place of its own only when it was read later, as the last reply to its watch says, and then of that revision. list_changes.an_older_list_does_not_replace_one_that_the_host_has_read failed before and passes now.

--- a/node/endpoint_list_follower.cpp
+++ b/node/endpoint_list_follower.cpp
@@ -35,8 +35,21 @@
            known_revision_ != list().revision_;
 }
 
+/// \return whether the list in force was read by this host itself.
+bool endpoint_list_follower::is_own_list() const
+{
+    return !list().epoch_.empty() &&
+           list().epoch_ == with_.board_.section<settings_section>().epoch_;
+}
+
 bool endpoint_list_follower::needs_download() const
 {
+    if (is_own_list() && list().read_at_ >= known_read_at_)
+    {
+        // The leader's list as last announced is older: an endpoint that has
+        // left since would be used again.
+        return false;
+    }
     // After a download of an earlier revision, the next watch may bring the
     // changes since.
     const bool may_get_changes = list().epoch_ == known_epoch_ &&
@@ -53,7 +66,8 @@
 {
     if (list().epoch_ != known_epoch_)
     {
-        return 1;
+        // An earlier revision may be older than a list that this host has read.
+        return is_own_list() ? known_revision_ : 1;
     }
     return list().revision_ + (is_altered_ ? 0 : 1);
 }
--- a/node/endpoint_list_follower.hpp
+++ b/node/endpoint_list_follower.hpp
@@ -48,6 +48,7 @@
 private:
     endpoint_section& list() const;
     bool is_outdated() const;
+    bool is_own_list() const;
     std::uint64_t least_revision() const;
     void apply_changes(const watch_reply& reply, core::time_point read_at);
     void replace(
--- a/tests/platform/list_changes_test.cpp
+++ b/tests/platform/list_changes_test.cpp
@@ -106,6 +106,35 @@
     EXPECT_EQ(host.list().endpoints_.count("i-0"), 0U);
 }
 
+// A host that lost the leader reads the list itself, then hears of the leader
+// again, whose list is still the one of before. Guards against that list in
+// place of the newer one: on a day of 294 hosts it was 20 s old, and hosts sent
+// requests to an endpoint that had left 4 s before.
+TEST_F(list_changes, an_older_list_does_not_replace_one_that_the_host_has_read)
+{
+    entry_host host(io_);
+    run_until_current(host);
+    host.board_.section<node::settings_section>().epoch_ = "own";
+    std::vector<node::listed_endpoint> newer = items_;
+    newer[1].leaving_ = true;
+    node::endpoint_section& section =
+        host.board_.section<node::endpoint_section>();
+    section.epoch_ = "own";
+    node::replace_endpoints(section, newer, core::steady_now());
+    for (int step = 0; step < 300; ++step)
+    {
+        io_.restart();
+        io_.run_for(std::chrono::milliseconds(5));
+        ASSERT_TRUE(host.list().endpoints_.at("i-1").listed_.leaving_);
+    }
+    items_ = newer;
+    add_endpoint(endpoints_);
+    publish();
+    run_until_current(host);
+    EXPECT_TRUE(host.list().endpoints_.at("i-1").listed_.leaving_);
+    EXPECT_EQ(host.list().endpoints_.size(), items_.size());
+}
+
 // A cold endpoint may get few calls until a point in time, which a host knows
 // only relative to when the list was read.
 TEST_F(list_changes, cold_times_count_from_when_the_list_was_read)
