Let hosts that read the list leave calls to the leader

When 294 hosts lose the leader, each reads the platform's list every 0.7 s, two calls a time and again 0.4 s after a failure: 840 of the 890 calls per second that the platform serves, and more after refusals. The next leader needs the same calls.

--- a/node/endpoint_list_poller.cpp
+++ b/node/endpoint_list_poller.cpp
@@ -22,11 +22,22 @@
 constexpr core::duration retry_interval{400};
 constexpr core::duration idle_interval{100};
 
+/// Hosts that read the list themselves use this part of the calls together.
+constexpr std::int64_t shared_calls_divisor = 2;
+constexpr core::duration max_shared_interval{10'000};
+constexpr std::int64_t ms_per_second = 1'000;
+
+/// Longest random wait before the first read: hosts lose a leader at once.
+constexpr core::duration max_start_spread{300};
+
 /// Shortest time between two reads.
 constexpr core::duration min_pause{100};
 constexpr core::duration page_timeout{900};
 constexpr std::size_t max_pages = 400;
 
+/// Largest number of endpoints that one line of the log names.
+constexpr std::size_t max_logged_endpoints = 16;
+
 /// A list with more endpoints than this is refused.
 constexpr std::size_t max_endpoints = 50'000;
 constexpr int status_ok = 200;
@@ -34,8 +45,16 @@
 } // namespace
 
 endpoint_list_poller::endpoint_list_poller(
-    context& with, const wire_codec& codec, std::function<bool()> should_poll)
-    : with_(with), codec_(codec), should_poll_(std::move(should_poll))
+    context& with,
+    const wire_codec& codec,
+    std::function<bool()> should_poll,
+    bool shares_calls)
+    : with_(with),
+      codec_(codec),
+      should_poll_(std::move(should_poll)),
+      shares_calls_(shares_calls),
+      random_(
+          static_cast<std::uint32_t>(core::stable_hash(with.identity().host_)))
 {
 }
 
@@ -50,15 +69,48 @@
         });
 }
 
+/// \return the time between two reads. Hosts that read the list themselves
+/// together make no more than a part of the calls that the list serves: a new
+/// leader has to read it beside them.
+core::duration endpoint_list_poller::interval() const
+{
+    const std::int64_t hosts =
+        with_.board_.section<group_section>().hosts_.value_or(1);
+    const std::int64_t rate = with_.board_.section<settings_section>()
+                                  .settings_.list_calls_per_second_;
+    if (!shares_calls_ || rate <= 0)
+    {
+        return poll_interval;
+    }
+    const auto pages =
+        std::max<std::int64_t>(static_cast<std::int64_t>(pages_.size()), 1);
+    return std::clamp(
+        core::duration{
+            hosts * pages * ms_per_second * shared_calls_divisor / rate},
+        poll_interval,
+        max_shared_interval);
+}
+
 awaitable<void> endpoint_list_poller::run()
 {
     for (;;)
     {
         if (!should_poll_())
         {
+            was_polling_ = false;
             co_await drivers::sleep_for(idle_interval);
             continue;
         }
+        const bool begins_with_others = shares_calls_ && !was_polling_;
+        was_polling_ = true;
+        if (begins_with_others)
+        {
+            const core::duration spread =
+                std::min(interval(), max_start_spread);
+            co_await drivers::sleep_for(
+                {std::uniform_int_distribution<std::int64_t>(0, spread.ms_)(
+                    random_)});
+        }
         const core::time_point started_at = core::steady_now();
         const bool read = co_await read_list();
         if (read != reachable_)
@@ -71,8 +123,9 @@
             reachable_ = read;
         }
         // The time that a read takes is not added to the interval.
-        const core::time_point due =
-            started_at + (read ? poll_interval : retry_interval);
+        const core::duration retry =
+            shares_calls_ ? interval() : retry_interval;
+        const core::time_point due = started_at + (read ? interval() : retry);
         co_await drivers::sleep_for(
             std::max(due - core::steady_now(), min_pause));
     }
@@ -109,6 +162,28 @@
     return false;
 }
 
+/// \return names of endpoints that were not leaving in the list before, for the
+/// log.
+std::string endpoint_list_poller::newly_leaving(
+    const std::vector<listed_endpoint>& list) const
+{
+    const auto& known = with_.board_.section<endpoint_section>().endpoints_;
+    std::string out;
+    std::size_t named = 0;
+    for (const listed_endpoint& item : list)
+    {
+        const auto found = known.find(item.name_);
+        const bool was_leaving =
+            found != known.end() && found->second.listed_.leaving_;
+        if (item.leaving_ && !was_leaving && named < max_logged_endpoints)
+        {
+            out += (named == 0 ? "" : ",") + item.name_;
+            ++named;
+        }
+    }
+    return out;
+}
+
 /// \return the content of a page; nullptr if it cannot be read.
 /// \param index position of the page in the list.
 const endpoint_page* endpoint_list_poller::decode(
@@ -239,11 +314,13 @@
         co_return true;
     }
     section.epoch_ = with_.board_.section<settings_section>().epoch_;
+    const std::string leaving = newly_leaving(list);
     replace_endpoints(section, list, started_at);
     log_event(
         log_level::info,
         "list_changed",
         {{"endpoints", list.size()},
+         {"leaving", leaving},
          {"unreadable", unreadable_entries_},
          {"read_ms", (now - started_at).ms_},
          {"revision", section.revision_}});
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -189,7 +189,8 @@
             [this]()
             {
                 return catalog_watcher_->list_is_stale();
-            });
+            },
+            true);
         return core::done();
     }
     group_ = std::make_unique<catalog_replica>(with_, group_timing);
--- a/node/fleet_settings.hpp
+++ b/node/fleet_settings.hpp
@@ -54,6 +54,8 @@
     bool first_start_ =
         false; ///< The fleet starts for the first time, with empty disks.
     std::string list_address_; ///< "ip:port" of the platform's endpoint list.
+    /// Calls to the list that the whole fleet may make; 0: not stated.
+    std::int64_t list_calls_per_second_ = 0;
     std::vector<core::zone_id> zones_;
     std::int64_t memory_mb_ = 0; ///< Memory of this process; 0: not stated.
     bool allow_fault_injection_ = false; ///< For tests of the fleet only.
--- a/tests/platform/list_poller_test.cpp
+++ b/tests/platform/list_poller_test.cpp
@@ -63,7 +63,7 @@
 
 struct reading_host : process
 {
-    explicit reading_host(asio::io_context& io)
+    explicit reading_host(asio::io_context& io, bool shares_calls = false)
         : process(io, "127.0.0.1:19623", "127.0.0.1:19623"),
           poller_(
               with_,
@@ -71,7 +71,8 @@
               []()
               {
                   return true;
-              })
+              },
+              shares_calls)
     {
         board_.section<node::settings_section>().settings_.list_address_ =
             list_address;
@@ -123,5 +124,22 @@
     EXPECT_GE(platform.first_pages_, 4);
 }
 
+// 300 hosts that lost their leader read the list at the same time, two pages
+// each, where 100 calls per second are allowed. Guards against hosts that use
+// up the calls which the next leader needs.
+TEST(list_poller, hosts_that_read_the_list_themselves_leave_calls_to_the_leader)
+{
+    asio::io_context io{1};
+    listing platform(io);
+    reading_host host(io, true);
+    host.board_.section<node::group_section>().hosts_ = 300;
+    host.board_.section<node::settings_section>()
+        .settings_.list_calls_per_second_ = 100;
+    io.run_for(std::chrono::milliseconds(6'000));
+    // The first read does not know the number of pages.
+    EXPECT_GE(platform.first_pages_, 1);
+    EXPECT_LE(platform.first_pages_, 2);
+}
+
 } // namespace
 } // namespace poplarroute::platform
