Ask the leader for less: accounts far from their limits, storms, suspects

A level that came after 60 ms counted as none, and the request was refused.

The leader states which accounts are below half of their burst. The others are charged unasked, within the host's part of a quarter of the burst between two statements, and only what was used is settled. Accounts at their limits that a host uses seldom are asked for. News go to a host once per millisecond and watching host. Answers are reported to suspected requests only. A request waits 200 ms for a level.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -45,6 +45,13 @@
 /// Longest time for which a watch request is held before the reply.
 constexpr core::duration max_watch_wait{2'000};
 
+/// Largest number of suspected requests that hosts are told.
+constexpr std::size_t max_told_suspects = 64;
+
+/// Time between two replies with news to one host, for each watching host.
+constexpr core::duration news_interval_per_host{1};
+constexpr core::duration max_news_interval{500};
+
 /// Fraction of the bound on retries that the leader grants to streams. It is
 /// not larger, since a new leader does not know what the previous one has
 /// granted.
@@ -649,8 +656,20 @@
         quarantined_parts_.begin(),
         quarantined_parts_.end());
     out.suspects_parts_ = has_suspects_;
+    if (auto suspects =
+            crashers_.suspects(max_told_suspects, core::steady_now()))
+    {
+        out.tells_suspects_ = true;
+        out.suspect_digests_ = std::move(*suspects);
+    }
     out.rollouts_ = rollouts_.to_tell();
     limits_.add_to(out);
+    if (auto scarce = ledger_.scarce_accounts(core::steady_now());
+        scarce && out.leads_)
+    {
+        out.tells_scarce_ = true;
+        out.scarce_accounts_ = std::move(*scarce);
+    }
     return out;
 }
 
@@ -707,13 +726,14 @@
 
 void catalog_controller::note_watching_host(const watch_request& request)
 {
-    watching_hosts_[request.host_] = {
-        core::steady_now(),
-        request.revision_,
-        request.hosts_,
-        request.relay_,
-        request.zone_,
-        {request.lost_services_.begin(), request.lost_services_.end()}};
+    watching_host& host = watching_hosts_[request.host_];
+    host.seen_at_ = core::steady_now();
+    host.revision_ = request.revision_;
+    host.told_hosts_ = request.hosts_;
+    host.relay_ = request.relay_;
+    host.zone_ = request.zone_;
+    host.lost_services_ = {
+        request.lost_services_.begin(), request.lost_services_.end()};
 }
 
 /// \return some hosts that take requests of a service from a host which does
@@ -762,16 +782,40 @@
     const core::duration max_wait{
         std::min(request.wait_ms_, max_watch_wait.ms_)};
     const core::time_point until = core::steady_now() + max_wait;
+    // Changes in quick succession are told together, since each costs a reply
+    // and a request per host.
+    const core::time_point news_due =
+        watching_hosts_[request.host_].replied_at_ + news_interval();
     bool is_newest = true;
-    while (is_newest && !has_updates(request) && core::steady_now() < until)
+    for (;;)
     {
-        is_newest = co_await queues_.hold_watch(request.host_, until);
+        const core::time_point now = core::steady_now();
+        const bool has_news = has_updates(request);
+        if (!is_newest || now >= until || !group_.leads() ||
+            (has_news && now >= news_due))
+        {
+            break;
+        }
+        is_newest = co_await queues_.hold_watch(
+            request.host_, has_news ? std::min(until, news_due) : until);
     }
     track_leadership();
     note_watching_host(request);
+    watching_hosts_[request.host_].replied_at_ = core::steady_now();
     co_return make_watch_reply(request);
 }
 
+/// \return the shortest time between two replies with news to one host. It
+/// grows with the number of hosts, so that storms of changes cost the leader no
+/// more replies in a large fleet.
+core::duration catalog_controller::news_interval() const
+{
+    return {std::min(
+        static_cast<std::int64_t>(watching_hosts_.size()) *
+            news_interval_per_host.ms_,
+        max_news_interval.ms_)};
+}
+
 /// \return why a call that only the leader's ledgers can answer is refused.
 std::optional<core::error> catalog_controller::find_ledger_objection()
 {
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -93,6 +93,7 @@
         std::string relay_; ///< Where it takes requests of other hosts.
         core::zone_id zone_;
         std::set<core::service_id> lost_services_;
+        core::time_point replied_at_; ///< To its last watch.
     };
 
     void register_calls();
@@ -112,6 +113,7 @@
     void apply_limits();
     awaitable<placement_reply> charge_and_place(placement_request request);
     awaitable<placement_reply> place_in_role(placement_request request);
+    core::duration news_interval() const;
     std::optional<core::error> find_ledger_objection();
     settle_reply settle(const settle_request& request);
     void apply_catalog();
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -167,6 +167,15 @@
     std::vector<control::rollout> rollouts_;
     std::vector<endpoint_limit_message> limits_; ///< That the member knows.
     std::uint64_t limit_revision_ = 0;
+    /// Whether scarce_accounts_ is stated; older programs do not, nor does a
+    /// leader whose ledger is new.
+    bool tells_scarce_ = false;
+    /// Accounts whose level is low. Hosts may charge the others without asking.
+    std::vector<core::account_id> scarce_accounts_;
+    /// Whether suspect_digests_ is stated; hosts then report only the answers
+    /// to these requests, else to all.
+    bool tells_suspects_ = false;
+    std::vector<std::string> suspect_digests_;
 };
 
 /// Identifies a document that hosts fetch in parts.
@@ -428,7 +437,11 @@
     withdrawn_,
     rollouts_,
     limits_,
-    limit_revision_)
+    limit_revision_,
+    tells_scarce_,
+    scarce_accounts_,
+    tells_suspects_,
+    suspect_digests_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     list_changes, from_, to_, changed_, removed_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(document_id, name_, revision_)
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -305,6 +305,11 @@
     }
     group.leader_contact_at_ = core::steady_now();
     apply_quarantines(reply);
+    if (reply.tells_scarce_)
+    {
+        with_.board_.section<meter_section>().meter_.set_scarce(
+            reply.scarce_accounts_, core::steady_now());
+    }
     apply_endpoint_limits(reply, sent_at);
     list_.apply(request, reply);
     confirm_versions();
@@ -375,6 +380,7 @@
     if (reply.term_ != quarantine_term_)
     {
         quarantine_term_ = reply.term_;
+        with_.board_.section<meter_section>().meter_.begin_ledger();
         keep_quarantines_until_ = now + previous_quarantines_validity;
     }
     crash_revision_ = reply.crash_revision_;
@@ -386,6 +392,12 @@
     }
     group.crashers_ = std::move(crashers);
     group.suspects_parts_ = reply.suspects_parts_;
+    group.suspect_digests_.reset();
+    if (reply.tells_suspects_)
+    {
+        group.suspect_digests_.emplace(
+            reply.suspect_digests_.begin(), reply.suspect_digests_.end());
+    }
 }
 
 void catalog_watcher::apply_catalog(const watch_reply& reply)
--- a/node/fleet_sections.hpp
+++ b/node/fleet_sections.hpp
@@ -90,6 +90,9 @@
     /// Whether hosts report answered requests, since the leader suspects some,
     /// or parts of their prompts.
     bool suspects_parts_ = false;
+    /// Digests of the requests whose answers the leader wants reported;
+    /// nothing: of all.
+    std::optional<std::set<std::string>> suspect_digests_;
 };
 
 /// \return whether requests may be sent to an endpoint: neither it nor its zone
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -153,7 +153,11 @@
 
 void ingress_context::report_answered(const ingress_call& call)
 {
-    if (!with_.board_.section<group_section>().suspects_parts_)
+    const group_section& group = with_.board_.section<group_section>();
+    const bool is_wanted = group.suspects_parts_ &&
+                           (!group.suspect_digests_ ||
+                            group.suspect_digests_->count(call.digest_) != 0);
+    if (!is_wanted)
     {
         return;
     }
@@ -325,12 +329,17 @@
 
 awaitable<void> ingress_controller::refresh_level(const ingress_call& call)
 {
-    const meter_section& section = with_.board_.section<meter_section>();
+    meter_section& section = with_.board_.section<meter_section>();
     if (!section.refresh_ || !is_charged_here(call))
     {
         co_return;
     }
-    co_await section.refresh_(call.account_);
+    const bool needs_level = !section.meter_.needs_no_level(
+        call.account_, call.price_, core::steady_now());
+    if (needs_level)
+    {
+        co_await section.refresh_(call.account_);
+    }
 }
 
 std::optional<ingress_controller::refusal> ingress_controller::charge(
@@ -342,7 +351,8 @@
     }
     policy::account_meter& meter = with_.board_.section<meter_section>().meter_;
     const core::time_point now = core::steady_now();
-    if (meter.admit(call.account_, call.price_, now))
+    if (meter.admit_unasked(call.account_, call.price_, now) ||
+        meter.admit(call.account_, call.price_, now))
     {
         call.charged_ = true;
         return std::nullopt;
--- a/node/usage_settler.cpp
+++ b/node/usage_settler.cpp
@@ -19,8 +19,9 @@
 constexpr core::duration settle_interval{100};
 constexpr core::duration settle_timeout{500};
 
-/// Longest time for which a request waits for its account's level.
-constexpr core::duration refresh_timeout{60};
+/// Longest time for which a request waits for its account's level. Without it,
+/// most requests are refused, so that a late level is better than none.
+constexpr core::duration refresh_timeout{200};
 
 /// Time after a failed refresh in which requests do not wait for another.
 constexpr core::duration refresh_backoff{500};
--- a/policy/account_meter.cpp
+++ b/policy/account_meter.cpp
@@ -38,10 +38,15 @@
 /// level, apart from what arrives within one check's interval.
 constexpr double early_settlement_fraction = 0.5;
 
-/// How long after its last use at a host an account's level is kept up to date
-/// there. A new ledger adds up the shares of the hosts that do so.
+/// How long after its last use at a host an account has a share of the level
+/// there. A new ledger adds up these shares.
 constexpr core::duration recent_use_time{10'000};
 
+/// How long after its last use at a host an account's level is kept up to date
+/// there. A host that uses it less often asks for the level of each request,
+/// which costs the leader less.
+constexpr core::duration frequent_use_time{500};
+
 /// Expected tokens admitted between two settlements if every host has a
 /// request, as a multiple of the level. Above 1, since not every host has one.
 constexpr double overbooking_factor = 3;
@@ -58,6 +63,20 @@
 /// with the first reply of a member that knows.
 constexpr core::duration unknown_hosts_wait{400};
 
+/// Fraction of the burst from which on an account counts as far from its limit.
+constexpr double plenty_fraction = 0.5;
+
+/// How long an account counts as far from its limit after the leader has said
+/// so. Leaders say it each 0.8 s; a new one is known within this time.
+constexpr core::duration plenty_validity{2'000};
+
+/// Fraction of the burst that all hosts together may use unasked between two
+/// statements of the leader, apart from random single requests.
+constexpr double unasked_fraction = 0.25;
+
+/// Age from which on usage that was admitted unasked is settled.
+constexpr core::duration unasked_settlement_age{180};
+
 /// Time during which a new ledger adds up the shares that hosts report.
 constexpr core::duration report_collection_time{1'500};
 
@@ -102,6 +121,7 @@
         });
     for (const auto& [account, limit] : limits)
     {
+        created_at_ = created_at_.value_or(now);
         const auto [found, is_new] = entries_.try_emplace(account);
         entry& item = found->second;
         if (is_new)
@@ -115,6 +135,33 @@
     }
 }
 
+std::optional<std::vector<core::account_id>> meter_ledger::scarce_accounts(
+    core::time_point now)
+{
+    if (!created_at_ || now - *created_at_ < report_collection_time)
+    {
+        return std::nullopt;
+    }
+    std::vector<core::account_id> out;
+    for (auto& [account, item] : entries_)
+    {
+        if (item.limit_.rate_ == 0)
+        {
+            continue;
+        }
+        refill(item, now);
+        const bool is_scarce =
+            now - item.created_at_ < report_collection_time ||
+            item.level_ <
+                plenty_fraction * static_cast<double>(item.limit_.burst_);
+        if (is_scarce)
+        {
+            out.push_back(account);
+        }
+    }
+    return out;
+}
+
 bool meter_ledger::charge(
     const core::account_id& account, std::int64_t tokens, core::time_point now)
 {
@@ -353,11 +400,19 @@
 void account_meter::refund(const core::account_id& account, std::int64_t tokens)
 {
     const auto found = entries_.find(account);
-    if (found != entries_.end())
+    if (found == entries_.end())
     {
-        found->second.level_ += static_cast<double>(tokens);
-        found->second.unsettled_ -= tokens;
+        return;
+    }
+    entry& item = found->second;
+    if (item.unasked_used_ >= tokens)
+    {
+        item.unasked_used_ -= tokens;
+        item.unasked_left_ += static_cast<double>(tokens);
+        return;
     }
+    item.level_ += static_cast<double>(tokens);
+    item.unsettled_ -= tokens;
 }
 
 core::duration account_meter::wait_for(
@@ -384,12 +439,89 @@
     const core::account_id& account, entry& item, core::time_point now)
 {
     refill(item, now);
+    double share = share_of(item);
+    if (item.reports_share_ && now < item.plenty_until_)
+    {
+        share = static_cast<double>(item.limit_.burst_) * plenty_fraction *
+                    own_fraction() -
+                static_cast<double>(item.unasked_used_);
+    }
     const unsettled_usage out{
-        account, item.unsettled_, static_cast<std::int64_t>(share_of(item))};
+        account,
+        item.unsettled_ + item.unasked_used_,
+        static_cast<std::int64_t>(share),
+        item.unasked_used_};
     item.unsettled_ = 0;
+    item.unasked_used_ = 0;
+    item.taken_at_ = now;
+    item.reports_share_ = false;
     return out;
 }
 
+void account_meter::set_scarce(
+    std::span<const core::account_id> scarce, core::time_point now)
+{
+    for (auto& [account, item] : entries_)
+    {
+        const bool is_scarce =
+            std::find(scarce.begin(), scarce.end(), account) != scarce.end();
+        if (is_scarce || !hosts_)
+        {
+            item.plenty_until_ = {};
+            continue;
+        }
+        item.plenty_until_ = now + plenty_validity;
+        item.unasked_left_ = static_cast<double>(item.limit_.burst_) *
+                             unasked_fraction * own_fraction();
+    }
+}
+
+void account_meter::begin_ledger()
+{
+    for (auto& [account, item] : entries_)
+    {
+        item.reports_share_ = true;
+    }
+}
+
+bool account_meter::needs_no_level(
+    const core::account_id& account, std::int64_t tokens, core::time_point now)
+{
+    const auto found = entries_.find(account);
+    if (found == entries_.end() || now >= found->second.plenty_until_ ||
+        found->second.limit_.rate_ == 0)
+    {
+        return false;
+    }
+    entry& item = found->second;
+    const auto price = static_cast<double>(tokens);
+    if (item.unasked_left_ < price && item.unasked_left_ > 0)
+    {
+        const bool is_drawn = draw_with_probability(
+            overbooking_factor * item.unasked_left_ / price);
+        item.unasked_left_ = is_drawn ? price : 0;
+    }
+    return item.unasked_left_ >= price;
+}
+
+bool account_meter::admit_unasked(
+    const core::account_id& account, std::int64_t tokens, core::time_point now)
+{
+    const auto found = entries_.find(account);
+    const auto price = static_cast<double>(tokens);
+    if (found == entries_.end() || now >= found->second.plenty_until_ ||
+        found->second.unasked_left_ < price || found->second.limit_.rate_ == 0)
+    {
+        return false;
+    }
+    entry& item = found->second;
+    item.used_at_ = now;
+    item.largest_price_ = std::max(item.largest_price_, tokens);
+    item.unasked_left_ -= price;
+    item.unasked_used_ += tokens;
+    return true;
+}
+
 std::vector<unsettled_usage> account_meter::take_unsettled(core::time_point now)
 {
     std::vector<unsettled_usage> out;
@@ -416,6 +548,20 @@
            (used > 0 && used >= share * early_settlement_fraction);
 }
 
+/// \return whether an account that is far from its limit is settled now, which
+/// its use alone requires.
+bool account_meter::is_unasked_use_due(
+    const entry& item, core::time_point now) const
+{
+    const std::int64_t used = item.unsettled_ + item.unasked_used_;
+    const double part = static_cast<double>(item.limit_.burst_) *
+                        unasked_fraction * own_fraction();
+    return item.reports_share_ ||
+           (used > 0 &&
+            (now - item.taken_at_ >= unasked_settlement_age ||
+             static_cast<double>(used) >= part * early_settlement_fraction));
+}
+
 std::vector<unsettled_usage> account_meter::take_due(core::time_point now)
 {
     std::vector<unsettled_usage> out;
@@ -425,9 +571,15 @@
         {
             continue;
         }
+        const bool has_plenty = item.was_settled_ && now < item.plenty_until_;
+        if (has_plenty && !is_unasked_use_due(item, now))
+        {
+            continue;
+        }
         const bool is_recent =
             item.used_at_.ms_ > 0 && now - item.used_at_ <= recent_use_time;
-        const bool is_idle = !is_recent && item.unsettled_ == 0;
+        const bool is_idle = !is_recent && item.unsettled_ == 0 &&
+                             item.unasked_used_ == 0 && !item.reports_share_;
         if (is_idle && item.was_settled_)
         {
             // Others may have used the whole level meanwhile. The host's own
@@ -437,7 +589,11 @@
             item.ticket_expires_at_ = {};
             continue;
         }
-        if (is_settlement_due(item, now))
+        const bool is_frequent =
+            item.unsettled_ != 0 || now - item.used_at_ <= frequent_use_time;
+        const bool is_wanted =
+            is_frequent || !item.was_settled_ || item.reports_share_;
+        if (has_plenty || (is_wanted && is_settlement_due(item, now)))
         {
             out.push_back(take_usage(account, item, now));
         }
@@ -483,7 +639,8 @@
         return;
     }
     entry& item = found->second;
-    item.level_ = static_cast<double>(level - item.unsettled_);
+    item.level_ =
+        static_cast<double>(level - item.unsettled_ - item.unasked_used_);
     item.filled_at_ = now;
     item.settled_at_ = now;
     item.was_settled_ = true;
@@ -497,7 +654,8 @@
         const auto found = entries_.find(usage.account_);
         if (found != entries_.end())
         {
-            found->second.unsettled_ += usage.used_;
+            found->second.unsettled_ += usage.used_ - usage.unasked_;
+            found->second.unasked_used_ += usage.unasked_;
         }
     }
 }
--- a/policy/account_meter.hpp
+++ b/policy/account_meter.hpp
@@ -53,6 +53,12 @@
         std::int64_t tokens,
         core::time_point now);
 
+    /// \return the accounts whose level is below half of their burst; nothing
+    /// while hosts still report their shares to a new ledger. Hosts may charge
+    /// the others without asking for their levels.
+    std::optional<std::vector<core::account_id>> scarce_accounts(
+        core::time_point now);
+
     /// Debits the tokens that a host has admitted.
     /// \param reported_share the host's own estimate of its share of the level;
     /// a new ledger starts with the sum of these.
@@ -77,6 +83,8 @@
     static void refill(entry& item, core::time_point now);
 
     std::map<core::account_id, entry> entries_;
+    /// When this ledger was created; nothing: it has no accounts yet.
+    std::optional<core::time_point> created_at_;
     std::minstd_rand random_;
 };
 
@@ -86,6 +94,8 @@
     core::account_id account_;
     std::int64_t used_ = 0;  ///< Tokens.
     std::int64_t share_ = 0; ///< Host's estimate of its share of the level.
+    /// Part of used_ that was admitted without a level; see admit_unasked().
+    std::int64_t unasked_ = 0;
 };
 
 /// One host's view of the accounts' levels.
@@ -134,6 +144,32 @@
         std::int64_t tokens,
         core::time_point now);
 
+    /// Applies what the leader states of all accounts.
+    /// \param scarce the accounts whose level is low. Each other account has
+    /// half of its burst left, of which this host may use a part unasked.
+    void set_scarce(
+        std::span<const core::account_id> scarce, core::time_point now);
+
+    /// Reports the shares of all accounts with the next settlement, to a new
+    /// ledger.
+    void begin_ledger();
+
+    /// \return whether a request may be charged by admit_unasked(): its account
+    /// is far from its limit, and what this host uses unasked is within its
+    /// part. Where that part is less than one request, it is drawn at random.
+    bool needs_no_level(
+        const core::account_id& account,
+        std::int64_t tokens,
+        core::time_point now);
+
+    /// Charges a request without a recent level of its account.
+    /// \return whether it is admitted; else admit() decides, after a
+    /// settlement where needs_level() says so.
+    bool admit_unasked(
+        const core::account_id& account,
+        std::int64_t tokens,
+        core::time_point now);
+
     /// Sets whether the group is known to have no leader, hence no ledger. A
     /// host that merely lacks settlements may be partitioned from a ledger
     /// that others still use, and then takes half of its share.
@@ -193,9 +229,16 @@
         std::int64_t largest_price_ = 0; ///< Of all requests so far, in tokens.
         /// Until then, an isolated host may admit one large request.
         core::time_point ticket_expires_at_;
+        /// Until then, the account counts as far from its limit.
+        core::time_point plenty_until_;
+        double unasked_left_ = 0;       ///< Tokens that may be used unasked.
+        std::int64_t unasked_used_ = 0; ///< Not yet settled.
+        core::time_point taken_at_;     ///< When usage was taken last.
+        bool reports_share_ = false;    ///< See begin_ledger().
     };
 
     bool is_settlement_due(const entry& item, core::time_point now) const;
+    bool is_unasked_use_due(const entry& item, core::time_point now) const;
     unsettled_usage take_usage(
         const core::account_id& account, entry& item, core::time_point now);
     bool draw_with_probability(double probability);
--- a/policy/quarantine.cpp
+++ b/policy/quarantine.cpp
@@ -84,6 +84,27 @@
         });
 }
 
+std::optional<std::vector<std::string>> quarantine::suspects(
+    std::size_t most, core::time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [digest, item] : records_)
+    {
+        const bool is_suspect = now < item.expires_at_ &&
+                                look_up(digest, now) != suspicion::quarantined;
+        if (!is_suspect)
+        {
+            continue;
+        }
+        if (out.size() == most)
+        {
+            return std::nullopt;
+        }
+        out.push_back(digest);
+    }
+    return out;
+}
+
 void quarantine::expire(core::time_point now)
 {
     std::erase_if(
--- a/policy/quarantine.hpp
+++ b/policy/quarantine.hpp
@@ -2,7 +2,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "core/clock.hpp"
 
@@ -58,6 +60,11 @@
     /// quarantined.
     bool has_suspects(core::time_point now) const;
 
+    /// \return the digests of the requests under suspicion that are not
+    /// quarantined; nothing if there are more than a number.
+    std::optional<std::vector<std::string>> suspects(
+        std::size_t most, core::time_point now) const;
+
     /// Removes the records that have expired.
     void expire(core::time_point now);
 
--- a/tests/platform/new_leader_test.cpp
+++ b/tests/platform/new_leader_test.cpp
@@ -147,6 +147,66 @@
     EXPECT_EQ(watch(io, host, 7).hosts_, 1);
 }
 
+// Guards against a leader that is kept busy by a storm of changes: 294 hosts
+// asked anew for each one, 3,500 times per second.
+TEST_F(new_leader, tells_changes_in_quick_succession_together)
+{
+    asio::io_context io{1};
+    lone_member member(io, member_address, member_address, folder_.string());
+    process host(io, host_address, member_address);
+    run_until(
+        io,
+        [&member]()
+        {
+            return member.replica_->leads();
+        });
+    for (int other = 0; other < 300; ++other)
+    {
+        node::watch_request request;
+        request.host_ = "other-" + std::to_string(other);
+        call<node::watch_reply>(io, host, node::method::catalog_watch, request);
+    }
+    member.board_.section<node::settings_section>().settings_.zones_ = {"z"};
+    int replies = 0;
+    std::uint64_t known = 0;
+    const auto follow = [&]() -> asio::awaitable<void>
+    {
+        for (;;)
+        {
+            node::watch_request request;
+            request.host_ = host_address;
+            request.wait_ms_ = 800;
+            request.revision_ = known;
+            const auto reply = co_await node::ask<node::watch_reply>(
+                host.with_.peers_,
+                member_address,
+                node::method::catalog_watch,
+                request,
+                core::duration{1'500});
+            replies += core::is_ok(reply) ? 1 : 0;
+            known = core::is_ok(reply) ? core::value(reply).revision_ : known;
+        }
+    };
+    drivers::spawn(io, follow());
+    int changes = 0;
+    const auto change = [&]() -> asio::awaitable<void>
+    {
+        co_await member.controller_->submit_text(configuration);
+        for (; changes < 40; ++changes)
+        {
+            co_await member.controller_->set_zone("z", changes % 2 == 0);
+            co_await drivers::sleep_for(core::duration{10});
+        }
+    };
+    drivers::spawn(io, change());
+    io.restart();
+    io.run_for(std::chrono::milliseconds(1'200));
+    EXPECT_GE(member.replica_->state().revision(), 20U);
+    // One in 300 ms, and those without news after 800 ms.
+    EXPECT_LE(replies, 6);
+    EXPECT_GE(replies, 2);
+}
+
 // Guards against a new leader that grants an account a burst which it has
 // accrued as a follower, where nobody charged it.
 TEST_F(new_leader, has_no_tokens_but_those_that_hosts_report)
