Refuse requests whose body may end at different places

Cause: the library ignores codings that it does not know, and nothing checked the fields of requests. has_doubtful_framing looks at each message on each port and at answers; such a request gets 400, its connection is closed and nothing behind it is read. Folded lines are refused as well.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -145,15 +145,14 @@
 }
 
 /// \return whether a response is one that the protocol allows here: with a
-/// status of the protocol, and a body in no coding that was not asked for.
+/// status of the protocol, and a body whose end is certain, in no coding that
+/// was not asked for.
 bool is_acceptable(const parser_type& response)
 {
     const int status = response.status();
-    const std::string_view coding =
-        find_header(response.headers(), "Transfer-Encoding");
     return status >= min_status && status <= max_status &&
            status != switching_status &&
-           (coding.empty() || beast::iequals(coding, "chunked"));
+           !has_doubtful_framing(response.headers(), response.version());
 }
 
 /// Returns how long an idle connection may be reused, from "timeout=N" of the
--- a/drivers/http_message.cpp
+++ b/drivers/http_message.cpp
@@ -72,6 +72,34 @@
 
 } // namespace
 
+bool has_doubtful_framing(const header_list& headers, int version)
+{
+    constexpr int version_with_chunks = 11;
+    const std::string* coding = nullptr;
+    const std::string* length = nullptr;
+    for (const auto& [name, value] : headers)
+    {
+        if (boost::beast::iequals(name, "Transfer-Encoding"))
+        {
+            if (coding != nullptr || !boost::beast::iequals(value, "chunked"))
+            {
+                return true;
+            }
+            coding = &value;
+        }
+        else if (boost::beast::iequals(name, "Content-Length"))
+        {
+            if (value.empty() || (length != nullptr && *length != value))
+            {
+                return true;
+            }
+            length = &value;
+        }
+    }
+    return coding != nullptr &&
+           (length != nullptr || version < version_with_chunks);
+}
+
 bool is_bodiless(int status)
 {
     return status < min_final_status || status == status_no_content ||
--- a/drivers/http_message.hpp
+++ b/drivers/http_message.hpp
@@ -21,6 +21,12 @@
 /// on it, and is not forwarded (RFC 9110, 7.6.1).
 bool is_connection_header(std::string_view name);
 
+/// \return whether the fields of a message leave in doubt where its body ends
+/// (RFC 9112, 6.1 to 6.3). Codings other than chunked are not asked for and
+/// count as such.
+/// \param version of HTTP, 10 or 11.
+bool has_doubtful_framing(const header_list& headers, int version);
+
 /// \return whether a response of a status never has a body (RFC 9110, 6.4.1).
 bool is_bodiless(int status);
 
--- a/drivers/message_parser.hpp
+++ b/drivers/message_parser.hpp
@@ -43,6 +43,12 @@
         return status_;
     }
 
+    /// \return the version of HTTP, 10 or 11.
+    int version() const
+    {
+        return version_;
+    }
+
     /// \return the fields of the header, in the order of their arrival.
     header_list& headers()
     {
@@ -76,17 +82,22 @@
         boost::beast::http::verb,
         boost::beast::string_view method,
         boost::beast::string_view target,
-        int,
+        int version,
         error_code& failed) override
     {
+        version_ = version;
         method_ = std::string(method);
         target_ = std::string(target);
         failed = {};
     }
 
     void on_response_impl(
-        int code, boost::beast::string_view, int, error_code& failed) override
+        int code,
+        boost::beast::string_view,
+        int version,
+        error_code& failed) override
     {
+        version_ = version;
         status_ = code;
         failed = {};
     }
@@ -147,6 +158,7 @@
     std::string method_;
     std::string target_;
     int status_ = 0;
+    int version_ = 0;
     header_list headers_;
     std::string body_;
     std::size_t trailer_bytes_ = 0;
--- a/drivers/request_framing.cpp
+++ b/drivers/request_framing.cpp
@@ -34,6 +34,7 @@
 constexpr request_refusal body_too_large{"body_limit", 413, unreadable};
 constexpr request_refusal too_much_framing{"framing_limit", 400, unreadable};
 constexpr request_refusal malformed{"malformed", 400, unreadable};
+constexpr request_refusal doubtful_framing{"doubtful_framing", 400, unreadable};
 
 request_refusal refusal_of(const boost::beast::error_code& failed)
 {
@@ -76,6 +77,7 @@
         if (!header_was_done)
         {
             count_header(used);
+            is_folded_ = is_folded_ || has_folded_line(used);
         }
         buffer_.consume(used);
         wire_bytes_ += used;
@@ -85,6 +87,13 @@
         }
         if (!header_was_done && parser_.is_header_done())
         {
+            const bool is_doubtful =
+                is_folded_ ||
+                has_doubtful_framing(parser_.headers(), parser_.version());
+            if (is_doubtful)
+            {
+                return doubtful_framing;
+            }
             take_header();
         }
         if (failed)
@@ -105,6 +114,24 @@
     parsed_cost_ += header_cost_bytes * lines + 2 * used;
 }
 
+/// \return whether a field in the next bytes goes on in another line, which the
+/// parser would join. Other programs may read the line as a field of its own.
+bool request_framing::has_folded_line(std::size_t used) const
+{
+    const std::string_view bytes(
+        static_cast<const char*>(buffer_.data().data()), used);
+    for (std::size_t at = bytes.find('\n'); at != std::string_view::npos;
+         at = bytes.find('\n', at + 1))
+    {
+        const std::string_view next = bytes.substr(at + 1, 1);
+        if (next == " " || next == "\t")
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::optional<request_refusal> request_framing::check_limits() const
 {
     const std::size_t allowed = limits_.header_bytes_ + limits_.framing_bytes_ +
--- a/drivers/request_framing.hpp
+++ b/drivers/request_framing.hpp
@@ -77,6 +77,7 @@
 
 private:
     void count_header(std::size_t used);
+    bool has_folded_line(std::size_t used) const;
     void take_header();
     std::optional<request_refusal> check_limits() const;
 
@@ -86,6 +87,7 @@
     http_request request_;
     std::size_t wire_bytes_ = 0;
     std::size_t parsed_cost_ = 0;
+    bool is_folded_ = false; ///< Whether a field of the header is folded.
 };
 
 } // namespace poplarroute::drivers
--- a/tests/drivers/hostile_input_test.cpp
+++ b/tests/drivers/hostile_input_test.cpp
@@ -316,6 +316,99 @@
         });
 }
 
+namespace
+{
+
+/// Fields that leave in doubt where the body of a request ends (RFC 9112, 6.1
+/// to 6.3, and 5.1 and 5.2).
+const std::vector<std::string> doubtful_fields{
+    "Transfer-Encoding: identity",
+    "Transfer-Encoding: gzip",
+    "Transfer-Encoding: chunked, identity",
+    "Transfer-Encoding: gzip, chunked",
+    "Transfer-Encoding: chunked, chunked",
+    "Transfer-Encoding: xchunked",
+    "Transfer-Encoding: \"chunked\"",
+    "Transfer-Encoding:",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+    "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked\r\nContent-Length: 4",
+    "Content-Length: 4\r\nTransfer-Encoding: chunked",
+    "Content-Length: 4\r\nTransfer-Encoding: identity",
+    "Content-Length: 4\r\nContent-Length: 5",
+    "Content-Length: 4, 5",
+    "Content-Length: +4",
+    "Content-Length: -4",
+    "Content-Length: 0x4",
+    "Content-Length: 4 4",
+    "Content-Length: 99999999999999999999",
+    "Content-Length:",
+    "Content-Length : 4",
+    "Transfer-Encoding : chunked",
+    "X: a\r\n Transfer-Encoding: chunked",
+    "X: a\r\n\tb",
+    "X: a\rTransfer-Encoding: chunked",
+    "X: a\nTransfer-Encoding: chunked",
+    "Transfer-Encoding: chunked\r\nX: a\r\n b",
+};
+
+/// Bodies that follow such fields, each with a second request in it.
+const std::vector<std::string> smuggled_bodies{
+    "GET /second HTTP/1.1\r\nHost: x\r\n\r\n",
+    "abcdGET /second HTTP/1.1\r\nHost: x\r\n\r\n",
+    "0\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n",
+    "4\r\nabcd\r\n0\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n",
+};
+
+} // namespace
+
+// The body of a request whose length was in doubt was run as a request of its
+// own (review/9): nothing checked the codings, and the library ignores those
+// that it does not know.
+TEST(hostile_input, nothing_after_a_doubtful_request_is_read_as_a_request)
+{
+    asio::io_context io;
+    int first = 0;
+    int second = 0;
+    http_server server(
+        io,
+        server_address,
+        {},
+        [&](http_exchange& exchange) -> asio::awaitable<void>
+        {
+            (exchange.request().target_ == "/second" ? second : first) += 1;
+            co_await exchange.send(200, {}, "");
+        });
+    server.start();
+    for (const std::string& fields : doubtful_fields)
+    {
+        for (const std::string& body : smuggled_bodies)
+        {
+            for (const char* version : {"1.1", "1.0"})
+            {
+                SCOPED_TRACE(fields + " | " + body + " | " + version);
+                second = 0;
+                const std::string answer = raw_exchange(
+                    io,
+                    std::string("POST /first HTTP/") + version +
+                        "\r\nHost: x\r\n" + fields + "\r\n\r\n" + body);
+                EXPECT_EQ(second, 0);
+                const bool is_refused = answer.starts_with("HTTP/1.1 400 ") ||
+                                        answer.starts_with("HTTP/1.1 413 ");
+                EXPECT_TRUE(is_refused) << answer.substr(0, 60);
+            }
+        }
+    }
+    EXPECT_EQ(first, 0);
+    // Chunks are not part of HTTP/1.0.
+    EXPECT_TRUE(raw_exchange(
+                    io,
+                    "POST /first HTTP/1.0\r\nTransfer-Encoding: chunked\r\n"
+                    "\r\n0\r\n\r\n")
+                    .starts_with("HTTP/1.1 400 "));
+    expect_served(io);
+}
+
 // A handler passes on statuses, headers and bodies that an endpoint chose.
 TEST(hostile_input, answers_that_the_library_refuses_end_no_process)
 {
