--- a/tests/drivers/hostile_input_test.cpp
+++ b/tests/drivers/hostile_input_test.cpp
@@ -386,12 +386,15 @@
         {
             for (const char* version : {"1.1", "1.0"})
             {
-                SCOPED_TRACE(fields + " | " + body + " | " + version);
+                std::string request = "POST /first HTTP/";
+                request.append(version)
+                    .append("\r\nHost: x\r\n")
+                    .append(fields)
+                    .append("\r\n\r\n")
+                    .append(body);
+                SCOPED_TRACE(request);
                 second = 0;
-                const std::string answer = raw_exchange(
-                    io,
-                    std::string("POST /first HTTP/") + version +
-                        "\r\nHost: x\r\n" + fields + "\r\n\r\n" + body);
+                const std::string answer = raw_exchange(io, request);
                 EXPECT_EQ(second, 0);
                 const bool is_refused = answer.starts_with("HTTP/1.1 400 ") ||
                                         answer.starts_with("HTTP/1.1 413 ");
