--- a/node/platform_monitor.cpp
+++ b/node/platform_monitor.cpp
@@ -43,6 +43,60 @@
     }
 }
 
+using platform_entries = std::vector<std::optional<platform_entry>>;
+
+/// Entries of the platform's list; those that cannot be read are empty.
+struct platform_list
+{
+    platform_entries endpoints_;
+    platform_entries hosts_;
+};
+
+platform_entries parse_entries(const core::json_array& array)
+{
+    platform_entries out;
+    for (const std::string_view text : array.elements_)
+    {
+        out.push_back(parse_entry(text));
+    }
+    return out;
+}
+
+/// \return nothing when the list does not end, or entries of both kinds are
+/// cut off.
+std::optional<platform_list> parse_list(std::string_view text)
+{
+    const auto is_entry = [](std::string_view entry)
+    {
+        return parse_entry(entry).has_value();
+    };
+    // An entry that is cut off hides the members behind its array, so the other
+    // array is looked up in what is left without it.
+    constexpr const char* endpoints = "endpoints";
+    constexpr const char* hosts = "hosts";
+    for (const bool hosts_first : {false, true})
+    {
+        const auto first = core::split_json_array(
+            text,
+            hosts_first ? hosts : endpoints,
+            hosts_first ? endpoints : hosts,
+            is_entry);
+        const auto second = core::split_json_array(
+            first ? std::string_view(first->others_) : std::string_view(),
+            hosts_first ? endpoints : hosts,
+            hosts_first ? hosts : endpoints,
+            is_entry);
+        if (first && second)
+        {
+            return hosts_first
+                       ? platform_list{parse_entries(*second), parse_entries(*first)}
+                       : platform_list{
+                             parse_entries(*first), parse_entries(*second)};
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 platform_monitor::platform_monitor(
@@ -86,9 +140,8 @@
         co_return;
     }
     const std::string& body = core::value(reply).body_;
-    const auto endpoints = core::split_json_array(body, "endpoints");
-    const auto listed_hosts = core::split_json_array(body, "hosts");
-    if (!endpoints || !listed_hosts)
+    const std::optional<platform_list> list = parse_list(body);
+    if (!list)
     {
         // Hosts must not be retired because the list of them cannot be read.
         drivers::log_event(
@@ -100,9 +153,8 @@
     std::set<core::endpoint_id> leaving;
     std::set<core::host_id> hosts;
     std::size_t unreadable = 0;
-    for (const std::string_view text : *endpoints)
+    for (const std::optional<platform_entry>& entry : list->endpoints_)
     {
-        const std::optional<platform_entry> entry = parse_entry(text);
         unreadable += entry ? 0 : 1;
         if (entry && entry->state_ == "leaving")
         {
@@ -110,9 +162,8 @@
         }
     }
     bool all_hosts_readable = true;
-    for (const std::string_view text : *listed_hosts)
+    for (const std::optional<platform_entry>& entry : list->hosts_)
     {
-        const std::optional<platform_entry> entry = parse_entry(text);
         unreadable += entry ? 0 : 1;
         all_hosts_readable = all_hosts_readable && entry;
         if (entry)
