--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -32,12 +32,13 @@
 /// Validity of a member's reply that it knows no leader.
 constexpr core::duration leaderless_report_validity{1'500};
 
-/// Timeout of one part of a document, and the time until a failed one is asked
-/// for again. A member that may be lost is waited for less long than the
-/// leader, to which the watch is open.
+/// Timeout of one part of a document. A member that may be lost is waited for
+/// less long than the leader, to which the watch is open.
 constexpr core::duration part_timeout{2'000};
 constexpr core::duration relay_timeout{1'000};
-constexpr core::duration part_retry_interval{60};
+
+/// Interval at which a host without members looks for one.
+constexpr core::duration source_search_interval{60};
 
 /// How long the quarantines that a previous leader imposed hold after a change
 /// of leader. The new leader takes them over meanwhile.
@@ -258,6 +259,7 @@
             co_await drivers::sleep_for(leader_search_interval);
             continue;
         }
+        sources_.record_contact(member);
         apply(request, core::value(reply), member, sent_at);
         record_leader_report(member, !core::value(reply).leader_.empty());
         wait = core::value(reply).leads_;
@@ -462,14 +464,35 @@
     }
 }
 
-/// Fetches the next part of a document. After a failure, another member is
-/// asked at once; when the leader has failed, or none is known, after a while.
+/// \return the member to ask for the next part, once it may be asked.
+awaitable<core::host_id> catalog_watcher::choose_source()
+{
+    for (;;)
+    {
+        const core::time_point now = core::steady_now();
+        const document_sources::choice next = sources_.choose(
+            known_members(),
+            with_.board_.section<group_section>().leader_,
+            with_.identity().zone_,
+            now);
+        if (!next.member_.empty() && next.not_before_ <= now)
+        {
+            co_return next.member_;
+        }
+        co_await drivers::sleep_for(
+            next.member_.empty() ? source_search_interval
+                                 : next.not_before_ - now);
+    }
+}
+
+/// Fetches the next part of a document. After a failure, the next call asks
+/// another member.
 awaitable<catalog_watcher::part_result> catalog_watcher::fetch_part(
     document_download& download)
 {
+    const core::host_id source = co_await choose_source();
     const core::host_id leader = with_.board_.section<group_section>().leader_;
-    const core::host_id source = sources_.choose(
-        known_members(), leader, with_.identity().zone_, core::steady_now());
+    const core::time_point sent_at = core::steady_now();
     download_source_ = source;
     const bool is_leader = source == leader;
     const core::duration timeout = is_leader ? part_timeout : relay_timeout;
@@ -496,7 +519,8 @@
                 : part_result::received;
         }
     }
-    sources_.record_failure(source, kind, core::steady_now());
+    const core::time_point now = core::steady_now();
+    sources_.record_failure(source, kind, now - sent_at, now);
     log_event(
         log_level::warning,
         "part_failed",
@@ -506,12 +530,8 @@
          {"document", request.id_.name_},
          {"revision", request.id_.revision_},
          {"offset", request.offset_},
-         {"since_ms", (core::steady_now() - download_started_at_).ms_}});
+         {"since_ms", (now - download_started_at_).ms_}});
     with_.metrics_.count("poplarroute_part_failures_total");
-    if (is_leader || leader.empty())
-    {
-        co_await drivers::sleep_for(part_retry_interval);
-    }
     co_return part_result::failed;
 }
 
@@ -527,6 +547,7 @@
             sources_.record_failure(
                 download_source_,
                 document_sources::failure::not_ready,
+                core::duration{},
                 core::steady_now());
         }
         confirm_versions();
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -45,6 +45,7 @@
 
     awaitable<void> watch_loop();
     awaitable<void> download_loop();
+    awaitable<core::host_id> choose_source();
     awaitable<part_result> fetch_part(document_download& download);
     awaitable<void> fetch_catalog_part();
     awaitable<void> fetch_list_part();
--- a/node/document_sources.cpp
+++ b/node/document_sources.cpp
@@ -1,5 +1,6 @@
 #include "node/document_sources.hpp"
 
+#include <algorithm>
 #include <string>
 #include <tuple>
 
@@ -15,23 +16,29 @@
 /// document.
 constexpr core::duration not_ready_retention{3'000};
 
-/// The same for a member that did not reply. Trying it again costs a timeout.
+/// The same for a member that did not reply.
 constexpr core::duration lost_retention{30'000};
 
-/// Time after a loss in which the leader is asked first. It covers the transfer
-/// of a document.
+/// Among members that failed, one that did not reply comes this much later: it
+/// costs a timeout.
+constexpr core::duration lost_penalty{3'000};
+
+/// Time from a failure until a member that failed before is asked.
+constexpr core::duration retry_interval{100};
+
+/// Time after a slow failure in which the leader is asked first. It covers the
+/// transfer of a document.
 constexpr core::duration leader_first_period{3'000};
 
-/// Ranks of members; the lowest is asked first.
+/// A member that refuses only after this time is as costly as a lost one.
+constexpr core::duration slow_failure{400};
+
+/// Ranks of members that did not fail; the lowest is asked first.
 constexpr int own_zone_rank = 0;
 constexpr int unknown_zone_rank = 1;
 constexpr int other_zone_rank = 2;
 constexpr int leader_rank = 3;
 
-/// Added to the rank of a member that has failed.
-constexpr int not_ready_rank = 4;
-constexpr int lost_rank = 8;
-
 bool is_within(
     const std::optional<core::time_point>& event,
     core::duration period,
@@ -56,39 +63,65 @@
     }
     if (member == leader)
     {
-        out = is_within(last_loss_at_, leader_first_period, now)
-                  ? own_zone_rank - 1
-                  : leader_rank;
+        out = leader_comes_first(leader, now) ? own_zone_rank - 1 : leader_rank;
     }
+    return out;
+}
+
+bool document_sources::leader_comes_first(
+    const core::host_id& leader, core::time_point now) const
+{
+    const auto found = sources_.find(leader);
+    const bool is_lost = found != sources_.end() &&
+                         is_within(found->second.lost_at_, lost_retention, now);
+    const bool has_failed_since =
+        found != sources_.end() && last_slow_failure_at_ &&
+        found->second.not_ready_at_ >= last_slow_failure_at_;
+    return !is_lost && !has_failed_since &&
+           is_within(last_slow_failure_at_, leader_first_period, now);
+}
+
+std::optional<core::time_point> document_sources::retry_time(
+    const core::host_id& member, core::time_point now) const
+{
+    const auto found = sources_.find(member);
     if (found == sources_.end())
     {
-        return out;
+        return std::nullopt;
     }
-    if (is_within(found->second.lost_at_, lost_retention, now))
+    const source& known = found->second;
+    if (is_within(known.lost_at_, lost_retention, now))
     {
-        return out + lost_rank;
+        return *known.lost_at_ + lost_penalty;
     }
-    return is_within(found->second.not_ready_at_, not_ready_retention, now)
-               ? out + not_ready_rank
-               : out;
+    return is_within(known.not_ready_at_, not_ready_retention, now)
+               ? known.not_ready_at_
+               : std::nullopt;
 }
 
-core::host_id document_sources::choose(
+document_sources::choice document_sources::choose(
     std::span<const core::host_id> members,
     const core::host_id& leader,
     const core::zone_id& own_zone,
     core::time_point now) const
 {
-    core::host_id out;
-    std::pair<int, std::uint64_t> least{};
+    choice out{{}, now};
+    std::tuple<core::time_point, int, std::uint64_t> least{};
     for (const core::host_id& member : members)
     {
-        const std::pair order{
+        const std::optional<core::time_point> retry = retry_time(member, now);
+        const bool comes_first =
+            member == leader && leader_comes_first(leader, now);
+        const std::tuple order{
+            comes_first ? core::time_point{}
+                        : retry.value_or(core::time_point{}),
             rank(member, leader, own_zone, now),
             core::stable_hash(member + "/" + std::to_string(seed_))};
-        if (out.empty() || order < least)
+        if (out.member_.empty() || order < least)
         {
-            out = member;
+            out.member_ = member;
+            out.not_before_ =
+                retry ? std::max(now, *last_failure_at_ + retry_interval) : now;
             least = order;
         }
     }
@@ -101,14 +134,30 @@
     sources_[member] = {zone, std::nullopt, std::nullopt};
 }
 
+void document_sources::record_contact(const core::host_id& member)
+{
+    const auto found = sources_.find(member);
+    if (found != sources_.end())
+    {
+        found->second.lost_at_.reset();
+    }
+}
+
 void document_sources::record_failure(
-    const core::host_id& member, failure kind, core::time_point now)
+    const core::host_id& member,
+    failure kind,
+    core::duration took,
+    core::time_point now)
 {
     source& found = sources_[member];
+    last_failure_at_ = now;
+    if (kind == failure::lost || took >= slow_failure)
+    {
+        last_slow_failure_at_ = now;
+    }
     if (kind == failure::lost)
     {
         found.lost_at_ = now;
-        last_loss_at_ = now;
     }
     else
     {
--- a/node/document_sources.hpp
+++ b/node/document_sources.hpp
@@ -19,9 +19,22 @@
 /// the leader last. Hosts go through members of equal rank in different orders.
 /// Several members may be lost at once, and each costs its timeout: after one
 /// loss the leader is asked, which is known to live.
+///
+/// Members that failed come after all others, the one whose failure is the
+/// longest ago first, so none is asked again before the others were. Such calls
+/// keep a distance, whatever the members reply.
 class document_sources
 {
 public:
+    /// The member to ask next.
+    struct choice
+    {
+        core::host_id member_; ///< Empty: there is none.
+
+        /// Earliest time of the call.
+        core::time_point not_before_;
+    };
+
     /// Why a member did not send what it was asked for.
     enum class failure
     {
@@ -34,8 +47,7 @@
 
     /// \param members that may be asked, the leader among them.
     /// \param own_zone the host's zone.
-    /// \return the member to ask next; empty if there is none.
-    core::host_id choose(
+    choice choose(
         std::span<const core::host_id> members,
         const core::host_id& leader,
         const core::zone_id& own_zone,
@@ -45,10 +57,17 @@
     /// \param zone its zone; empty: it did not state it.
     void record_reply(const core::host_id& member, const core::zone_id& zone);
 
+    /// Records that a member replied to a call of another kind: it is not lost.
+    void record_contact(const core::host_id& member);
+
     /// Records that a member did not send a part. Others come before it for a
     /// while; for longer if it is lost.
+    /// \param took time that the call took.
     void record_failure(
-        const core::host_id& member, failure kind, core::time_point now);
+        const core::host_id& member,
+        failure kind,
+        core::duration took,
+        core::time_point now);
 
 private:
     struct source
@@ -58,6 +77,16 @@
         std::optional<core::time_point> lost_at_;
     };
 
+    /// \return the time from which a member that failed lately may be asked
+    /// again; nothing when it did not fail.
+    std::optional<core::time_point> retry_time(
+        const core::host_id& member, core::time_point now) const;
+
+    /// \return whether members that fail slowly have cost enough time. The
+    /// leader is known to live, unless it has failed since.
+    bool leader_comes_first(
+        const core::host_id& leader, core::time_point now) const;
+
     int rank(
         const core::host_id& member,
         const core::host_id& leader,
@@ -66,7 +95,10 @@
 
     std::uint64_t seed_;
     std::map<core::host_id, source> sources_;
-    std::optional<core::time_point> last_loss_at_; ///< Of any member.
+    std::optional<core::time_point> last_failure_at_; ///< Of any member.
+
+    /// Last failure of any member that cost much time.
+    std::optional<core::time_point> last_slow_failure_at_;
 };
 
 } // namespace poplarroute::node
