--- a/control/raft_types.cpp
+++ b/control/raft_types.cpp
@@ -8,7 +8,6 @@
 {
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member, host_, store_, voter_)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member_group, members_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(hard_state, term_, voted_for_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
     vote_request, term_, last_index_, last_term_, trial_)
@@ -16,6 +15,18 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(
     append_reply, term_, accepted_, match_, round_)
 
+static void to_json(nlohmann::json& out, const member_group& group)
+{
+    out = {{"members_", group.members_}, {"surplus_", group.surplus_}};
+}
+
+static void from_json(const nlohmann::json& in, member_group& group)
+{
+    in.at("members_").get_to(group.members_);
+    // Logs and messages of earlier programs do not have it.
+    group.surplus_ = in.value("surplus_", std::int64_t{0});
+}
+
 static void to_json(nlohmann::json& out, const log_entry& entry)
 {
     out = {
--- a/control/raft_types.hpp
+++ b/control/raft_types.hpp
@@ -33,6 +33,10 @@
 {
     std::vector<member> members_;
 
+    /// Members that were added since the group was founded, less those that
+    /// were removed: that many have been replaced and may be removed.
+    std::int64_t surplus_ = 0;
+
     /// \return the member on a host, or nullptr.
     const member* find(const core::host_id& host) const;
     bool is_voter(const core::host_id& host, const store_id& store) const;
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -75,12 +75,19 @@
     /// this member's.
     std::int64_t hosts_behind() const;
 
+    /// Tells the group that this process stops.
+    awaitable<void> announce_leave()
+    {
+        return group_manager_.announce_leave();
+    }
+
     /// Sets the gauges of what the leader places streams by, and of the streams
     /// whose origin this member knows.
     void set_metrics() const
     {
         placements_.set_metrics();
         origins_.set_metrics();
+        group_manager_.set_metrics();
     }
 
 private:
--- a/node/catalog_messages.hpp
+++ b/node/catalog_messages.hpp
@@ -22,6 +22,7 @@
 inline constexpr const char* catalog_read = "catalog.read";
 inline constexpr const char* document_part = "documents.part";
 inline constexpr const char* catalog_join = "catalog.join";
+inline constexpr const char* catalog_leave = "catalog.leave";
 inline constexpr const char* streams_place = "streams.place";
 inline constexpr const char* streams_end = "streams.end";
 inline constexpr const char* streams_note = "streams.note";
@@ -227,6 +228,17 @@
 
 /// Asks the leader to add a member to the group.
 struct join_request
+{
+    core::host_id host_;
+    std::string store_;
+
+    /// Whether the fleet starts for the first time: the member replaces no
+    /// other.
+    bool first_start_ = false;
+};
+
+/// Tells a member that the process of another one stops.
+struct leave_request
 {
     core::host_id host_;
     std::string store_;
@@ -453,7 +465,9 @@
     catalog_read_reply, version_, text_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     submit_reply, changed_, number_, conflicts_)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(join_request, host_, store_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
+    join_request, host_, store_, first_start_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(leave_request, host_, store_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(
     placement_request,
     service_,
--- a/node/fleet_process.cpp
+++ b/node/fleet_process.cpp
@@ -578,6 +578,10 @@
     {
         co_await drain();
     }
+    if (catalog_controller_)
+    {
+        co_await catalog_controller_->announce_leave();
+    }
     co_await drivers::sleep_for(final_send_time);
     log_event(log_level::info, "stopped", {});
     drivers::flush_log();
--- a/node/group_manager.cpp
+++ b/node/group_manager.cpp
@@ -28,16 +28,14 @@
 
 /// A member without a leader for this long asks to join again: it may have been
 /// removed while it was unreachable.
-constexpr core::duration rejoin_after{4'000};
+constexpr core::duration rejoin_after{1'500};
 
-/// A member unreachable for this long is removed if another joined since.
-constexpr core::duration remove_after{6'000};
+/// How long it is remembered that a member stops. It covers an election.
+constexpr core::duration leave_validity{4'000};
 
-/// A member counts as reachable if it was heard from within this time.
-constexpr core::duration reachable_within{1'500};
-
-/// Members are removed only while at least this many remain reachable.
-constexpr std::size_t min_reachable_members = 3;
+/// How long a member that stops waits for the others' replies.
+constexpr core::duration leave_timeout{500};
+constexpr core::duration leave_check_interval{10};
 
 } // namespace
 
@@ -69,6 +67,15 @@
             }
             co_return submit_reply();
         });
+    with_.calls_.add_typed<leave_request, submit_reply>(
+        method::catalog_leave,
+        allowed_callers::host,
+        [this](drivers::peer_identity, leave_request request)
+            -> awaitable<core::result<submit_reply>>
+        {
+            co_await take_leave(std::move(request));
+            co_return submit_reply();
+        });
     drivers::spawn_loop(
         with_.io_,
         "form_group",
@@ -80,20 +87,63 @@
 
 void group_manager::begin_leading()
 {
-    unreachable_since_.clear();
+    leading_since_ = core::steady_now();
+}
+
+/// Notes that a member stops. The leader replies once it has removed it, if
+/// that is due.
+awaitable<void> group_manager::take_leave(leave_request request)
+{
+    const control::member* known =
+        group_.member()->log().group().find(request.host_);
+    if (known == nullptr || known->store_ != request.store_)
+    {
+        co_return;
+    }
+    leaving_[request.host_] = core::steady_now();
+    log_event(log_level::info, "member_stops", {{"member", request.host_}});
+    if (group_.leads())
+    {
+        co_await update_members();
+    }
 }
 
-bool group_manager::was_replaced(
-    const core::host_id& lost, core::time_point lost_since) const
+awaitable<void> group_manager::announce_leave()
 {
-    return std::any_of(
-        joined_at_.begin(),
-        joined_at_.end(),
-        [&](const auto& joined)
+    is_leaving_ = true;
+    const core::host_id self = with_.identity().host_;
+    const control::member_group group = group_.member()->log().group();
+    const leave_request request{self, group_.store()};
+    auto waiting = std::make_shared<std::size_t>(0);
+    for (const control::member& item : group.members_)
+    {
+        if (item.host_ == self)
         {
-            return joined.first != lost &&
-                   joined.second + remove_after > lost_since;
-        });
+            continue;
+        }
+        ++*waiting;
+        drivers::spawn_task(
+            with_.io_,
+            "announce_leave",
+            [](context& with,
+               core::host_id to,
+               leave_request told,
+               std::shared_ptr<std::size_t> left) -> awaitable<void>
+            {
+                co_await ask<submit_reply>(
+                    with.peers_,
+                    to,
+                    method::catalog_leave,
+                    told,
+                    leave_timeout);
+                --*left;
+            }(with_, item.host_, request, waiting));
+    }
+    const core::time_point until = core::steady_now() + leave_timeout;
+    while (*waiting > 0 && core::steady_now() < until)
+    {
+        co_await drivers::sleep_for(leave_check_interval);
+    }
 }
 
 awaitable<bool> group_manager::bootstrap_from_seeds()
@@ -145,7 +195,11 @@
         {
             continue;
         }
-        const join_request request{self, group_.store()};
+        // A member that was removed and returns has a group.
+        const bool is_founder =
+            with_.board_.section<settings_section>().settings_.first_start_ &&
+            group_.member()->log().group().members_.empty();
+        const join_request request{self, group_.store(), is_founder};
         const core::result<submit_reply> reply = co_await ask<submit_reply>(
             with_.peers_,
             asked[index],
@@ -173,7 +227,7 @@
     const core::host_id self = with_.identity().host_;
     for (;;)
     {
-        if (group_.is_suspended())
+        if (group_.is_suspended() || is_leaving_)
         {
             co_await drivers::sleep_for(form_interval);
             continue;
@@ -221,73 +275,98 @@
     }
     if (known == nullptr)
     {
-        const auto added =
-            co_await group_.change_group("add", request.host_, request.store_);
+        const auto added = co_await group_.change_group(
+            request.first_start_ ? "found" : "add",
+            request.host_,
+            request.store_);
         if (!core::is_ok(added))
         {
             co_return;
         }
     }
-    joined_at_[request.host_] = core::steady_now();
+    leaving_.erase(request.host_);
     log_event(log_level::info, "member_joined", {{"member", request.host_}});
 }
 
-awaitable<void> group_manager::update_members()
+/// \return what is known of all members except this one.
+std::map<core::host_id, control::member_contact> group_manager::contacts() const
 {
     const control::raft& raft = *group_.member();
-    const control::member_group group = raft.log().group();
     const core::time_point now = core::steady_now();
-    for (const control::member& item : group.members_)
+    std::map<core::host_id, control::member_contact> out;
+    for (const control::member& item : raft.log().group().members_)
     {
-        if (!item.voter_ && raft.is_caught_up(item.host_))
+        if (item.host_ == with_.identity().host_)
         {
-            const auto promoted =
-                co_await group_.change_group("promote", item.host_, "");
-            if (core::is_ok(promoted))
-            {
-                log_event(
-                    log_level::info,
-                    "member_promoted",
-                    {{"member", item.host_}});
-            }
-            co_return;
+            continue;
         }
+        const core::time_point heard =
+            raft.last_reply_from(item.host_).value_or(leading_since_);
+        const auto leaving = leaving_.find(item.host_);
+        out[item.host_] = {
+            now - std::max(heard, leading_since_),
+            !item.voter_ && raft.is_caught_up(item.host_),
+            leaving != leaving_.end() &&
+                now - leaving->second <= leave_validity};
     }
-    std::size_t reachable = 0;
-    core::host_id lost;
-    core::time_point lost_since = now;
-    for (const control::member& item : group.members_)
+    return out;
+}
+
+awaitable<void> group_manager::update_members()
+{
+    if (is_updating_)
     {
-        const auto heard = raft.last_reply_from(item.host_);
-        const bool self = item.host_ == with_.identity().host_;
-        if (self || (heard && now - *heard <= reachable_within))
-        {
-            unreachable_since_.erase(item.host_);
-            ++reachable;
-            continue;
-        }
-        const core::time_point since =
-            unreachable_since_.try_emplace(item.host_, now).first->second;
-        if (since < lost_since)
-        {
-            lost = item.host_;
-            lost_since = since;
-        }
+        co_return;
     }
-    const bool replaced = was_replaced(lost, lost_since);
-    const bool others_reachable = reachable + 1 == group.members_.size();
-    if (!lost.empty() && replaced && others_reachable &&
-        reachable >= min_reachable_members && now - lost_since > remove_after)
+    const std::map<core::host_id, control::member_contact> known = contacts();
+    const std::optional<control::group_change> change =
+        control::decide_group_change(group_.member()->log().group(), known);
+    if (!change)
     {
-        const auto removed = co_await group_.change_group("remove", lost, "");
-        if (core::is_ok(removed))
-        {
-            log_event(
-                log_level::info,
-                "member_removed",
-                {{"member", lost}, {"silent_ms", (now - lost_since).ms_}});
-            joined_at_.clear();
-        }
+        co_return;
+    }
+    const bool removes = change->kind_ == control::group_change::kind::remove;
+    is_updating_ = true;
+    const auto changed = co_await group_.change_group(
+        removes ? "remove" : "promote", change->host_, "");
+    is_updating_ = false;
+    if (!core::is_ok(changed))
+    {
+        co_return;
+    }
+    const control::member_contact& contact = known.at(change->host_);
+    log_event(
+        log_level::info,
+        removes ? "member_removed" : "member_promoted",
+        {{"member", change->host_},
+         {"silent_ms", contact.silence_.ms_},
+         {"stops", contact.leaves_ ? 1 : 0},
+         {"surplus", group_.member()->log().group().surplus_}});
+}
+
+void group_manager::set_metrics() const
+{
+    const control::member_group& group = group_.member()->log().group();
+    with_.metrics_.set(
+        "poplarroute_group_voters",
+        {},
+        static_cast<double>(group.voter_count()));
+    with_.metrics_.set(
+        "poplarroute_group_surplus_members",
+        {},
+        static_cast<double>(group.surplus_));
+    constexpr const char* silence = "poplarroute_group_member_silence_ms";
+    with_.metrics_.clear(silence);
+    if (!group_.leads())
+    {
+        return;
+    }
+    for (const auto& [host, contact] : contacts())
+    {
+        with_.metrics_.set(
+            silence,
+            {{"member", host}},
+            static_cast<double>(contact.silence_.ms_));
     }
 }
 
--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -691,8 +691,9 @@
     }
     control::member_group next = raft_->log().group();
     auto& members = next.members_;
-    if (action == "add")
+    if (action == "add" || action == "found")
     {
+        next.surplus_ += action == "add" ? 1 : 0;
         members.push_back({host, store, false});
         std::sort(
             members.begin(),
@@ -711,12 +712,12 @@
     }
     else
     {
-        std::erase_if(
+        next.surplus_ -= static_cast<std::int64_t>(std::erase_if(
             members,
             [&](const control::member& item)
             {
                 return item.host_ == host;
-            });
+            }));
     }
     auto reply =
         std::make_shared<pending_value<core::result<core::done>>>(with_.io_);
--- a/node/replica.hpp
+++ b/node/replica.hpp
@@ -97,7 +97,8 @@
     core::result<core::done> bootstrap(const control::member_group& group);
 
     /// Changes the group by one member, if this member is the leader.
-    /// \param action "add", "promote" or "remove".
+    /// \param action "add", "promote" or "remove"; "found" adds a member that
+    /// replaces no other.
     awaitable<core::result<core::done>> change_group(
         std::string action, core::host_id host, std::string store);
 
