--- a/core/json_text.cpp
+++ b/core/json_text.cpp
@@ -192,7 +192,7 @@
 
 private:
     /// Bounds the work on a text without a readable end.
-    static constexpr std::size_t max_searched_bytes = 16U * 1024 * 1024;
+    static constexpr std::size_t max_searched_bytes_ = 16U * 1024 * 1024;
 
     std::size_t skip_blanks(std::size_t at) const
     {
@@ -313,7 +313,7 @@
     std::size_t begin_;
     std::string_view other_array_;
     const std::function<bool(std::string_view)>& is_element_;
-    std::size_t budget_ = max_searched_bytes;
+    std::size_t budget_ = max_searched_bytes_;
     json_array out_;
 };
 
--- a/tests/control/group_changes_test.cpp
+++ b/tests/control/group_changes_test.cpp
@@ -107,7 +107,7 @@
         const std::int64_t until = now_ + span.ms_;
         while (now_ < until)
         {
-            now_ += tick_ms;
+            now_ += tick_ms_;
             elect();
             for (auto& [host, machine] : machines_)
             {
@@ -170,7 +170,7 @@
     }
 
 private:
-    static constexpr std::int64_t tick_ms = 50;
+    static constexpr std::int64_t tick_ms_ = 50;
 
     struct machine
     {
