Do not say of a request that another host has that it was not run

Change: the result knows that another host has the request and has not reported; the answer is 502 then.

Measured: cut_hosts.do_not_call_what_another_host_may_run_refused got 503 before, 502 now.

--- a/node/ingress_call.hpp
+++ b/node/ingress_call.hpp
@@ -60,6 +60,10 @@
     std::string relayed_to_; ///< Host that it was handed to; empty: none.
     bool unreached_ = false; ///< No connection to an endpoint could be made.
     int sends_ = 0;          ///< Number of times it was sent to an endpoint.
+
+    /// Whether another host has the request and has not yet reported whether it
+    /// was sent.
+    bool is_handed_on_ = false;
     std::int64_t waited_ms_ = -1;      ///< Time in the queue; -1: none.
     std::int64_t read_ms_ = -1;        ///< Prefill time; -1: none.
     std::int64_t first_event_ms_ = -1; ///< Since the arrival; -1: none.
--- a/node/ingress_controller.cpp
+++ b/node/ingress_controller.cpp
@@ -581,7 +581,7 @@
     }
     result.status_ = status_bad_gateway;
     std::optional<core::duration> retry_after;
-    if (result.sends_ == 0)
+    if (result.sends_ == 0 && !result.is_handed_on_)
     {
         result.status_ = status_unavailable;
         retry_after = stopping_retry_after;
--- a/node/relay_client.cpp
+++ b/node/relay_client.cpp
@@ -213,16 +213,20 @@
     std::optional<std::int64_t> resume_after)
 {
     result.relayed_to_ = address;
+    result.is_handed_on_ = true;
     core::result<std::unique_ptr<drivers::http_stream>> opened =
         co_await with_.http_.open(
             make_call(address, exchange, call, resume_after));
     if (!core::is_ok(opened))
     {
+        const bool is_unreached =
+            core::failure(opened).code_ == core::errc::unreachable;
         result.detail_ = "handed on: " + core::failure(opened).message_;
-        co_return core::failure(opened).code_ == core::errc::unreachable
-            ? attempt_result::declined
-            : attempt_result::lost;
+        result.is_handed_on_ = !is_unreached;
+        co_return is_unreached ? attempt_result::declined
+                               : attempt_result::lost;
     }
+    result.is_handed_on_ = false;
     drivers::http_stream& answer = *core::value(opened);
     const drivers::header_list headers = answer.headers();
     const std::string outcome(
--- a/tests/platform/cut_hosts_test.cpp
+++ b/tests/platform/cut_hosts_test.cpp
@@ -87,6 +87,26 @@
     EXPECT_EQ(hosts_[1]->relayed_, 0);
 }
 
+// Guards against a host that stops and says of a once-only call that it has not
+// run, while another host, to which it was handed on, runs it.
+TEST_F(cut_hosts, do_not_call_what_another_host_may_run_refused)
+{
+    drivers::asio::ip::tcp::acceptor silent(
+        io_, drivers::parse_endpoint("127.0.0.1:19859"));
+    add_desk();
+    list_[0].address_ = "127.0.0.1:19859";
+    cut_first_host();
+    drivers::spawn(
+        io_,
+        [](node::ingress_controller& ingress) -> drivers::asio::awaitable<void>
+        {
+            co_await drivers::sleep_for(core::duration{300});
+            ingress.stop_at(core::steady_now() + core::duration{200});
+        }(hosts_[0]->ingress_));
+    EXPECT_EQ(call("/desk/x", "a1").status_, 502);
+    EXPECT_EQ(hosts_[1]->relayed_, 1);
+}
+
 // Guards against a stream that ends at the cut although another host could go
 // on with it.
 TEST_F(cut_hosts, have_a_stream_that_breaks_go_on_at_another_host)
