Keep a peer connection when a waiting call is given up

Change: only a call whose deadline has passed can show that a connection is silent.

Measured: severed_connection.is_not_assumed_when_a_call_is_given_up failed before and passes now.

--- a/drivers/peer_connection.cpp
+++ b/drivers/peer_connection.cpp
@@ -310,7 +310,9 @@
     {
         co_return core::error{core::errc::broken, "connection lost"};
     }
-    if (is_silent(started_at))
+    // A caller that gives up earlier says nothing about the connection.
+    const bool is_due = core::steady_now() - started_at >= deadline;
+    if (is_due && is_silent(started_at))
     {
         // A new connection may work.
         close();
--- a/tests/drivers/severed_connection_test.cpp
+++ b/tests/drivers/severed_connection_test.cpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <vector>
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
@@ -195,6 +196,45 @@
         });
 }
 
+// Guards against a caller that leaves while its call waits, and takes the calls
+// of all others with it.
+TEST(severed_connection, is_not_assumed_when_a_call_is_given_up)
+{
+    asio::io_context io;
+    peer_server server(
+        io,
+        server_address,
+        nullptr,
+        [](peer_identity,
+           std::string,
+           std::string body) -> asio::awaitable<core::result<std::string>>
+        {
+            co_await sleep_for(core::duration{900});
+            co_return body;
+        });
+    server.start();
+    peer_client client(io, nullptr);
+    bool is_answered = false;
+    run(io,
+        [&]() -> asio::awaitable<void>
+        {
+            using namespace asio::experimental::awaitable_operators;
+            const auto late = [&]() -> asio::awaitable<void>
+            {
+                const auto reply = co_await client.call(
+                    server_address, "late", "x", core::duration{5'000});
+                is_answered = core::is_ok(reply);
+            };
+            spawn(io, late());
+            co_await (
+                client.call(
+                    server_address, "late", "x", core::duration{5'000}) ||
+                sleep_for(core::duration{500}));
+            co_await sleep_for(core::duration{900});
+            EXPECT_TRUE(is_answered);
+        });
+}
+
 // A peer that is late loses one call of a short deadline. Guards against a
 // connection that is closed with it: all other calls of the host were lost, the
 // host searched for a leader, and the leader had more to do.
