Add a member whatever the count of replaced ones

Cause: raft compares the groups before and after an addition, and with surplus_ every addition changed more than the members, unless the count was 0 before. group_changed was logged all the same.

Change: only the members are compared; a change that is refused is logged as group_change_refused. The soak's list holds entries that are cut off.

--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -29,15 +29,15 @@
 bool differs_only_by(
     const member_group& small, const member_group& large, const member& extra)
 {
-    member_group without;
+    std::vector<member> without;
     for (const member& item : large.members_)
     {
         if (!(item == extra))
         {
-            without.members_.push_back(item);
+            without.push_back(item);
         }
     }
-    return without == small;
+    return without == small.members_;
 }
 
 /// \return the members of the left group that the right one lacks.
--- a/node/replica.cpp
+++ b/node/replica.cpp
@@ -728,8 +728,13 @@
     {
         co_return error{errc::timeout, "not committed in time"};
     }
+    const bool has_changed = core::is_ok(*outcome);
     log_event(
-        log_level::info, "group_changed", {{"action", action}, {"host", host}});
+        has_changed ? log_level::info : log_level::warning,
+        has_changed ? "group_changed" : "group_change_refused",
+        {{"action", action},
+         {"host", host},
+         {"problem", has_changed ? "" : core::failure(*outcome).message_}});
     co_return *outcome;
 }
 
--- a/tests/control/raft_test.cpp
+++ b/tests/control/raft_test.cpp
@@ -297,6 +297,29 @@
         core::is_ok(leader.propose_group_change(next, {5'010}, index)));
 }
 
+// Guards against a member that lost its disk and is never added again, since
+// the group's count of replaced members was taken for a change of its own.
+TEST(raft, a_member_is_added_whatever_the_count_of_replaced_ones)
+{
+    for (const std::int64_t surplus : {-1, 0, 2})
+    {
+        raft_initial_state start;
+        start.host_ = "a";
+        start.store_ = "sa";
+        start.snapshot_ = {1, 1, {{{"a", "sa", true}}, surplus}, "s"};
+        raft leader(std::move(start), {0});
+        leader.tick({5'000});
+        member_group next = leader.log().group();
+        next.members_.push_back({"b", "sb", false});
+        ++next.surplus_;
+        log_index index = 0;
+        EXPECT_TRUE(
+            core::is_ok(leader.propose_group_change(next, {5'010}, index)))
+            << surplus;
+        EXPECT_EQ(leader.log().group().surplus_, surplus + 1);
+    }
+}
+
 TEST(raft, a_snapshot_does_not_drop_entries_already_acknowledged)
 {
     raft follower = make_raft("b", "sb", false);
--- a/tests/fakes/platform_fakes.py
+++ b/tests/fakes/platform_fakes.py
@@ -379,6 +379,7 @@
         self.links = links
         self.leaving = set()
         self.former = {}   # Names that addresses had before, with their links.
+        self.foreign = None  # Draws entries of another writer, cut off.
         self.port = 0
         self.calls = 0
 
@@ -406,6 +407,14 @@
             out["stage"] = endpoint.stage
         return out
 
+    def add_foreign(self, entries):
+        """Adds entries that another writer has not written to their end."""
+        whole = json.dumps({"id": "i-foreign", "service": "desk", "tags":
+                            ["a", "},{", {"b": "\\"}], "state": "ready"})
+        for _ in range(self.foreign.randrange(3)):
+            entries.insert(self.foreign.randrange(len(entries) + 1),
+                           whole[:self.foreign.randrange(len(whole))])
+
     async def serve_connection(self, reader, writer):
         try:
             while True:
@@ -419,10 +428,13 @@
                           *(self.entry(link) for link in self.links)]
                 part = listed[page:page + 3]
                 more = page + 3 < len(listed)
-                body = json.dumps({
-                    "instances": part +
-                                 [{"id": 5, "state": "unknown"}],
-                    "next": str(page + 3) if more else None}).encode()
+                entries = [json.dumps(entry) for entry in
+                           [*part, {"id": 5, "state": "unknown"}]]
+                if self.foreign:
+                    self.add_foreign(entries)
+                body = (f'{{"instances": [{", ".join(entries)}], "next": '
+                        f'{json.dumps(str(page + 3) if more else None)}}}'
+                        ).encode()
                 writer.write(format_message("HTTP/1.1 200 OK", {}, body))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -6,8 +6,8 @@
 kills and restarts processes, deletes a member's disk, and delays, resets,
 silences or refuses connections to endpoints. Endpoints crash, start again under
 another name while the former one is still listed, name limits, and repeat
-refusals. Faults come one after another and overlap. It checks what callers and
-endpoints recorded:
+refusals. The list holds entries that are cut off. Faults come one after another
+and overlap. It checks what callers and endpoints recorded:
 
 - an attempt of a call that must not be repeated runs at most once;
 - an attempt that was answered with 429 or 503 never runs;
@@ -171,6 +171,7 @@
                 endpoint.error_probability = 0.02
         self.links = [fakes.Link(endpoint) for endpoint in self.endpoints]
         self.list = fakes.EndpointList(self.links)
+        self.list.foreign = random.Random(seed)
         self.version = 0
         self.acknowledged = 0
         self.acknowledged_at = 0.0
