Tell the other array of the product's list from a cut-off entry

Found when the diff was read.

Measured: damaged_list.an_entry_cut_off_does_not_hide_the_other_array read 4 elements of 2 before; it passes now. The users' platform has one array; its reading does not change.

--- a/core/json_text.cpp
+++ b/core/json_text.cpp
@@ -147,12 +147,16 @@
 {
 public:
     /// \param begin position behind the array's opening bracket.
+    /// \param other_array name of a member that may be an array too.
     array_splitter(
         std::string_view text,
         std::size_t begin,
         std::string_view other_array,
         const std::function<bool(std::string_view)>& is_element)
-        : text_(text), begin_(begin), is_element_(is_element)
+        : text_(text),
+          begin_(begin),
+          other_array_(other_array),
+          is_element_(is_element)
     {
     }
 
--- a/node/platform_monitor.cpp
+++ b/node/platform_monitor.cpp
@@ -76,22 +76,20 @@
     constexpr const char* hosts = "hosts";
     for (const bool hosts_first : {false, true})
     {
-        const auto first = core::split_json_array(
-            text,
-            hosts_first ? hosts : endpoints,
-            hosts_first ? endpoints : hosts,
-            is_entry);
+        const char* first_name = hosts_first ? hosts : endpoints;
+        const char* second_name = hosts_first ? endpoints : hosts;
+        const auto first =
+            core::split_json_array(text, first_name, second_name, is_entry);
         const auto second = core::split_json_array(
             first ? std::string_view(first->others_) : std::string_view(),
-            hosts_first ? endpoints : hosts,
-            hosts_first ? hosts : endpoints,
+            second_name,
+            first_name,
             is_entry);
         if (first && second)
         {
-            return hosts_first
-                       ? platform_list{parse_entries(*second), parse_entries(*first)}
-                       : platform_list{
-                             parse_entries(*first), parse_entries(*second)};
+            return platform_list{
+                parse_entries(hosts_first ? *second : *first),
+                parse_entries(hosts_first ? *first : *second)};
         }
     }
     return std::nullopt;
--- a/tests/platform/damaged_list_test.cpp
+++ b/tests/platform/damaged_list_test.cpp
@@ -11,6 +11,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "core/json_text.hpp"
+
 using poplarroute::node::endpoint_page;
 using poplarroute::node::listed_endpoint;
 using poplarroute::platform::platform_codec;
@@ -127,6 +129,32 @@
     RC_ASSERT(holds(text, sound));
 }
 
+// The product's own list has two arrays: an entry that is cut off in one must
+// not take in the other.
+TEST(damaged_list, an_entry_cut_off_does_not_hide_the_other_array)
+{
+    const auto is_element = [](std::string_view text)
+    {
+        return text.starts_with(R"({"name")");
+    };
+    const std::string first = R"({"name":"a","tags":["x"],"state":"live"})";
+    for (std::size_t bytes = 0; bytes < first.size(); ++bytes)
+    {
+        const std::string text =
+            R"({"endpoints":[{"name":"b"},)" + first.substr(0, bytes) +
+            R"(],"hosts":[{"name":"c"},{"name":"d"}],"age":1})";
+        const auto endpoints = poplarroute::core::split_json_array(
+            text, "endpoints", "hosts", is_element);
+        ASSERT_TRUE(endpoints) << text;
+        EXPECT_EQ(endpoints->elements_.front(), R"({"name":"b"})");
+        EXPECT_LE(endpoints->elements_.size(), 2U) << text;
+        const auto hosts = poplarroute::core::split_json_array(
+            endpoints->others_, "hosts", "endpoints", is_element);
+        ASSERT_TRUE(hosts) << text;
+        EXPECT_EQ(hosts->elements_.size(), 2U) << text;
+    }
+}
+
 // A page of the largest size that cannot be read must not stop the host.
 TEST(damaged_list, hostile_pages_are_read_or_refused_in_bounded_time)
 {
