--- a/control/group_changes.hpp
+++ b/control/group_changes.hpp
@@ -41,9 +41,10 @@
 /// group could bear. It looks like one that is down and returns, so members are
 /// removed only while others have joined in their place
 /// (member_group::surplus_): those that say that they stop, else those that are
-/// silent. One that is removed and returns joins again. \param contacts of all
-/// members except the leader itself. \return the next change; nothing if none
-/// is due, or it cannot be told which member has left.
+/// silent. One that is removed and returns joins again.
+/// \param contacts of all members except the leader itself.
+/// \return the next change; nothing if none is due, or it cannot be told which
+/// member has left.
 std::optional<group_change> decide_group_change(
     const member_group& group,
     const std::map<core::host_id, member_contact>& contacts);
--- a/core/json_text.cpp
+++ b/core/json_text.cpp
@@ -76,11 +76,18 @@
         return text_.substr(begin, ends ? at_ - begin : 0);
     }
 
-    /// Skips a string.
-    /// \return whether there is one that ends.
-    bool skip_name()
+    /// Skips the name of an object's member and the colon after it.
+    /// \return the name without its quotes; nothing when there is none.
+    std::optional<std::string_view> skip_name()
     {
-        return peek() == '"' && skip_string();
+        const bool begins = peek() == '"';
+        const std::size_t begin = at_ + 1;
+        if (!begins || !skip_string())
+        {
+            return std::nullopt;
+        }
+        const std::string_view name = text_.substr(begin, at_ - begin - 1);
+        return skip(':') ? std::optional(name) : std::nullopt;
     }
 
     std::size_t position() const
@@ -296,12 +303,7 @@
         scanner.move_to(begin_ + 1);
         while (scanner.skip(','))
         {
-            scanner.peek();
-            const std::size_t begin = scanner.position();
-            scanner.skip_name();
-            const std::string_view name =
-                others.substr(begin + 1, scanner.position() - begin - 2);
-            scanner.skip(':');
+            const auto name = scanner.skip_name();
             const std::string_view value = scanner.skip_value();
             const bool has_brackets = !value.empty() && (value.front() == '[' ||
                                                          value.front() == '{');
@@ -333,21 +335,13 @@
     }
     for (;;)
     {
-        scanner.peek();
-        const std::size_t begin = scanner.position();
-        if (!scanner.skip_name())
-        {
-            return std::nullopt;
-        }
-        const std::string_view name =
-            object_text.substr(begin, scanner.position() - begin);
-        if (!scanner.skip(':'))
+        const auto name = scanner.skip_name();
+        if (!name)
         {
             return std::nullopt;
         }
         scanner.peek();
-        if (name.size() == member.size() + 2 &&
-            name.substr(1, member.size()) == member)
+        if (*name == member)
         {
             return scanner.position();
         }
@@ -387,28 +381,13 @@
     std::optional<std::string_view> found;
     while (!scanner.skip('}'))
     {
-        if (scanner.peek() != '"')
-        {
-            return std::nullopt;
-        }
-        const std::size_t begin = scanner.position();
-        if (!scanner.skip_name())
-        {
-            return std::nullopt;
-        }
-        const std::string_view name =
-            object_text.substr(begin, scanner.position() - begin);
-        if (!scanner.skip(':'))
-        {
-            return std::nullopt;
-        }
+        const auto name = scanner.skip_name();
         const std::string_view value = trim_end(scanner.skip_value());
-        if (value.empty())
+        if (!name || value.empty())
         {
             return std::nullopt;
         }
-        if (name.size() == member.size() + 2 &&
-            name.substr(1, member.size()) == member)
+        if (*name == member)
         {
             found = value;
         }
--- a/node/document_sources.cpp
+++ b/node/document_sources.cpp
@@ -34,6 +34,7 @@
 constexpr core::duration slow_failure{400};
 
 /// Ranks of members that did not fail; the lowest is asked first.
+constexpr int first_rank = -1;
 constexpr int own_zone_rank = 0;
 constexpr int unknown_zone_rank = 1;
 constexpr int other_zone_rank = 2;
@@ -49,23 +50,15 @@
 
 } // namespace
 
-int document_sources::rank(
-    const core::host_id& member,
-    const core::host_id& leader,
-    const core::zone_id& own_zone,
-    core::time_point now) const
+int document_sources::zone_rank(
+    const core::host_id& member, const core::zone_id& own_zone) const
 {
     const auto found = sources_.find(member);
-    int out = unknown_zone_rank;
-    if (found != sources_.end() && !found->second.zone_.empty())
+    if (found == sources_.end() || found->second.zone_.empty())
     {
-        out = found->second.zone_ == own_zone ? own_zone_rank : other_zone_rank;
+        return unknown_zone_rank;
     }
-    if (member == leader)
-    {
-        out = leader_comes_first(leader, now) ? own_zone_rank - 1 : leader_rank;
-    }
-    return out;
+    return found->second.zone_ == own_zone ? own_zone_rank : other_zone_rank;
 }
 
 bool document_sources::leader_comes_first(
@@ -110,12 +103,14 @@
     for (const core::host_id& member : members)
     {
         const std::optional<core::time_point> retry = retry_time(member, now);
-        const bool comes_first =
-            member == leader && leader_comes_first(leader, now);
+        const bool leads = member == leader;
+        const bool comes_first = leads && leader_comes_first(leader, now);
         const std::tuple order{
             comes_first ? core::time_point{}
                         : retry.value_or(core::time_point{}),
-            rank(member, leader, own_zone, now),
+            comes_first ? first_rank
+            : leads     ? leader_rank
+                        : zone_rank(member, own_zone),
             core::stable_hash(member + "/" + std::to_string(seed_))};
         if (out.member_.empty() || order < least)
         {
--- a/node/document_sources.hpp
+++ b/node/document_sources.hpp
@@ -87,11 +87,8 @@
     bool leader_comes_first(
         const core::host_id& leader, core::time_point now) const;
 
-    int rank(
-        const core::host_id& member,
-        const core::host_id& leader,
-        const core::zone_id& own_zone,
-        core::time_point now) const;
+    int zone_rank(
+        const core::host_id& member, const core::zone_id& own_zone) const;
 
     std::uint64_t seed_;
     std::map<core::host_id, source> sources_;
--- a/tests/drivers/hostile_input_test.cpp
+++ b/tests/drivers/hostile_input_test.cpp
@@ -360,6 +360,24 @@
     "4\r\nabcd\r\n0\r\n\r\nGET /second HTTP/1.1\r\nHost: x\r\n\r\n",
 };
 
+/// Requests that a server has read, by their target.
+struct request_counts
+{
+    int first_ = 0;
+    int second_ = 0; ///< Of "/second".
+};
+
+/// \return a handler that counts requests and answers 200.
+auto count_in(request_counts& counts)
+{
+    return [&counts](http_exchange& exchange) -> asio::awaitable<void>
+    {
+        const bool is_second = exchange.request().target_ == "/second";
+        ++(is_second ? counts.second_ : counts.first_);
+        co_await exchange.send(200, {}, "");
+    };
+}
+
 } // namespace
 
 // The body of a request whose length was in doubt was run as a request of its
@@ -368,17 +386,8 @@
 TEST(hostile_input, nothing_after_a_doubtful_request_is_read_as_a_request)
 {
     asio::io_context io;
-    int first = 0;
-    int second = 0;
-    http_server server(
-        io,
-        server_address,
-        {},
-        [&](http_exchange& exchange) -> asio::awaitable<void>
-        {
-            (exchange.request().target_ == "/second" ? second : first) += 1;
-            co_await exchange.send(200, {}, "");
-        });
+    request_counts counts;
+    http_server server(io, server_address, {}, count_in(counts));
     server.start();
     for (const std::string& fields : doubtful_fields)
     {
@@ -393,16 +402,16 @@
                     .append("\r\n\r\n")
                     .append(body);
                 SCOPED_TRACE(request);
-                second = 0;
+                counts.second_ = 0;
                 const std::string answer = raw_exchange(io, request);
-                EXPECT_EQ(second, 0);
+                EXPECT_EQ(counts.second_, 0);
                 const bool is_refused = answer.starts_with("HTTP/1.1 400 ") ||
                                         answer.starts_with("HTTP/1.1 413 ");
                 EXPECT_TRUE(is_refused) << answer.substr(0, 60);
             }
         }
     }
-    EXPECT_EQ(first, 0);
+    EXPECT_EQ(counts.first_, 0);
     // Chunks are not part of HTTP/1.0.
     EXPECT_TRUE(raw_exchange(
                     io,
@@ -810,23 +819,14 @@
     const drawn_request drawn = draw_request();
     RC_LOG() << drawn.text_;
     asio::io_context io;
-    int first = 0;
-    int second = 0;
-    http_server server(
-        io,
-        server_address,
-        {},
-        [&](http_exchange& exchange) -> asio::awaitable<void>
-        {
-            (exchange.request().target_ == "/second" ? second : first) += 1;
-            co_await exchange.send(200, {}, "");
-        });
+    request_counts counts;
+    http_server server(io, server_address, {}, count_in(counts));
     server.start();
     const std::string answer = raw_exchange(
         io, drawn.text_ + "GET /second HTTP/1.1\r\nHost: x\r\n\r\n");
-    RC_ASSERT(first == (drawn.is_doubtful_ ? 0 : 1));
-    RC_ASSERT(second <= (drawn.is_doubtful_ ? 0 : 1));
-    RC_ASSERT(drawn.is_doubtful_ || drawn.is_old_ || second == 1);
+    RC_ASSERT(counts.first_ == (drawn.is_doubtful_ ? 0 : 1));
+    RC_ASSERT(counts.second_ <= (drawn.is_doubtful_ ? 0 : 1));
+    RC_ASSERT(drawn.is_doubtful_ || drawn.is_old_ || counts.second_ == 1);
     RC_ASSERT(answer.starts_with(
         drawn.is_doubtful_ ? "HTTP/1.1 400 " : "HTTP/1.1 200 "));
 }
--- a/tests/drivers/severed_connection_test.cpp
+++ b/tests/drivers/severed_connection_test.cpp
@@ -115,6 +115,17 @@
     std::vector<path_ptr> paths_;
 };
 
+/// \return the handler of a peer that replies with what it was sent.
+auto echo_after(core::duration delay)
+{
+    return [delay](peer_identity, std::string, std::string body)
+               -> asio::awaitable<core::result<std::string>>
+    {
+        co_await sleep_for(delay);
+        co_return body;
+    };
+}
+
 } // namespace
 
 TEST(severed_connection, of_a_peer_is_replaced_after_one_call)
@@ -202,16 +213,7 @@
 {
     asio::io_context io;
     peer_server server(
-        io,
-        server_address,
-        nullptr,
-        [](peer_identity,
-           std::string,
-           std::string body) -> asio::awaitable<core::result<std::string>>
-        {
-            co_await sleep_for(core::duration{900});
-            co_return body;
-        });
+        io, server_address, nullptr, echo_after(core::duration{900}));
     server.start();
     peer_client client(io, nullptr);
     bool is_answered = false;
@@ -243,16 +245,7 @@
     asio::io_context io;
     link between(io);
     peer_server server(
-        io,
-        server_address,
-        nullptr,
-        [](peer_identity,
-           std::string,
-           std::string body) -> asio::awaitable<core::result<std::string>>
-        {
-            co_await sleep_for(core::duration{150});
-            co_return body;
-        });
+        io, server_address, nullptr, echo_after(core::duration{150}));
     server.start();
     peer_client client(io, nullptr);
     run(io,
