--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -50,6 +50,7 @@
 
 BUILD = os.environ.get("POPLARROUTE_BUILD", "build")
 PROGRAM = os.path.join(BUILD, "main", "poplarroute")
+MAX_SEEDS = 3
 PEER_PORT, CONTROL_PORT, CLIENT_PORT, READY_PORT = 17500, 17600, 17700, 17701
 GRACE_S = 8
 # Of refusals, written once more.
@@ -71,23 +72,26 @@
 class Host:
     """One process of the fleet: a group member or an entry host."""
 
-    def __init__(self, soak, number, member):
+    def __init__(self, soak, number, member, zone="zone-a", first=True):
         self.soak = soak
         self.ip = f"{soak.network}.{number}"
         self.member = member
+        self.zone = zone
         self.name = f"{'member' if member else 'entry'}-{number}"
         self.data = os.path.join(soak.folder, self.name)
         self.settings = os.path.join(soak.folder, self.name + ".conf")
         self.process = None
         self.stopping = False
         self.paused = False
-        self.first = True
+        self.first = first
 
     def write_settings(self):
         seeds = ",".join(f"{host.ip}:{CONTROL_PORT}"
-                         for host in self.soak.members)
-        lines = [f"nodeName={self.name}", f"ip={self.ip}", "zone=zone-a",
-                 "zones.zone-a=region", f"portRange={PEER_PORT},17515",
+                         for host in self.soak.members[:MAX_SEEDS])
+        lines = [f"nodeName={self.name}", f"ip={self.ip}",
+                 f"zone={self.zone}",
+                 *(f"zones.{zone}=region" for zone in self.soak.zones),
+                 f"portRange={PEER_PORT},17515",
                  f"seeds={seeds}",
                  f"firstStart={'true' if self.first else 'false'}",
                  f"cloudApi.address=127.0.0.1:{self.soak.list.port}",
@@ -110,8 +114,9 @@
         self.stopping = False
         log = open(os.path.join(self.soak.folder, self.name + ".log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
-            PROGRAM, "--platform", stdout=log, stderr=log,
-            env={**os.environ, "POPLARROUTE_CONFIG": self.settings})
+            self.soak.program, "--platform", stdout=log, stderr=log,
+            env={**os.environ, **self.soak.environment(self),
+                 "POPLARROUTE_CONFIG": self.settings})
         log.close()
 
     def send(self, signal_number):
@@ -143,6 +148,8 @@
     def __init__(self, seed, seconds, entries, heavy=False, callers=12,
                  network="127.0.1"):
         self.random = random.Random(seed)
+        self.program = PROGRAM
+        self.zones = ["zone-a"]
         self.extra_settings = []
         self.heavy = heavy
         self.network = network
@@ -194,6 +201,11 @@
     def add_problem(self, what):
         self.problems.append(what)
 
+    def environment(self, host):
+        """Returns variables for the program of a host."""
+        del host
+        return {}
+
     def config(self, version):
         def route(name, kind, service, resumable=False):
             return {"name": name, "host": "a.example",
