Log whom a host asks and what it holds while it is behind

Change: catalog_behind, one line a second while a host lacks what a member announced or has heard of no leader for 1.5 s, and catalog_caught_up.

--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -49,6 +49,15 @@
 /// host that reaches no such member has to serve at last.
 constexpr core::duration outdated_catalog_wait{3'000};
 
+/// A leader that has told a host nothing for longer may have announced a newer
+/// catalog to others.
+constexpr core::duration max_leader_silence{1'500};
+
+/// Time for which a host may be behind without a line in the log, and the
+/// interval of these lines.
+constexpr core::duration unreported_lateness{700};
+constexpr core::duration behind_report_interval{1'000};
+
 /// \return what an error says of the member that was asked for a part.
 document_sources::failure failure_kind(const core::error& problem)
 {
@@ -202,6 +211,54 @@
         {{"kind", error.code_ == core::errc::timeout ? "timeout" : "other"}});
 }
 
+/// Logs whom this host asks and what it has, while it may lack the newest
+/// catalog.
+/// \param asked the member of the next watch request.
+void catalog_watcher::report_if_behind(const core::host_id& asked)
+{
+    const core::time_point now = core::steady_now();
+    const group_section& group = with_.board_.section<group_section>();
+    const catalog_section& section = with_.board_.section<catalog_section>();
+    const std::uint64_t version =
+        section.view_ ? section.view_->whole().version_ : 0;
+    const core::duration silence = now - group.leader_contact_at_;
+    if (!needs_catalog() && silence <= max_leader_silence)
+    {
+        if (was_reported_behind_)
+        {
+            log_event(
+                log_level::info,
+                "catalog_caught_up",
+                {{"version", version},
+                 {"leader", group.leader_},
+                 {"after_ms", (now - *behind_since_).ms_}});
+        }
+        behind_since_.reset();
+        was_reported_behind_ = false;
+        return;
+    }
+    behind_since_ = behind_since_.value_or(now);
+    const bool is_due = now - *behind_since_ >= unreported_lateness &&
+                        now >= next_behind_report_at_;
+    if (!is_due)
+    {
+        return;
+    }
+    was_reported_behind_ = true;
+    next_behind_report_at_ = now + behind_report_interval;
+    log_event(
+        log_level::warning,
+        "catalog_behind",
+        {{"version", version},
+         {"announced", known_version_},
+         {"revision", known_revision_},
+         {"leader", group.leader_},
+         {"heard_ms_ago", group.leader_contact_at_.ms_ == 0 ? -1 : silence.ms_},
+         {"asks", asked},
+         {"part_asked", download_source_},
+         {"behind_ms", (now - *behind_since_).ms_}});
+}
+
 /// Records whether a member knows a leader. When a majority of the members
 /// knows none, there is none.
 void catalog_watcher::record_leader_report(
@@ -239,6 +296,7 @@
             co_await drivers::sleep_for(leader_search_interval);
             continue;
         }
+        report_if_behind(member);
         forget_unlisted_limits(with_.board_.section<endpoint_section>());
         const watch_request request = next_watch_request(wait);
         const core::duration timeout =
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,7 @@
         const core::error& error);
     void record_leader_lost(
         const core::host_id& member, const core::error& error);
+    void report_if_behind(const core::host_id& asked);
 
     context& with_;
     const wire_codec& codec_;
@@ -97,6 +99,12 @@
     std::uint64_t unreadable_version_ = 0; ///< Newest that failed to decode.
     drivers::asio::steady_timer download_wake_;
 
+    /// Since when this host has not had the newest catalog, or not heard from a
+    /// leader that would tell it of one.
+    std::optional<core::time_point> behind_since_;
+    core::time_point next_behind_report_at_;
+    bool was_reported_behind_ = false;
+
     /// Term of the leader whose quarantines are known, and the end of the time
     /// for which those of the previous leader hold, too. A member that restarts
     /// may lead again.
