Find the leader, and the newest catalog, in 2 s after any two faults

What callers saw (users' record): 404 and older services at hosts of three zones for seconds, after the leader had changed without a restart. Cause: not known for the record. Of the class: a host followed whomever a member named, so two members that are behind and name each other kept it; a named leader that is lost had the timeouts of one that leads; a member whose watch had failed was asked for the document next; one loop fetched list and catalog in turn. Change: node/leader_search decides whom a host watches; a failed watch counts for downloads; only a confirmed leader has the leader's rank and timeout; the two downloads run beside each other.

--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -70,7 +70,7 @@
 
 /// How long a member that follows its leader lets hosts wait for a catalog that
 /// it is about to apply: it learns of it by the next heartbeat.
-constexpr core::duration catalog_wait{400};
+constexpr core::duration catalog_wait{200};
 constexpr core::duration catalog_check_interval{20};
 constexpr std::size_t max_catalog_waits = 128;
 
--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -21,21 +21,20 @@
 
 /// How long the leader may hold a watch request before it replies.
 constexpr core::duration max_watch_wait{800};
-constexpr core::duration watch_timeout{1'300};
 
-/// Interval and timeout of the requests that look for a leader. The timeout
-/// covers several round trips between zones, and lets several members be asked
-/// within a second.
+/// Interval of the requests that look for a leader.
 constexpr core::duration leader_search_interval{60};
-constexpr core::duration leader_search_timeout{300};
 
 /// Validity of a member's reply that it knows no leader.
 constexpr core::duration leaderless_report_validity{1'500};
 
 /// Timeout of one part of a document. A member that may be lost is waited for
-/// less long than the leader, to which the watch is open.
+/// less long than the leader, to which the watch is open. It may first have to
+/// fetch the endpoint list itself, or to wait for a catalog that it is about to
+/// apply.
 constexpr core::duration part_timeout{2'000};
-constexpr core::duration relay_timeout{1'000};
+constexpr core::duration list_relay_timeout{1'000};
+constexpr core::duration catalog_relay_timeout{500};
 
 /// Interval at which a host without members looks for one.
 constexpr core::duration source_search_interval{60};
@@ -77,13 +76,16 @@
       rollouts_(rollouts),
       list_(with),
       settler_(with),
-      download_wake_(with.io_)
+      catalog_transfer_(with.io_),
+      list_transfer_(with.io_)
 {
 }
 
 void catalog_watcher::start()
 {
     started_at_ = core::steady_now();
+    catalog_transfer_.started_at_ = started_at_;
+    list_transfer_.started_at_ = started_at_;
     policy::account_meter& meter = with_.board_.section<meter_section>().meter_;
     const std::uint64_t seed = core::stable_hash(with_.identity().host_);
     meter = policy::account_meter(seed);
@@ -103,10 +105,17 @@
         });
     drivers::spawn_loop(
         with_.io_,
-        "download_loop",
+        "catalog_loop",
         [this]()
         {
-            return download_loop();
+            return catalog_loop();
+        });
+    drivers::spawn_loop(
+        with_.io_,
+        "list_loop",
+        [this]()
+        {
+            return list_loop();
         });
     settler_.start();
 }
@@ -135,13 +144,6 @@
     return all;
 }
 
-core::host_id catalog_watcher::next_member()
-{
-    const std::vector<core::host_id> all = known_members();
-    return all.empty() ? core::host_id()
-                       : all[next_member_index_++ % all.size()];
-}
-
 watch_request catalog_watcher::next_watch_request(bool wait) const
 {
     const endpoint_section& list = with_.board_.section<endpoint_section>();
@@ -188,6 +190,12 @@
              {"heard_ms_ago",
               (core::steady_now() - group.leader_contact_at_).ms_}});
     }
+    const core::time_point now = core::steady_now();
+    search_.record_failure(member, now);
+    if (failure_kind(error) == document_sources::failure::lost)
+    {
+        sources_.record_silence(member, now);
+    }
     group.leader_.clear();
 }
 
@@ -255,7 +263,7 @@
          {"leader", group.leader_},
          {"heard_ms_ago", group.leader_contact_at_.ms_ == 0 ? -1 : silence.ms_},
          {"asks", asked},
-         {"part_asked", download_source_},
+         {"part_asked", catalog_transfer_.source_},
          {"behind_ms", (now - *behind_since_).ms_}});
 }
 
@@ -285,12 +293,11 @@
 
 awaitable<void> catalog_watcher::watch_loop()
 {
-    bool wait = false;
     for (;;)
     {
-        group_section& group = with_.board_.section<group_section>();
-        const core::host_id member =
-            group.leader_.empty() ? next_member() : group.leader_;
+        const leader_search::choice next =
+            search_.next(known_members(), core::steady_now());
+        const core::host_id member = next.member_;
         if (member.empty())
         {
             co_await drivers::sleep_for(leader_search_interval);
@@ -298,30 +305,30 @@
         }
         report_if_behind(member);
         forget_unlisted_limits(with_.board_.section<endpoint_section>());
-        const watch_request request = next_watch_request(wait);
-        const core::duration timeout =
-            group.leader_.empty() ? leader_search_timeout : watch_timeout;
+        const watch_request request = next_watch_request(next.holds_);
         const std::uint64_t bytes_before = drivers::traffic().bytes_in_;
         const core::time_point sent_at = core::steady_now();
         const core::result<watch_reply> reply = co_await ask<watch_reply>(
-            with_.peers_, member, method::catalog_watch, request, timeout);
+            with_.peers_,
+            member,
+            method::catalog_watch,
+            request,
+            next.timeout_);
         if (!core::is_ok(reply))
         {
             record_watch_failure(
                 member,
-                timeout,
+                next.timeout_,
                 drivers::traffic().bytes_in_ - bytes_before,
                 core::failure(reply));
             record_leader_lost(member, core::failure(reply));
-            wait = false;
             co_await drivers::sleep_for(leader_search_interval);
             continue;
         }
         sources_.record_contact(member);
         apply(request, core::value(reply), member, sent_at);
         record_leader_report(member, !core::value(reply).leader_.empty());
-        wait = core::value(reply).leads_;
-        if (!wait)
+        if (!core::value(reply).leads_)
         {
             co_await drivers::sleep_for(leader_search_interval);
         }
@@ -344,12 +351,14 @@
     rollouts_.apply(reply.rollouts_);
     if (!may_be_outdated(reply))
     {
+        if (reply.version_ > known_version_)
+        {
+            sources_.record_announcement(from);
+        }
         apply_catalog(reply);
     }
-    const core::host_id leader = reply.leads_ ? from : reply.leader_;
-    // If a member names itself as the leader but does not lead, no leader is
-    // known.
-    const core::host_id next = leader == from && !reply.leads_ ? "" : leader;
+    search_.record_reply(from, reply.leads_, reply.leader_, core::steady_now());
+    const core::host_id& next = search_.leader();
     if (next != group.leader_)
     {
         log_event(
@@ -375,7 +384,7 @@
     confirm_versions();
     if (list_.needs_download())
     {
-        download_wake_.cancel();
+        list_transfer_.wake_.cancel();
     }
 }
 
@@ -479,7 +488,7 @@
     }
     if (needs_catalog())
     {
-        download_wake_.cancel();
+        catalog_transfer_.wake_.cancel();
         return;
     }
     section.revision_ = reply.revision_;
@@ -498,30 +507,46 @@
     return known_version_ > std::max(version, unreadable_version_);
 }
 
-awaitable<void> catalog_watcher::download_loop()
+awaitable<void> catalog_watcher::catalog_loop()
 {
     for (;;)
     {
-        if (list_.needs_download())
-        {
-            co_await fetch_list_part();
-        }
         if (needs_catalog())
         {
             co_await fetch_catalog_part();
         }
-        if (!list_.needs_download() && !needs_catalog())
+        else
+        {
+            co_await wait_for_news(catalog_transfer_);
+        }
+    }
+}
+
+awaitable<void> catalog_watcher::list_loop()
+{
+    for (;;)
+    {
+        if (list_.needs_download())
+        {
+            co_await fetch_list_part();
+        }
+        else
         {
-            download_wake_.expires_at(
-                drivers::asio::steady_timer::time_point::max());
-            drivers::error_code woken;
-            co_await download_wake_.async_wait(drivers::asio::redirect_error(
-                drivers::asio::use_awaitable, woken));
-            download_started_at_ = core::steady_now();
+            co_await wait_for_news(list_transfer_);
         }
     }
 }
 
+/// Waits until a document is announced that this host does not have.
+awaitable<void> catalog_watcher::wait_for_news(transfer& waiting)
+{
+    waiting.wake_.expires_at(drivers::asio::steady_timer::time_point::max());
+    drivers::error_code woken;
+    co_await waiting.wake_.async_wait(
+        drivers::asio::redirect_error(drivers::asio::use_awaitable, woken));
+    waiting.started_at_ = core::steady_now();
+}
+
 /// \return the member to ask for the next part, once it may be asked.
 awaitable<core::host_id> catalog_watcher::choose_source()
 {
@@ -530,7 +555,7 @@
         const core::time_point now = core::steady_now();
         const document_sources::choice next = sources_.choose(
             known_members(),
-            with_.board_.section<group_section>().leader_,
+            search_.confirmed_leader(),
             with_.identity().zone_,
             now);
         if (!next.member_.empty() && next.not_before_ <= now)
@@ -545,14 +570,14 @@
 
 /// Fetches the next part of a document. After a failure, the next call asks
 /// another member.
+/// \param relay_timeout for a member that does not lead.
 awaitable<catalog_watcher::part_result> catalog_watcher::fetch_part(
-    document_download& download)
+    document_download& download, transfer& state, core::duration relay_timeout)
 {
     const core::host_id source = co_await choose_source();
-    const core::host_id leader = with_.board_.section<group_section>().leader_;
     const core::time_point sent_at = core::steady_now();
-    download_source_ = source;
-    const bool is_leader = source == leader;
+    state.source_ = source;
+    const bool is_leader = source == search_.confirmed_leader();
     const core::duration timeout = is_leader ? part_timeout : relay_timeout;
     const document_part_request request = download.next_request();
     const core::result<document_part_reply> reply =
@@ -568,11 +593,11 @@
     else
     {
         sources_.record_reply(source, core::value(reply).zone_);
-        const document_download::progress state =
+        const document_download::progress reached =
             download.add(core::value(reply));
-        if (state != document_download::progress::damaged)
+        if (reached != document_download::progress::damaged)
         {
-            co_return state == document_download::progress::complete
+            co_return reached == document_download::progress::complete
                 ? part_result::completed
                 : part_result::received;
         }
@@ -588,7 +613,7 @@
          {"document", request.id_.name_},
          {"revision", request.id_.revision_},
          {"offset", request.offset_},
-         {"since_ms", (now - download_started_at_).ms_}});
+         {"since_ms", (now - state.started_at_).ms_}});
     with_.metrics_.count("poplarroute_part_failures_total");
     co_return part_result::failed;
 }
@@ -596,14 +621,15 @@
 awaitable<void> catalog_watcher::fetch_list_part()
 {
     document_download& download = list_.download();
-    const part_result result = co_await fetch_part(download);
+    const part_result result =
+        co_await fetch_part(download, list_transfer_, list_relay_timeout);
     if (result == part_result::completed)
     {
         const bool is_news = list_.finish_download();
         if (!is_news)
         {
             sources_.record_failure(
-                download_source_,
+                list_transfer_.source_,
                 document_sources::failure::not_ready,
                 core::duration{},
                 core::steady_now());
@@ -615,7 +641,8 @@
 awaitable<void> catalog_watcher::fetch_catalog_part()
 {
     catalog_download_.want(catalog_document(known_version_));
-    const part_result result = co_await fetch_part(catalog_download_);
+    const part_result result = co_await fetch_part(
+        catalog_download_, catalog_transfer_, catalog_relay_timeout);
     if (result == part_result::completed)
     {
         put_in_force(
@@ -656,7 +683,8 @@
          {"revision", known_revision_},
          {"routes", section.view_->whole().routes_.size()},
          {"bytes", text.size()},
-         {"fetched_ms", (core::steady_now() - download_started_at_).ms_},
+         {"fetched_ms",
+          (core::steady_now() - catalog_transfer_.started_at_).ms_},
          {"zones_out", section.zones_out_.size()}});
     refresh_limits();
     for (const auto& call : section.on_change_)
--- a/node/catalog_watcher.hpp
+++ b/node/catalog_watcher.hpp
@@ -10,6 +10,7 @@
 #include "node/document_sources.hpp"
 #include "node/endpoint_list_follower.hpp"
 #include "node/fleet_sections.hpp"
+#include "node/leader_search.hpp"
 #include "node/rollout_client.hpp"
 #include "node/running_streams.hpp"
 #include "node/usage_settler.hpp"
@@ -44,14 +45,29 @@
         failed,    ///< Parts that arrived before are kept, unless damaged.
     };
 
+    /// Download of one of the documents. Each has its own, so that one which
+    /// members are slow to send does not delay the other.
+    struct transfer
+    {
+        explicit transfer(drivers::asio::io_context& io) : wake_(io) {}
+
+        drivers::asio::steady_timer wake_;
+        core::time_point started_at_;
+        core::host_id source_; ///< Of the last part.
+    };
+
     awaitable<void> watch_loop();
-    awaitable<void> download_loop();
+    awaitable<void> catalog_loop();
+    awaitable<void> list_loop();
+    static awaitable<void> wait_for_news(transfer& waiting);
     awaitable<core::host_id> choose_source();
-    awaitable<part_result> fetch_part(document_download& download);
+    awaitable<part_result> fetch_part(
+        document_download& download,
+        transfer& state,
+        core::duration relay_timeout);
     awaitable<void> fetch_catalog_part();
     awaitable<void> fetch_list_part();
     std::vector<core::host_id> known_members() const;
-    core::host_id next_member();
     void apply(
         const watch_request& request,
         const watch_reply& reply,
@@ -82,7 +98,7 @@
     const wire_codec& codec_;
     rollout_client& rollouts_;
     core::time_point started_at_;
-    std::size_t next_member_index_ = 0;
+    leader_search search_;
     std::uint64_t crash_revision_ = 0;
     std::uint64_t limit_revision_ = 0;
 
@@ -94,10 +110,9 @@
     usage_settler settler_;
     document_download catalog_download_;
     document_sources sources_;
-    core::host_id download_source_; ///< Of the last part.
-    core::time_point download_started_at_;
+    transfer catalog_transfer_;
+    transfer list_transfer_;
     std::uint64_t unreadable_version_ = 0; ///< Newest that failed to decode.
-    drivers::asio::steady_timer download_wake_;
 
     /// Since when this host has not had the newest catalog, or not heard from a
     /// leader that would tell it of one.
--- a/node/document_sources.cpp
+++ b/node/document_sources.cpp
@@ -31,7 +31,7 @@
 constexpr core::duration leader_first_period{3'000};
 
 /// A member that refuses only after this time is as costly as a lost one.
-constexpr core::duration slow_failure{400};
+constexpr core::duration slow_failure{200};
 
 /// Ranks of members that did not fail; the lowest is asked first.
 constexpr int first_rank = -1;
@@ -138,6 +138,23 @@
     }
 }
 
+void document_sources::record_announcement(const core::host_id& member)
+{
+    const auto found = sources_.find(member);
+    if (found != sources_.end())
+    {
+        found->second.lost_at_.reset();
+        found->second.not_ready_at_.reset();
+    }
+}
+
+void document_sources::record_silence(
+    const core::host_id& member, core::time_point now)
+{
+    sources_[member].lost_at_ = now;
+    last_failure_at_ = last_failure_at_.value_or(now);
+}
+
 void document_sources::record_failure(
     const core::host_id& member,
     failure kind,
--- a/node/document_sources.hpp
+++ b/node/document_sources.hpp
@@ -60,6 +60,13 @@
     /// Records that a member replied to a call of another kind: it is not lost.
     void record_contact(const core::host_id& member);
 
+    /// Records that a member has announced a newer document: that it did not
+    /// have an earlier one says nothing.
+    void record_announcement(const core::host_id& member);
+
+    /// Records that a member did not reply to a call of another kind.
+    void record_silence(const core::host_id& member, core::time_point now);
+
     /// Records that a member did not send a part. Others come before it for a
     /// while; for longer if it is lost.
     /// \param took time that the call took.
