Keep the leader when all members stood still for a moment

Cause: after a pause, the tick ran before the messages that had arrived meanwhile, so the leader stepped down and followers began an election. Change: 200 ms to catch up after a pause of up to 1.8 s; a leader that leads on in its term keeps its ledgers. Result: raft.a_short_pause_of_all_members_does_not_change_the_leader failed before.

--- a/control/raft.cpp
+++ b/control/raft.cpp
@@ -197,9 +197,28 @@
     advance_commit();
 }
 
+/// Grants time after a pause between two ticks. Others that stood still, too,
+/// have not elected a leader meanwhile; after a long pause they have.
+void raft::note_pause(core::time_point now)
+{
+    const core::duration pause =
+        last_tick_at_ ? now - *last_tick_at_ : core::duration{};
+    last_tick_at_ = now;
+    const core::duration grace = times_.heartbeat_interval_ * 2;
+    const bool is_short = pause <= times_.min_election_timeout_ * 4;
+    // A member that is late all the time gets no more than one grace at once.
+    const bool was_granted = now - catch_up_until_ < grace;
+    if (pause >= grace && is_short && !was_granted)
+    {
+        catch_up_until_ = now + grace;
+    }
+}
+
 raft_actions raft::tick(core::time_point now)
 {
-    if (role_ == raft_role::leader)
+    note_pause(now);
+    const bool catches_up = now < catch_up_until_;
+    if (role_ == raft_role::leader && !catches_up)
     {
         check_quorum(now);
     }
@@ -207,7 +226,7 @@
     {
         broadcast(now);
     }
-    if (role_ != raft_role::leader && now >= election_deadline_)
+    if (role_ != raft_role::leader && now >= election_deadline_ && !catches_up)
     {
         start_election(true, now);
     }
--- a/control/raft.hpp
+++ b/control/raft.hpp
@@ -87,7 +87,8 @@
     raft(raft_initial_state start, core::time_point now);
 
     /// Performs what is due: elections, heartbeats and the leader's check that
-    /// it still reaches a majority.
+    /// it still reaches a majority. After a short pause of this process, or of
+    /// the whole machine, messages that arrived meanwhile are handled first.
     raft_actions tick(core::time_point now);
 
     /// \return why a message must not be passed to receive(): no member whose
@@ -200,6 +201,7 @@
     };
 
     raft_actions take_actions();
+    void note_pause(core::time_point now);
     void set_term(term_number term, const core::host_id& voted_for);
     void become_follower(term_number term, const core::host_id& leader);
     void start_election(bool is_pre_vote, core::time_point now);
@@ -255,6 +257,11 @@
     core::host_id leader_;
     log_index commit_ = 0;
     core::time_point election_deadline_;
+    std::optional<core::time_point> last_tick_at_;
+
+    /// No election begins and no leader steps down before, since a pause has
+    /// just ended.
+    core::time_point catch_up_until_;
     core::time_point last_leader_contact_;
     bool has_seen_leader_ = false;
     core::time_point next_heartbeat_at_;
--- a/node/catalog_controller.cpp
+++ b/node/catalog_controller.cpp
@@ -209,8 +209,11 @@
             log_level::info,
             was_leading_ ? "leadership_gained" : "leadership_lost",
             {{"term", group_.member()->term()}});
-        if (was_leading_)
+        // After a short pause a leader may lead on in its term, with all that
+        // it knows: no other has led meanwhile.
+        if (was_leading_ && led_term_ != group_.member()->term())
         {
+            led_term_ = group_.member()->term();
             leading_since_ = core::steady_now();
             documents_.begin_leading(leading_since_);
             placements_.reset();
--- a/node/catalog_controller.hpp
+++ b/node/catalog_controller.hpp
@@ -169,6 +169,7 @@
     limit_controller limits_;
     origin_registry origins_;
     bool was_leading_ = false;
+    control::term_number led_term_ = 0; ///< Last term in which this member led.
     core::host_id last_leader_;
 };
 
--- a/tests/control/raft_test.cpp
+++ b/tests/control/raft_test.cpp
@@ -1,5 +1,6 @@
 #include <map>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -575,6 +576,140 @@
     RC_ASSERT(!message || !message->to_.empty() || message->to_.empty());
 }
 
+namespace
+{
+
+/// Three members that exchange messages without delay.
+class paused_group
+{
+public:
+    paused_group()
+    {
+        members_.emplace("a", make_raft("a", "sa", false));
+        members_.emplace("b", make_raft("b", "sb", false));
+        members_.emplace("c", make_raft("c", "sc", false));
+    }
+
+    /// Ticks all members at an interval, except those that stand still.
+    void run(
+        core::duration length,
+        core::duration interval,
+        const std::set<core::host_id>& still = {})
+    {
+        const core::time_point end = now_ + length;
+        while (now_ + interval <= end)
+        {
+            now_ = now_ + interval;
+            for (auto& [host, member] : members_)
+            {
+                if (still.count(host) == 0)
+                {
+                    deliver(member.tick(now_).send_, still);
+                }
+            }
+        }
+        now_ = end;
+    }
+
+    /// Lets all members stand still.
+    void pause_all(core::duration length)
+    {
+        now_ = now_ + length;
+    }
+
+    /// \return the members that lead and are followed.
+    std::vector<core::host_id> leaders() const
+    {
+        std::vector<core::host_id> out;
+        for (const auto& [host, member] : members_)
+        {
+            if (member.is_followed(now_))
+            {
+                out.push_back(host);
+            }
+        }
+        return out;
+    }
+
+    term_number term() const
+    {
+        return members_.at("a").term();
+    }
+
+private:
+    void deliver(
+        std::vector<raft_message> messages,
+        const std::set<core::host_id>& still)
+    {
+        while (!messages.empty())
+        {
+            std::vector<raft_message> next;
+            for (const raft_message& message : messages)
+            {
+                if (still.count(message.to_) == 0)
+                {
+                    const auto replies =
+                        members_.at(message.to_).receive(message, now_).send_;
+                    next.insert(next.end(), replies.begin(), replies.end());
+                }
+            }
+            messages = std::move(next);
+        }
+    }
+
+    std::map<core::host_id, raft> members_;
+    core::time_point now_{1'000};
+};
+
+constexpr core::duration usual_interval{20};
+
+} // namespace
+
+// Guards against a change of the leader each time that a busy machine lets all
+// members stand still for a moment.
+TEST(raft, a_short_pause_of_all_members_does_not_change_the_leader)
+{
+    paused_group group;
+    group.run({4'000}, usual_interval);
+    const auto leaders = group.leaders();
+    ASSERT_EQ(leaders.size(), 1U);
+    const term_number term = group.term();
+    for (const std::int64_t pause_ms : {700, 900, 1'200, 1'500})
+    {
+        group.pause_all({pause_ms});
+        group.run({1'000}, usual_interval);
+        EXPECT_EQ(group.leaders(), leaders) << pause_ms;
+        EXPECT_EQ(group.term(), term) << pause_ms;
+    }
+}
+
+TEST(raft, a_leader_that_stands_still_is_replaced_and_follows_its_successor)
+{
+    paused_group group;
+    group.run({4'000}, usual_interval);
+    const auto leaders = group.leaders();
+    ASSERT_EQ(leaders.size(), 1U);
+    group.run({3'000}, usual_interval, {leaders[0]});
+    group.run({500}, usual_interval);
+    const auto successors = group.leaders();
+    ASSERT_EQ(successors.size(), 1U);
+    EXPECT_NE(successors, leaders);
+}
+
+// Guards against members that are late at each tick and wait for ever.
+TEST(raft, members_that_are_late_all_the_time_replace_a_lost_leader)
+{
+    constexpr core::duration late_interval{400};
+    paused_group group;
+    group.run({4'000}, usual_interval);
+    const auto leaders = group.leaders();
+    ASSERT_EQ(leaders.size(), 1U);
+    group.run({8'000}, late_interval, {leaders[0]});
+    const auto successors = group.leaders();
+    ASSERT_EQ(successors.size(), 1U);
+    EXPECT_NE(successors, leaders);
+}
+
 TEST(membership, a_host_that_does_not_answer_is_suspected_and_then_dead)
 {
     membership members("a", "z", 1, 1);
