--- a/tests/harness/platform_soak.py
+++ b/tests/harness/platform_soak.py
@@ -77,6 +77,7 @@
         self.ip = f"{soak.network}.{number}"
         self.member = member
         self.zone = zone
+        self.program = soak.program
         self.name = f"{'member' if member else 'entry'}-{number}"
         self.data = os.path.join(soak.folder, self.name)
         self.settings = os.path.join(soak.folder, self.name + ".conf")
@@ -114,7 +115,7 @@
         self.stopping = False
         log = open(os.path.join(self.soak.folder, self.name + ".log"), "ab")
         self.process = await asyncio.create_subprocess_exec(
-            self.soak.program, "--platform", stdout=log, stderr=log,
+            self.program, "--platform", stdout=log, stderr=log,
             env={**os.environ, **self.soak.environment(self),
                  "POPLARROUTE_CONFIG": self.settings})
         log.close()
--- a/tests/harness/real_days.py
+++ b/tests/harness/real_days.py
@@ -22,7 +22,8 @@
 sync stays. Links between hosts and endpoints, or callers, are not disturbed.
 
     real_days.py [FILE] --seed 1 --seeds 3 [--members 3] [--entries 6]
-                 [--busy 0] [--build FOLDER] [--network 127.0.2]
+                 [--busy 0] [--build FOLDER] [--other-build FOLDER]
+                 [--network 127.0.2]
 """
 
 import argparse
@@ -85,7 +86,10 @@
         self.random = random.Random(seed)
         self.seed = seed
         self.network = shape.network
-        self.program = os.path.join(shape.build, "main", "poplarroute")
+        self.programs = [os.path.join(build, "main", "poplarroute")
+                         for build in (shape.build, shape.other_build or
+                                       shape.build)]
+        self.program = self.programs[0]
         self.redirect = os.path.join(shape.redirect, "tests",
                                      "liblink_redirect.so")
         self.folder = tempfile.mkdtemp(prefix=f"real-day-{seed}-")
@@ -93,7 +97,7 @@
         named = [entry["zone"] for entry in day["plan"] + day["faults"]
                  if "zone" in entry]
         self.zones = list(dict.fromkeys(named))
-        while len(self.zones) < min(3, shape.members):
+        while len(self.zones) < min(4, shape.members):
             self.zones.append(f"zone-{len(self.zones)}")
         self.members = []
         for number in range(shape.members):
@@ -106,6 +110,8 @@
                         for number in range(shape.entries)]
         self.endpoints = [fakes.Endpoint(f"i-desk{at}", "desk", None, 64, at)
                           for at in range(3)]
+        for number, host in enumerate(self.members + self.entries):
+            host.program = self.programs[number % 2]
         for endpoint in self.endpoints:
             endpoint.work_s = (0.001, 0.003)
         self.endpoint_links = [fakes.Link(endpoint)
@@ -258,6 +264,7 @@
     async def replace_core(self, entry):
         leaving = self.choose(entry, self.members)[0]
         arriving = Host(self, self.next_member, True, leaving.zone, False)
+        arriving.program = self.programs[self.next_member % 2]
         self.next_member += 1
         wait_s = entry.get("x", 1.0)
 
@@ -296,6 +303,16 @@
             self.history.heal(first.name, second.name, time.monotonic())
         self.note(f"{what} healed")
 
+    def directions(self, inside, outside, how):
+        """Returns what a cut between two groups of hosts silences."""
+        outward = [(host, other) for host in inside for other in outside]
+        inward = [(other, host) for host, other in outward]
+        if "one_way" not in how:
+            return outward + inward
+        if "inward" in how or "outward" in how:
+            return inward if "inward" in how else outward
+        return self.random.choice([inward, outward])
+
     async def core_cut(self, entry):
         how = entry.get("how", "").split()
         chosen = self.choose(entry, self.members)
@@ -309,25 +326,22 @@
         if "near" in how:
             others += [host for host in self.entries
                        if host.zone != chosen[0].zone]
-        directions = [(host, other) for host in chosen for other in others]
-        back = [(other, host) for host, other in directions]
-        if "one_way" not in how:
-            directions += back
-        elif "inward" in how or ("outward" not in how
-                                 and self.random.random() < 0.5):
-            directions = back
+        directions = self.directions(chosen, others, how)
         names = ", ".join(host.name for host in chosen)
         work = self.cut(directions, entry, f"{names} ({' '.join(how)})")
         await self.lose(work, entry)
 
     async def zone_cut(self, entry):
+        how = entry.get("how", "").split()
         zone = entry.get("zone") or self.random.choice(self.zones)
+        if "leader" in how:
+            zone = self.leader().zone
         hosts = self.members + self.entries
-        inside = [host for host in hosts if host.zone == zone]
-        outside = [host for host in hosts if host.zone != zone]
-        directions = [pair for host in inside for other in outside
-                      for pair in ((host, other), (other, host))]
-        await self.lose(self.cut(directions, entry, zone), entry)
+        directions = self.directions(
+            [host for host in hosts if host.zone == zone],
+            [host for host in hosts if host.zone != zone], how)
+        work = self.cut(directions, entry, f"{zone} ({' '.join(how)})")
+        await self.lose(work, entry)
 
     async def lossy(self, entry):
         """What a zone sends to others arrives late, as what is sent again."""
@@ -608,7 +622,7 @@
                       "herd_kill", "reset_conns", "lossy", "replace_core"])
     out = {"at": at, "kind": kind, "for_s": for_s, "overlaps":
            rng.random() < 0.5, "how": who}
-    if kind == "core_cut":
+    if kind in ("core_cut", "zone_cut"):
         out["how"] = f"{who} {sides}"
     elif kind == "pause_core":
         out["for_s"] = round(rng.uniform(0.05, 1.5), 2)
@@ -667,6 +681,8 @@
                         metavar="0..16", help="busy processes beside the day")
     parser.add_argument("--build", default=soak.BUILD,
                         help="the build folder whose programs are played")
+    parser.add_argument("--other-build",
+                        help="the build folder of every second host")
     parser.add_argument("--network", default="127.0.2",
                         help="first numbers of the hosts' loopback addresses")
     parser.add_argument("--keep", action="store_true",
