--- a/tests/harness/real_days.py
+++ b/tests/harness/real_days.py
@@ -51,6 +51,8 @@
 OPERATOR_TIMEOUT_S = 1.0
 CHANGE_PATIENCE_S = 12.0
 PROBE_INTERVAL_S = 0.1
+LATENESS_INTERVAL_S = 0.05
+MAX_LATENESS_S = 0.15
 ROUTES_AHEAD = 60       # Versions for which an added route stays.
 FIRST_ENTRY, FIRST_MEMBER = 100, 1
 PORTS = [CONTROL_PORT, *range(soak.PEER_PORT, soak.PEER_PORT + 3)]
@@ -85,6 +87,7 @@
         self.day = day
         self.random = random.Random(seed)
         self.seed = seed
+        self.forgives_late = shape.forgive_late
         self.network = shape.network
         self.programs = [os.path.join(build, "main", "poplarroute")
                          for build in (shape.build, shape.other_build or
@@ -368,6 +371,18 @@
         self.links.reset(lambda source, target: source in addresses
                          or target in addresses)
 
+    async def watch_lateness(self):
+        """Counts the machine as slowed, by the users' definition of "in
+        touch", while it lets this process itself wait."""
+        while self.running:
+            due = time.monotonic() + LATENESS_INTERVAL_S
+            await asyncio.sleep(LATENESS_INTERVAL_S)
+            now = time.monotonic()
+            if now - due > MAX_LATENESS_S:
+                self.counts["late"] = self.counts.get("late", 0) + 1
+                self.history.harm([host.name for host in
+                                   self.members + self.entries], due, now)
+
     # The operator.
 
     async def ask_member(self, host, method, body=b""):
@@ -559,6 +574,7 @@
             await self.change({})
             tasks = [asyncio.create_task(work) for work in [
                 self.read_configurations(),
+                *([self.watch_lateness()] if self.forgives_late else []),
                 *(self.probe(host) for host in self.entries)]]
             await asyncio.gather(*[self.play(entry) for entry in
                                    self.day["plan"] + self.day["faults"]])
@@ -685,6 +701,8 @@
                         help="the build folder of every second host")
     parser.add_argument("--network", default="127.0.2",
                         help="first numbers of the hosts' loopback addresses")
+    parser.add_argument("--forgive-late", action="store_true",
+                        help="count the machine as slowed while it is late")
     parser.add_argument("--keep", action="store_true",
                         help="keep records and logs of days that pass")
     out = parser.parse_args()
