--- a/tests/harness/real_days.py
+++ b/tests/harness/real_days.py
@@ -107,6 +107,7 @@
             self.members.append(Host(
                 self, FIRST_MEMBER + number, True,
                 self.zones[number % len(self.zones)]))
+        self.departed = {}          # Replaced members, by their names.
         self.next_member = FIRST_MEMBER + shape.members
         self.entries = [Host(self, FIRST_ENTRY + number, False,
                              self.zones[number % len(self.zones)])
@@ -148,6 +149,8 @@
     # Processes.
 
     async def start(self, host):
+        if host.name in self.departed:
+            return
         self.links.set_dark(host.ip, False)
         await self.links.open(host.ip)
         await host.start()
@@ -265,7 +268,10 @@
             "power" in entry.get("how", "")) for host in list(chosen)])
 
     async def replace_core(self, entry):
-        leaving = self.choose(entry, self.members)[0]
+        chosen = self.choose(entry, self.members)
+        if not chosen:
+            return
+        leaving = chosen[0]
         arriving = Host(self, self.next_member, True, leaving.zone, False)
         arriving.program = self.programs[self.next_member % 2]
         self.next_member += 1
@@ -278,6 +284,7 @@
 
         async def leave(signal_number):
             self.members.remove(leaving)
+            self.departed[leaving.name] = leaving
             await self.stop(leaving, signal_number)
             self.history.remove_member(leaving.name, time.monotonic())
 
@@ -590,10 +597,11 @@
             await asyncio.gather(*tasks)
         finally:
             self.running = False
-            for host in self.members + self.entries:
+            hosts = [*self.members, *self.entries, *self.departed.values()]
+            for host in hosts:
                 host.send(signal.SIGCONT)
                 host.send(signal.SIGKILL)
-            for host in self.members + self.entries:
+            for host in hosts:
                 if host.process:
                     await host.process.wait()
             self.links.close_all()
