Let late members of a large fleet come before the leader

Cause: a member whose watch failed counts as lost for downloads, and then comes after the leader. In a large fleet members are late for a moment when all hosts ask, so all would download from the leader. By reading; not seen by itself.

--- a/node/catalog_watcher.cpp
+++ b/node/catalog_watcher.cpp
@@ -199,7 +199,12 @@
     }
     const core::time_point now = core::steady_now();
     search_.record_failure(member, now);
-    if (failure_kind(error) == document_sources::failure::lost)
+    // In a large fleet, members are late for a moment when all hosts ask. They
+    // still come before the leader.
+    const bool is_lost =
+        failure_kind(error) == document_sources::failure::lost &&
+        known_hosts() <= max_hosts_of_small_fleets;
+    if (is_lost)
     {
         sources_.record_silence(member, now);
     }
